--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+VENV ?= .venv
+PY = $(VENV)/bin/python
+export PYTHONPATH := src:tools
+STAMP = $(VENV)/.installed
+
+.PHONY: install run test check format lint types unit features
+
+install: $(STAMP)
+
+$(STAMP): requirements.lock
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q -r requirements.lock
+	touch $(STAMP)
+
+run: install
+	$(PY) -m standins.demo
+
+test: install lint types unit features
+
+check: test
+
+format: install
+	$(VENV)/bin/ruff check -q --fix src tools tests features
+	$(VENV)/bin/ruff format -q src tools tests features
+
+lint: install
+	$(VENV)/bin/ruff format -q --check src tools tests features
+	$(VENV)/bin/ruff check -q src tools tests features
+	$(VENV)/bin/flake8 src tools
+
+types: install
+	$(VENV)/bin/mypy
+
+unit: install
+	$(PY) -m pytest
+
+features: install
+	$(VENV)/bin/behave --format progress --no-capture features
