--- /dev/null
+++ b/tools/standins/logservice.py
@@ -0,0 +1,122 @@
+"""The log service over HTTP: a thin daemon around `standins.logstore`.
+
+`GET /control` shows how the service behaves; `POST /control` changes the
+fields that its body names.
+"""
+
+import time
+from http import HTTPStatus
+
+import msgspec
+import trio
+import typer
+
+from standins.http import HangUp, Request, Response, respond, serve_http
+from standins.logstore import (
+    DEFAULT_READ_LIMIT,
+    MS_PER_SECOND,
+    AnswerLost,
+    Conduct,
+    LogStore,
+    Outage,
+    RateExceeded,
+    ServiceDown,
+)
+
+CONTROL_PATH = '/control'
+RECORDS_PARTS = ('streams', 'records')
+
+
+class Appended(msgspec.Struct):
+    """The answer to an append.
+
+    Attributes:
+        offset: The place of the new record.
+    """
+
+    offset: int
+
+
+class LogHandler:
+    """Answers the requests of one log store.
+
+    Attributes:
+        store: The streams and their rules.
+    """
+
+    def __init__(self, store: LogStore) -> None:
+        self.store = store
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request.
+
+        Args:
+            request: The whole request.
+
+        Raises:
+            HangUp: The answer is lost, or the outage closes connections.
+        """
+        if request.path == CONTROL_PATH:
+            return self._control(request)
+        try:
+            return await self._serve(request)
+        except RateExceeded:
+            return Response(status=HTTPStatus.TOO_MANY_REQUESTS)
+        except AnswerLost as lost:
+            raise HangUp from lost
+        except ServiceDown as down:
+            if self.store.conduct.outage is Outage.HANG_UP:
+                raise HangUp from down
+            return Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+
+    async def _serve(self, request: Request) -> Response:
+        parts = request.path.split('/')
+        if len(parts) == 4 and (parts[1], parts[3]) == RECORDS_PARTS:
+            return await self._serve_stream(request, parts[2])
+        return Response(status=HTTPStatus.NOT_FOUND)
+
+    async def _serve_stream(self, request: Request, stream: str) -> Response:
+        if request.method == 'POST':
+            return await self._append(stream, request.body)
+        query = request.query
+        page = await self.store.read(
+            stream,
+            int(query.get('from', '0')),
+            limit=int(query.get('limit', DEFAULT_READ_LIMIT)),
+            wait_ms=float(query.get('wait_ms', '0')),
+        )
+        return respond(page)
+
+    async def _append(self, stream: str, body: bytes) -> Response:
+        msgspec.json.decode(body)
+        offset = await self.store.append(stream, msgspec.Raw(body))
+        return respond(Appended(offset))
+
+    def _control(self, request: Request) -> Response:
+        conduct = self.store.conduct
+        if request.method == 'POST':
+            change = msgspec.json.decode(request.body)
+            fields = msgspec.structs.asdict(conduct) | change
+            conduct = msgspec.convert(fields, Conduct)
+            self.store.behave(conduct)
+        return respond(conduct)
+
+
+def read_clock_ms() -> int:
+    """Read the wall clock, in milliseconds since the Unix epoch."""
+    return int(time.time() * MS_PER_SECOND)
+
+
+def serve(port: int, host: str = '127.0.0.1') -> None:
+    """Run the log service until it is stopped.
+
+    Args:
+        port: The port to listen on.
+        host: The IP address to listen on.
+    """
+    handler = LogHandler(LogStore(read_clock_ms))
+    trio.run(serve_http, handler.handle, host, port)
+
+
+if __name__ == '__main__':
+    typer.run(serve)
