Serve a request from caller to backend server and back

Cause: everything hangs on one path through separate processes. Change: settings checked whole, the two lists and their fold from the log, the host list, the front end for callers on h11, kept connections to backend servers, dispatch of idempotent calls, the administration API, the command line, the composition root, and the messages between entry hosts. Ruled out: Quart on Hypercorn for callers.

--- /dev/null
+++ b/src/ebonystream/backend/_server.py
@@ -0,0 +1,41 @@
+"""One backend server, as one entry host knows it."""
+
+import attrs
+
+from ebonystream._ids import ServerId, ServiceName, VersionName, ZoneName
+
+
+@attrs.frozen
+class ServerAddress:
+    """Where a backend server listens.
+
+    Attributes:
+        address: Its IP number.
+        port: Its TCP port.
+    """
+
+    address: str
+    port: int
+
+
+@attrs.define(kw_only=True)
+class BackendServer:
+    """One backend server and this host's view of it.
+
+    Attributes:
+        id: Its name in the host list.
+        at: Where it listens.
+        service: The service it belongs to.
+        version: The version it runs.
+        zone: The availability zone it stands in.
+        leaving: Whether the host list says that it leaves.
+        in_flight: Calls of this entry host that it has in hand.
+    """
+
+    id: ServerId
+    at: ServerAddress
+    service: ServiceName
+    version: VersionName
+    zone: ZoneName
+    leaving: bool = False
+    in_flight: int = 0
--- a/src/ebonystream/call/__init__.py
+++ b/src/ebonystream/call/__init__.py
@@ -1,6 +1,31 @@
 """The call aggregate: one caller's request, its deadline and its outcome."""
 
+from ebonystream.call._admission import Admit, ParseKey, make_admission
 from ebonystream.call._call import Answer, Call, CallKind, Header, Headers
+from ebonystream.call._received import (
+    CUSTOMER_HEADER,
+    KEY_HEADER,
+    TIMEOUT_HEADER,
+    Received,
+)
 from ebonystream.call._refusal import refuse
+from ebonystream.call._serving import Run, Serve, make_serving
 
-__all__ = ('Answer', 'Call', 'CallKind', 'Header', 'Headers', 'refuse')
+__all__ = (
+    'CUSTOMER_HEADER',
+    'KEY_HEADER',
+    'TIMEOUT_HEADER',
+    'Admit',
+    'Answer',
+    'Call',
+    'CallKind',
+    'Header',
+    'Headers',
+    'ParseKey',
+    'Received',
+    'Run',
+    'Serve',
+    'make_admission',
+    'make_serving',
+    'refuse',
+)
--- /dev/null
+++ b/src/ebonystream/caller/_listener.py
@@ -0,0 +1,85 @@
+"""Where callers connect."""
+
+import attrs
+import trio
+
+from ebonystream._ids import Seconds
+from ebonystream._timers import Timers
+from ebonystream.call import Serve
+from ebonystream.caller._connection import (
+    CallerLimits,
+    Draining,
+    serve_connection,
+)
+
+
+@attrs.define(kw_only=True)
+class CallerListener:
+    """The listening socket for callers and its connections.
+
+    Attributes:
+        serve: Answers a request.
+        limits: What callers may send.
+        max_connections: Connections that are served at the same time.
+        drain_grace: How long connections stay open after a stop is asked
+            for, so that a request on its way is still answered; in seconds.
+        timers: Tells the time.
+        draining: Tells when this host leaves.
+        open_connections: Connections that are served now.
+    """
+
+    serve: Serve
+    limits: CallerLimits
+    max_connections: int
+    drain_grace: Seconds
+    timers: Timers
+    draining: Draining = attrs.field(factory=Draining)
+    open_connections: int = 0
+
+    async def run(
+        self,
+        listeners: list[trio.SocketListener],
+        stopping: trio.Event,
+    ) -> None:
+        """Serve callers until a stop is asked for and each has its answer.
+
+        Args:
+            listeners: The listening sockets.
+            stopping: Set when a stop is asked for.
+        """
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(self._accept, listeners, connections)
+                await stopping.wait()
+                self.draining.begun = True
+                await self.timers.wait(self.drain_grace)
+                accepting.cancel_scope.cancel()
+            self.draining.close_waiting()
+
+    async def _accept(
+        self,
+        listeners: list[trio.SocketListener],
+        connections: trio.Nursery,
+    ) -> None:
+        await trio.serve_listeners(
+            self._serve_one, listeners, handler_nursery=connections
+        )
+
+    async def _serve_one(self, stream: trio.SocketStream) -> None:
+        if self.open_connections >= self.max_connections:
+            await trio.aclose_forcefully(stream)
+            return
+        self.open_connections += 1
+        try:
+            await self._serve(stream)
+        finally:
+            self.open_connections -= 1
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        await serve_connection(
+            stream,
+            serve=self.serve,
+            limits=self.limits,
+            timers=self.timers,
+            draining=self.draining,
+        )
--- /dev/null
+++ b/src/ebonystream/composition/__init__.py
@@ -0,0 +1,5 @@
+"""The composition root: the one place that wires the parts of an entry host."""
+
+from ebonystream.composition._root import run_entry_host
+
+__all__ = ('run_entry_host',)
--- /dev/null
+++ b/src/ebonystream/composition/_listener.py
@@ -0,0 +1,63 @@
+"""Wires the path of a call, from the caller's connection to a back end."""
+
+from random import Random
+
+from ebonystream._ids import IdempotencyKey, ZoneName
+from ebonystream.backend import (
+    Dispatch,
+    make_dispatch,
+    make_idempotent_run,
+    make_placing,
+    release_place,
+)
+from ebonystream.call import CallKind, make_admission, make_serving
+from ebonystream.caller import CallerLimits, CallerListener
+from ebonystream.composition._parts import Parts, convert_ms
+from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.upstream import make_sender
+
+
+def make_listener(parts: Parts) -> CallerListener:
+    """Make the listener for callers."""
+    callers = parts.settings.callers
+    run = make_idempotent_run(
+        dispatch=_make_dispatch(parts),
+        timers=parts.timers,
+        count_retries=lambda call: 0,
+    )
+    admit = make_admission(
+        get_plans=lambda: parts.control.plans, parse_key=_refuse_key
+    )
+    return CallerListener(
+        serve=make_serving(admit=admit, runs={CallKind.IDEMPOTENT: run}),
+        limits=CallerLimits(
+            head_bytes=callers.max_head_bytes,
+            body_bytes=callers.max_body_bytes,
+            receive=convert_ms(callers.receive_timeout_ms),
+            idle=convert_ms(callers.idle_timeout_ms),
+        ),
+        max_connections=callers.max_connections,
+        drain_grace=convert_ms(callers.drain_grace_ms),
+        timers=parts.timers,
+    )
+
+
+def _make_dispatch(parts: Parts) -> Dispatch:
+    return make_dispatch(
+        place=make_placing(
+            directory=parts.directory,
+            is_out=_is_never_out,
+            random=Random(parts.incarnation),
+        ),
+        send=make_sender(pool=parts.pool, timers=parts.timers),
+        observers=(release_place,),
+        timers=parts.timers,
+    )
+
+
+def _refuse_key(sent: bytes) -> IdempotencyKey:
+    raise EbonystreamError(ErrorKind.KEY_MALFORMED, sent.decode('latin-1'))
+
+
+def _is_never_out(zone: ZoneName) -> bool:
+    return not zone
--- /dev/null
+++ b/src/ebonystream/composition/_parts.py
@@ -0,0 +1,67 @@
+"""The parts that one entry host is made of."""
+
+import time
+import uuid
+
+import attrs
+import httpx
+import trio
+
+from ebonystream._ids import Incarnation, Seconds
+from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
+from ebonystream.backend import Directory
+from ebonystream.configuration import Control
+from ebonystream.platform import (
+    LogService,
+    ReadHosts,
+    make_host_reader,
+    make_http_log,
+)
+from ebonystream.settings import Settings
+from ebonystream.upstream import ConnectionPool, PoolLimits
+
+
+@attrs.frozen(kw_only=True)
+class Parts:
+    """Everything that tasks of one entry host share."""
+
+    settings: Settings
+    timers: Timers
+    log: LogService
+    read_hosts: ReadHosts
+    control: Control
+    directory: Directory
+    pool: ConnectionPool
+    incarnation: Incarnation
+    stopping: trio.Event
+
+
+def make_parts(settings: Settings, client: httpx.AsyncClient) -> Parts:
+    """Make the parts of one entry host; nothing runs yet.
+
+    Args:
+        settings: The checked settings.
+        client: The HTTP client for the platform's services.
+    """
+    timers = start_timers(wall_clock=time.time)
+    limits = PoolLimits(
+        idle_connections=settings.backends.slots + settings.backends.queue,
+        idle=convert_ms(settings.backends.idle_ms),
+        connect_timeout=convert_ms(settings.backends.connect_timeout_ms),
+    )
+    return Parts(
+        settings=settings,
+        timers=timers,
+        log=make_http_log(client=client, url=settings.log.url),
+        read_hosts=make_host_reader(client=client, url=settings.host_list.url),
+        control=Control(),
+        directory=Directory(),
+        pool=ConnectionPool(limits, timers),
+        incarnation=Incarnation(uuid.uuid4().hex),
+        stopping=trio.Event(),
+    )
+
+
+def convert_ms(length: int) -> Seconds:
+    """Convert milliseconds, as in the settings, to seconds."""
+    return Seconds(length / MS_PER_SECOND)
--- /dev/null
+++ b/src/ebonystream/peer/_messages.py
@@ -0,0 +1,188 @@
+"""Messages between entry hosts, as MessagePack.
+
+A message is one byte of protocol version and one tagged struct. Anything else
+is counted and dropped; see `decode_message`.
+"""
+
+import msgspec
+
+from ebonystream._ids import (
+    BootId,
+    CorrelationId,
+    HostId,
+    Incarnation,
+    MoveId,
+    Offset,
+    ServerId,
+    StreamName,
+    VersionName,
+    ZoneName,
+)
+
+PROTOCOL_VERSION = 1
+
+
+class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What one host does at one backend server.
+
+    Attributes:
+        server: The backend server.
+        in_flight: Calls of the host that the server has in hand.
+        boot: The run of the server that answered last, if known.
+    """
+
+    server: ServerId
+    in_flight: int
+    boot: BootId | None = None
+
+
+class VersionBrake(msgspec.Struct, frozen=True, array_like=True):
+    """One host's verdict that a version is bad, before the log has it.
+
+    Attributes:
+        move: The move that brought the version.
+        version: The version.
+        reason: What was seen.
+    """
+
+    move: MoveId
+    version: VersionName
+    reason: str
+
+
+class Heartbeat(msgspec.Struct, tag='heartbeat', frozen=True):
+    """What each host tells each peer, again and again.
+
+    Attributes:
+        host: Who sends it.
+        incarnation: Which run of the host.
+        zone: The zone that the host stands in.
+        sequence: Counts the heartbeats of this incarnation.
+        leaving: Whether the host is stopping.
+        control_next: The next offset of the control stream it will fold.
+        keys_next: The next offset of the keys stream it will fold.
+        heard: The newest sequence it heard from the receiver's incarnation.
+        loads: What it does at backend servers, changed ones only.
+        zones_in_flight: Calls that it has in hand in each zone.
+        brakes: Versions that it stopped.
+        suspects: Fingerprints of requests that it saw end a server.
+    """
+
+    host: HostId
+    incarnation: Incarnation
+    zone: ZoneName
+    sequence: int
+    leaving: bool = False
+    control_next: Offset = Offset(0)
+    keys_next: Offset = Offset(0)
+    heard: int | None = None
+    loads: tuple[ServerLoad, ...] = ()
+    zones_in_flight: dict[ZoneName, int] = msgspec.field(default_factory=dict)
+    brakes: tuple[VersionBrake, ...] = ()
+    suspects: tuple[str, ...] = ()
+
+
+class ForwardCall(msgspec.Struct, tag='call', frozen=True):
+    """A call that must run once, on its way to the owner of its key.
+
+    Attributes:
+        correlation: Pairs the answer with it.
+        owner: The incarnation that owns the key; any other drops it.
+        customer: Who sent the call.
+        route: The route of the plan.
+        service: The service that answers it.
+        method: The HTTP method.
+        target: The path with its query.
+        headers: End-to-end header fields.
+        body: The whole body.
+        remaining_ms: What is left of the deadline.
+        key: The idempotency key.
+    """
+
+    correlation: CorrelationId
+    owner: Incarnation
+    customer: str
+    route: str
+    service: str
+    method: str
+    target: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    remaining_ms: int
+    key: str
+
+
+class ForwardAnswer(msgspec.Struct, tag='answer', frozen=True):
+    """The owner's answer to a forwarded call.
+
+    Attributes:
+        correlation: The call's own.
+        outcome: What became of the call.
+        status: The HTTP status.
+        headers: End-to-end header fields.
+        body: The whole body.
+        error: The kind of error where the system itself answers.
+    """
+
+    correlation: CorrelationId
+    outcome: str
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    error: str | None = None
+
+
+class FetchSnapshot(msgspec.Struct, tag='fetch', frozen=True):
+    """Asks a peer for what its fold of a stream came to.
+
+    Attributes:
+        correlation: Pairs the answer with it.
+        stream: The stream.
+    """
+
+    correlation: CorrelationId
+    stream: StreamName
+
+
+class Snapshot(msgspec.Struct, tag='snapshot', frozen=True):
+    """What a fold came to.
+
+    Attributes:
+        correlation: The request's own.
+        next: The next offset that the fold will take.
+        state: The state, in the spelling of its aggregate.
+    """
+
+    correlation: CorrelationId
+    next: Offset
+    state: bytes
+
+
+PeerMessage = Heartbeat | ForwardCall | ForwardAnswer | FetchSnapshot | Snapshot
+"""The closed list of messages between entry hosts."""
+
+_decoder = msgspec.msgpack.Decoder(PeerMessage)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Spell a message.
+
+    Args:
+        message: Any message of the list.
+    """
+    return bytes((PROTOCOL_VERSION,)) + _encoder.encode(message)
+
+
+def decode_message(sent: bytes) -> PeerMessage | None:
+    """Read a message; None where it is no message of this protocol version.
+
+    Args:
+        sent: What came over the network.
+    """
+    if not sent or sent[0] != PROTOCOL_VERSION:
+        return None
+    try:
+        return _decoder.decode(sent[1:])
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/src/ebonystream/platform/__init__.py
@@ -0,0 +1,31 @@
+"""The platform's services: the log and the host list, over HTTP."""
+
+from ebonystream.platform._hostlist import (
+    HostRole,
+    HostState,
+    ListedHost,
+    ReadHosts,
+    make_host_reader,
+)
+from ebonystream.platform._log import (
+    Append,
+    LogPage,
+    LogRecord,
+    LogService,
+    ReadLog,
+)
+from ebonystream.platform._loghttp import make_http_log
+
+__all__ = (
+    'Append',
+    'HostRole',
+    'HostState',
+    'ListedHost',
+    'LogPage',
+    'LogRecord',
+    'LogService',
+    'ReadHosts',
+    'ReadLog',
+    'make_host_reader',
+    'make_http_log',
+)
--- /dev/null
+++ b/src/ebonystream/settings/__init__.py
@@ -0,0 +1,35 @@
+"""Settings of one entry host: JSON, checked whole before anything starts."""
+
+from ebonystream.settings._file import (
+    SettingsError,
+    SettingsFault,
+    name_faults,
+    read_settings,
+)
+from ebonystream.settings._settings import (
+    AdminSettings,
+    BackendSettings,
+    CallerSettings,
+    HostListSettings,
+    HostSettings,
+    LogSettings,
+    OwnershipSettings,
+    PeerSettings,
+    Settings,
+)
+
+__all__ = (
+    'AdminSettings',
+    'BackendSettings',
+    'CallerSettings',
+    'HostListSettings',
+    'HostSettings',
+    'LogSettings',
+    'OwnershipSettings',
+    'PeerSettings',
+    'Settings',
+    'SettingsError',
+    'SettingsFault',
+    'name_faults',
+    'read_settings',
+)
--- /dev/null
+++ b/src/ebonystream/upstream/_pool.py
@@ -0,0 +1,102 @@
+"""Kept connections to backend servers, bounded for each server."""
+
+from collections import deque
+
+import attrs
+import trio
+
+from ebonystream._ids import Monotonic, Seconds
+from ebonystream._timers import Timers
+from ebonystream.backend import ServerAddress
+
+
+@attrs.frozen
+class PoolLimits:
+    """How many connections are kept, and how long.
+
+    Attributes:
+        idle_connections: Unused connections kept for one server.
+        idle: How long an unused connection is kept, in seconds.
+        connect_timeout: How long opening one may take, in seconds.
+    """
+
+    idle_connections: int
+    idle: Seconds
+    connect_timeout: Seconds
+
+
+@attrs.frozen
+class _Kept:
+    stream: trio.SocketStream
+    since: Monotonic
+
+
+@attrs.define
+class ConnectionPool:
+    """The unused connections of this host.
+
+    Attributes:
+        limits: How many are kept, and how long.
+        timers: Tells how long a connection was unused.
+        opened: Connections opened so far; each one costs a server time.
+    """
+
+    limits: PoolLimits
+    timers: Timers
+    opened: int = 0
+    _kept: dict[ServerAddress, deque[_Kept]] = attrs.field(factory=dict)
+
+    async def take(self, at: ServerAddress) -> trio.SocketStream | None:
+        """Give a connection that is open, or None where none can be had.
+
+        Args:
+            at: Where the backend server listens.
+        """
+        kept = self._kept.get(at)
+        while kept:
+            one = kept.pop()
+            if self._is_usable(one):
+                return one.stream
+            await trio.aclose_forcefully(one.stream)
+        return await self._open(at)
+
+    async def give_back(
+        self, at: ServerAddress, stream: trio.SocketStream
+    ) -> None:
+        """Keep a connection for the next call, or close it.
+
+        Args:
+            at: Where the backend server listens.
+            stream: A connection on which nothing is outstanding.
+        """
+        kept = self._kept.setdefault(at, deque())
+        if len(kept) < self.limits.idle_connections:
+            kept.append(_Kept(stream, self.timers.now()))
+            return
+        await trio.aclose_forcefully(stream)
+
+    async def close_idle(self) -> None:
+        """Close what was unused for longer than the limit."""
+        for at, kept in list(self._kept.items()):
+            while kept and not self._is_fresh(kept[0]):
+                await trio.aclose_forcefully(kept.popleft().stream)
+            if not kept:
+                self._kept.pop(at, None)
+
+    def _is_fresh(self, kept: _Kept) -> bool:
+        return self.timers.now() - kept.since < self.limits.idle
+
+    def _is_usable(self, kept: _Kept) -> bool:
+        # A readable unused connection is one that the server has closed.
+        return self._is_fresh(kept) and not kept.stream.socket.is_readable()
+
+    async def _open(self, at: ServerAddress) -> trio.SocketStream | None:
+        stream = None
+        with trio.move_on_after(self.limits.connect_timeout):
+            try:
+                stream = await trio.open_tcp_stream(at.address, at.port)
+            except OSError:
+                return None
+        if stream is not None:
+            self.opened += 1
+        return stream
