Own keys by intervals in the log, and run each key once

Cause: a lockout or a sale must run at most once although callers send again through other hosts, hosts vanish and pause, and the log can be down for long. Ruled out: an append for each call (the log takes a few hundred a second and has outages); moving a dead owner's labels to another host (an owner that was only paused would wake and run what the other ran); rules whose parameters come from each host's settings (hosts would fold the same records to different owners), so slices and reach are constants of the protocol; writing grants again before they expire: a claim is bounded by the log's own time of its record instead, so a late reader knows from which label on it agrees. Change: the fold of claims and releases, the ledger, owned runs, claims ahead of time, and a patience beyond the deadline so that an outcome is learned.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 check: test
 
 format: install
+	$(VENV)/bin/ruff format -q src tools tests features
 	$(VENV)/bin/ruff check -q --fix src tools tests features
 	$(VENV)/bin/ruff format -q src tools tests features
 
--- a/src/ebonystream/call/__init__.py
+++ b/src/ebonystream/call/__init__.py
@@ -1,6 +1,11 @@
 """The call aggregate: one caller's request, its deadline and its outcome."""
 
-from ebonystream.call._admission import Admit, ParseKey, make_admission
+from ebonystream.call._admission import (
+    ONCE_PATIENCE,
+    Admit,
+    ParseKey,
+    make_admission,
+)
 from ebonystream.call._call import Answer, Call, CallKind, Header, Headers
 from ebonystream.call._received import (
     CUSTOMER_HEADER,
@@ -14,6 +19,7 @@
 __all__ = (
     'CUSTOMER_HEADER',
     'KEY_HEADER',
+    'ONCE_PATIENCE',
     'TIMEOUT_HEADER',
     'Admit',
     'Answer',
--- a/src/ebonystream/call/_admission.py
+++ b/src/ebonystream/call/_admission.py
@@ -2,9 +2,14 @@
 
 from collections.abc import Callable
 
-from ebonystream._ids import CustomerId, IdempotencyKey, Monotonic
+from ebonystream._ids import (
+    CustomerId,
+    IdempotencyKey,
+    Monotonic,
+    Seconds,
+)
 from ebonystream._timers import MS_PER_SECOND
-from ebonystream.call._call import Call, CallKind
+from ebonystream.call._call import NO_PATIENCE, Call, CallKind
 from ebonystream.call._received import (
     CUSTOMER_HEADER,
     KEY_HEADER,
@@ -14,6 +19,10 @@
 from ebonystream.configuration import PlanAllowance, PlanTable, Route
 from ebonystream.errors import EbonystreamError, ErrorKind
 
+ONCE_PATIENCE = Seconds(30.0)
+"""How much longer than its deadline a call that must run once is waited for:
+a second send of its key then gets the outcome in place of "unknown"."""
+
 Admit = Callable[[Received], Call]
 """Makes a call of a request, or raises the error that is answered."""
 
@@ -54,6 +63,7 @@
             body=received.body,
             deadline=_find_deadline(received, plan),
             key=_find_key(received, route, parse_key),
+            patience=ONCE_PATIENCE if route.once else NO_PATIENCE,
         )
 
     return admit
--- a/src/ebonystream/call/_call.py
+++ b/src/ebonystream/call/_call.py
@@ -9,10 +9,13 @@
     IdempotencyKey,
     Monotonic,
     RouteName,
+    Seconds,
     ServiceName,
 )
 from ebonystream.errors import ErrorKind, Outcome
 
+NO_PATIENCE = Seconds(0)
+
 Header = tuple[bytes, bytes]
 """One header field: its lower-case name and its value."""
 
@@ -42,6 +45,8 @@
         body: The whole body.
         deadline: When the caller stops waiting, on the monotonic clock.
         key: The idempotency key; always there for `CallKind.ONCE`.
+        patience: How much longer than the deadline an attempt that has begun
+            is waited for, so that its outcome is learned; in seconds.
     """
 
     customer: CustomerId
@@ -54,6 +59,7 @@
     body: bytes
     deadline: Monotonic
     key: IdempotencyKey | None = None
+    patience: Seconds = NO_PATIENCE
 
 
 @attrs.frozen(kw_only=True)
--- a/src/ebonystream/errors.py
+++ b/src/ebonystream/errors.py
@@ -44,6 +44,7 @@
     MEMORY_FULL = 'memory_full'
     DEADLINE_MALFORMED = 'deadline_malformed'
     DEADLINE_EXPIRED = 'deadline_expired'
+    STILL_RUNNING = 'still_running'
     OUTCOME_LOST = 'outcome_lost'
     OVER_LIMIT = 'over_limit'
     NO_BACKEND = 'no_backend'
@@ -151,6 +152,11 @@
             Outcome.NOT_RUN,
             'Send again with more time.',
         ),
+        ErrorKind.STILL_RUNNING: ErrorAnswer(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            Outcome.UNKNOWN,
+            'Send the same key again to learn its outcome.',
+        ),
         ErrorKind.OUTCOME_LOST: ErrorAnswer(
             HTTPStatus.BAD_GATEWAY,
             Outcome.UNKNOWN,
--- /dev/null
+++ b/src/ebonystream/ownership/__init__.py
@@ -0,0 +1,57 @@
+"""The ownership aggregate: which incarnation runs a key, and runs it once."""
+
+from ebonystream.ownership._claims import (
+    ListSlices,
+    keep_claims,
+    plan_claims,
+    release_slices,
+)
+from ebonystream.ownership._grants import Grants
+from ebonystream.ownership._key import (
+    SLICES,
+    find_slice,
+    make_key,
+    parse_key,
+    read_label,
+)
+from ebonystream.ownership._ledger import Entry, EntryState, Ledger
+from ebonystream.ownership._owner import (
+    Forward,
+    Owner,
+    make_once_run,
+    make_owned_run,
+)
+from ebonystream.ownership._records import (
+    MAX_AHEAD_MS,
+    MAX_BACK_MS,
+    Claim,
+    KeysRecord,
+    Release,
+    Span,
+)
+
+__all__ = (
+    'MAX_AHEAD_MS',
+    'MAX_BACK_MS',
+    'SLICES',
+    'Claim',
+    'Entry',
+    'EntryState',
+    'Forward',
+    'Grants',
+    'KeysRecord',
+    'Ledger',
+    'ListSlices',
+    'Owner',
+    'Release',
+    'Span',
+    'find_slice',
+    'keep_claims',
+    'make_key',
+    'make_once_run',
+    'make_owned_run',
+    'parse_key',
+    'plan_claims',
+    'read_label',
+    'release_slices',
+)
--- a/src/ebonystream/settings/_settings.py
+++ b/src/ebonystream/settings/_settings.py
@@ -21,7 +21,10 @@
 Name = Annotated[str, Field(min_length=1, max_length=128)]
 """A name as operators write it."""
 
-LOOPBACK = '127.0.0.1'
+CLAIM_REACH_MS = 1_020_000
+"""The most that claims of keys reach ahead of and behind their record, with
+room for clocks that differ. The log must keep records longer than that and
+the key window together."""
 
 
 class Section(BaseModel):
@@ -140,20 +143,16 @@
     """Who runs the calls that must run once.
 
     Attributes:
-        slices: How many slices the key space has; the same on every host.
         horizon_ms: How far ahead of now a host claims its slices. Calls that
             must run once go on this long into an outage of the log, and the
             slices of a host that died stay unserved this long.
         window_ms: How long the outcome of a key is remembered.
-        skew_ms: How far clocks may be apart before a grant is void.
-        max_answer_bytes: The most that remembered answers may take together.
+        max_bytes: The most that remembered outcomes may take together.
     """
 
-    slices: Annotated[int, Field(ge=1, le=65_536)] = 64
-    horizon_ms: Annotated[int, Field(ge=1000, le=3_600_000)] = 300_000
+    horizon_ms: Annotated[int, Field(ge=1000, le=800_000)] = 300_000
     window_ms: Annotated[int, Field(ge=1000, le=86_400_000)] = 600_000
-    skew_ms: Annotated[int, Field(ge=0, le=600_000)] = 60_000
-    max_answer_bytes: Annotated[int, Field(ge=1024)] = 67_108_864
+    max_bytes: Annotated[int, Field(ge=1024)] = 67_108_864
 
 
 class BackendSettings(Section):
@@ -194,12 +193,10 @@
     @model_validator(mode='after')
     def check_retention(self) -> Self:
         """Refuse a retention that forgets grants which are still in use."""
-        ownership = self.ownership
-        needed = ownership.horizon_ms + ownership.window_ms
-        needed += 2 * ownership.skew_ms
+        needed = self.ownership.window_ms + CLAIM_REACH_MS
         if self.log.retention_ms < needed:
             raise ValueError(
-                'log.retention_ms must be at least ownership.horizon_ms + '
-                f'ownership.window_ms + 2 * ownership.skew_ms = {needed}'
+                'log.retention_ms must be at least ownership.window_ms + '
+                f'{CLAIM_REACH_MS} = {needed}'
             )
         return self
--- a/src/ebonystream/upstream/_exchange.py
+++ b/src/ebonystream/upstream/_exchange.py
@@ -31,9 +31,10 @@
 def make_sender(*, pool: ConnectionPool, timers: Timers) -> Send:
     """Make the function that sends a call to one backend server.
 
-    The exchange ends at the call's deadline. A connection whose exchange did
-    not end with a whole answer is closed, which cancels the call there, and
-    is never used again: a late answer can't reach another call.
+    The exchange ends at the call's deadline, or its patience later. A
+    connection whose exchange did not end with a whole answer is closed, which
+    cancels the call there, and is never used again: a late answer can't reach
+    another call.
 
     Args:
         pool: Where connections come from.
@@ -41,7 +42,7 @@
     """
 
     async def send(call: Call, server: BackendServer) -> Attempt:
-        with trio.move_on_at(call.deadline):
+        with trio.move_on_at(call.deadline + call.patience):
             return await _send(call, server, pool, timers)
         return ABANDONED
 
