Forward calls to the owners of their keys, and issue keys

Cause: only the owner of a key may run its call; callers send through any host. Change: forwarding with repeated sends until the deadline (the owner's memory makes copies one), the owner's side of it, and fresh keys that the answering host owns itself, so that a call under one meets no other host's failure. Ruled out: "not run" where the owner can't be reached: a copy may be there. Conclusion: to be wired once peers talk to each other.

--- a/src/ebonystream/ownership/__init__.py
+++ b/src/ebonystream/ownership/__init__.py
@@ -6,7 +6,18 @@
     plan_claims,
     release_slices,
 )
+from ebonystream.ownership._forwarding import (
+    AskOwner,
+    FindHost,
+    make_forward,
+    make_owner_answer,
+)
 from ebonystream.ownership._grants import Grants
+from ebonystream.ownership._issue import (
+    IssueKey,
+    make_key_issue,
+    serve_keys,
+)
 from ebonystream.ownership._key import (
     SLICES,
     find_slice,
@@ -34,11 +45,14 @@
     'MAX_AHEAD_MS',
     'MAX_BACK_MS',
     'SLICES',
+    'AskOwner',
     'Claim',
     'Entry',
     'EntryState',
+    'FindHost',
     'Forward',
     'Grants',
+    'IssueKey',
     'KeysRecord',
     'Ledger',
     'ListSlices',
@@ -47,11 +61,15 @@
     'Span',
     'find_slice',
     'keep_claims',
+    'make_forward',
     'make_key',
+    'make_key_issue',
     'make_once_run',
     'make_owned_run',
+    'make_owner_answer',
     'parse_key',
     'plan_claims',
     'read_label',
     'release_slices',
+    'serve_keys',
 )
