--- a/tools/standins/client.py
+++ b/tools/standins/client.py
@@ -45,6 +45,14 @@
         factory=lambda: h11.Connection(h11.CLIENT),
     )
 
+    @property
+    def closed(self) -> bool:
+        """Whether an idle connection was closed by the other side."""
+        stream = self.stream
+        if isinstance(stream, trio.SocketStream):
+            return stream.socket.is_readable()
+        return False
+
     @property
     def usable(self) -> bool:
         """Whether the connection can carry one more request."""
