Add the bench: one entry host against the direct path

Cause: the target is 0.57 ms added for 99 calls in 100, so what is added must be measured against the direct path in the same run.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:tools
 STAMP = $(VENV)/.installed
 
-.PHONY: install run test check format lint types unit features
+.PHONY: install run bench test check format lint types unit features
 
 install: $(STAMP)
 
@@ -15,6 +15,9 @@
 run: install
 	$(PY) -m standins.demo
 
+bench: install
+	$(PY) -m standins.bench
+
 test: install lint types unit features
 
 check: test
