Observe calls: metrics by customer and class, one logged action a call

Cause: operators must see what the system does. Change: aioprometheus histograms of latency by customer and plan class, outcomes, refusals by kind and attempts by end, at /metrics; an eliot action for each call with its attempts as JSON lines on standard output. Ruled out: labels taken from what callers send (unbounded series).

--- a/src/ebonystream/admin/_app.py
+++ b/src/ebonystream/admin/_app.py
@@ -12,6 +12,7 @@
 from ebonystream.call import Answer, refuse
 from ebonystream.configuration import Control, PublishLists
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.observation import Metrics, render_metrics
 
 Json = dict[str, Any]
 """A JSON object, as the API spells it."""
@@ -27,11 +28,13 @@
         control: The configuration in force.
         publish: Publishes the two lists.
         report_status: Tells how this host stands.
+        metrics: What this host counts.
     """
 
     control: Control
     publish: PublishLists
     report_status: Callable[[], Json]
+    metrics: Metrics
 
 
 def make_admin_app(verbs: AdminVerbs, *, key: str | None) -> QuartTrio:
@@ -49,6 +52,11 @@
     async def show_status() -> Json:
         return verbs.report_status()
 
+    @app.get('/metrics')
+    async def show_metrics() -> Response:
+        text, content_type = render_metrics(verbs.metrics)
+        return Response(text, content_type=content_type)
+
     @app.errorhandler(EbonystreamError)
     async def answer_error(error: EbonystreamError) -> Response:
         return _spell(refuse(error))
--- a/src/ebonystream/cli/_app.py
+++ b/src/ebonystream/cli/_app.py
@@ -1,6 +1,7 @@
 """The subcommands."""
 
 import json
+import sys
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -10,6 +11,7 @@
 from ebonystream.cli._client import ask_admin
 from ebonystream.cli._exit import ExitCode
 from ebonystream.composition import run_entry_host
+from ebonystream.observation import start_logs
 from ebonystream.settings import Settings, SettingsError, read_settings
 
 app = typer.Typer(
@@ -40,7 +42,9 @@
 @app.command()
 def run(settings: SettingsPath) -> None:
     """Run one entry host until SIGTERM or SIGINT."""
-    trio.run(run_entry_host, _read(settings))
+    checked = _read(settings)
+    start_logs(sys.stdout.buffer)
+    trio.run(run_entry_host, checked)
 
 
 @app.command()
--- a/src/ebonystream/composition/_admin.py
+++ b/src/ebonystream/composition/_admin.py
@@ -17,6 +17,7 @@
             patience=convert_ms(2 * settings.log.timeout_ms),
         ),
         report_status=lambda: report_status(parts),
+        metrics=parts.metrics,
     )
     app = make_admin_app(verbs, key=settings.admin.key)
     await serve_admin(app, settings.admin, wait_for_stop=parts.stopping.wait)
--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -1,8 +1,9 @@
 """Wires the path of a call, from the caller's connection to a back end."""
 
+from functools import partial
 from random import Random
 
-from ebonystream._ids import IdempotencyKey, ZoneName
+from ebonystream._ids import CustomerId, IdempotencyKey, ZoneName
 from ebonystream.backend import (
     Dispatch,
     make_dispatch,
@@ -13,7 +14,9 @@
 from ebonystream.call import CallKind, make_admission, make_serving
 from ebonystream.caller import CallerLimits, CallerListener
 from ebonystream.composition._parts import Parts, convert_ms
+from ebonystream.configuration import PlanClass
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.observation import log_attempt, observe_run, observe_serve
 from ebonystream.upstream import make_sender
 
 
@@ -28,8 +31,15 @@
     admit = make_admission(
         get_plans=lambda: parts.control.plans, parse_key=_refuse_key
     )
+    observed = observe_run(
+        run,
+        metrics=parts.metrics,
+        find_class=partial(_find_class, parts),
+        timers=parts.timers,
+    )
+    serve = make_serving(admit=admit, runs={CallKind.IDEMPOTENT: observed})
     return CallerListener(
-        serve=make_serving(admit=admit, runs={CallKind.IDEMPOTENT: run}),
+        serve=observe_serve(serve, metrics=parts.metrics),
         limits=CallerLimits(
             head_bytes=callers.max_head_bytes,
             body_bytes=callers.max_body_bytes,
@@ -50,11 +60,21 @@
             random=Random(parts.incarnation),
         ),
         send=make_sender(pool=parts.pool, timers=parts.timers),
-        observers=(release_place,),
+        observers=(
+            release_place,
+            parts.metrics.count_attempt,
+            log_attempt,
+        ),
         timers=parts.timers,
     )
 
 
+def _find_class(parts: Parts, customer: CustomerId) -> PlanClass:
+    plans = parts.control.plans
+    plan = plans.find_plan(customer) if plans else None
+    return plan.plan_class if plan else PlanClass.SPARE
+
+
 def _refuse_key(sent: bytes) -> IdempotencyKey:
     raise EbonystreamError(ErrorKind.KEY_MALFORMED, sent.decode('latin-1'))
 
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -11,6 +11,7 @@
 from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
 from ebonystream.backend import Directory
 from ebonystream.configuration import Control
+from ebonystream.observation import Metrics
 from ebonystream.platform import (
     LogService,
     ReadHosts,
@@ -32,6 +33,7 @@
     control: Control
     directory: Directory
     pool: ConnectionPool
+    metrics: Metrics
     incarnation: Incarnation
     stopping: trio.Event
 
@@ -57,6 +59,7 @@
         control=Control(),
         directory=Directory(),
         pool=ConnectionPool(limits, timers),
+        metrics=Metrics(),
         incarnation=Incarnation(uuid.uuid4().hex),
         stopping=trio.Event(),
     )
