Show that each proof of ownership can fail

Cause: a proof that can't go red proves nothing. Change: a table of broken mechanisms, each applied to a scratch copy, whose named test must fail. Found by it: the property about late readers never let spans of two records overlap, so it passed with the rule removed. Its records now reach over minutes, as the rule does, and the broken rule fails it. Conclusion: the table grows with each mechanism.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:tools
 STAMP = $(VENV)/.installed
 
-.PHONY: install run bench test check format lint types unit features
+.PHONY: install mutations run bench test check format lint types unit features
 
 install: $(STAMP)
 
@@ -18,7 +18,7 @@
 bench: install
 	$(PY) -m standins.bench
 
-test: install lint types unit features
+test: install lint types unit features mutations
 
 check: test
 
@@ -36,7 +36,10 @@
 	$(VENV)/bin/mypy
 
 unit: install
-	$(PY) -m pytest
+	$(PY) -m pytest -m "not mutations"
+
+mutations: install
+	$(PY) -m pytest -m mutations tests/test_mutations.py
 
 features: install
 	$(VENV)/bin/behave --format progress --no-capture features
--- /dev/null
+++ b/tests/test_mutations.py
@@ -0,0 +1,123 @@
+"""Each proof can fail: a mechanism is broken in a copy, and its test goes red.
+
+Each row names a text of the product, what replaces it in a scratch copy, and
+the test that must then fail. The product itself is never changed.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import attrs
+import pytest
+
+ROOT = Path(__file__).parent.parent
+TESTS_FAILED = 1
+
+pytestmark = pytest.mark.mutations
+
+
+@attrs.frozen
+class Mutation:
+    """One broken mechanism.
+
+    Attributes:
+        module: The file below `src/ebonystream`.
+        old: A text that stands in it exactly once.
+        new: What replaces the text.
+        test: The tests that must fail, as pytest selects them.
+    """
+
+    module: str
+    old: str
+    new: str
+    test: str
+
+
+MUTATIONS = {
+    'the later claim wins': Mutation(
+        'ownership/_intervals.py',
+        'free = list(self._find_free(new))',
+        'self.sorted = []\n        free = [new]',
+        'tests/test_ownership_grants.py::test_only_its_owner_ends_ownership',
+    ),
+    'anyone can release': Mutation(
+        'ownership/_intervals.py',
+        'if interval.owner != owner or interval.until <= since:',
+        'if interval.until <= since:',
+        'tests/test_ownership_grants.py::test_only_its_owner_ends_ownership',
+    ),
+    'a late reader trusts what it sees': Mutation(
+        'ownership/_grants.py',
+        'max(self.blind_until, record.at + MAX_AHEAD_MS)',
+        'self.blind_until',
+        'tests/test_ownership_grants.py::'
+        'test_a_late_reader_agrees_where_it_answers',
+    ),
+    'claims may reach far ahead': Mutation(
+        'ownership/_grants.py',
+        ' and span.until <= at + MAX_AHEAD_MS',
+        '',
+        'tests/test_ownership_grants.py::test_fold',
+    ),
+    'a cut attempt is tried again': Mutation(
+        'ownership/_owner.py',
+        'if attempt.kind in MAY_HAVE_RUN:\n            break',
+        'if attempt.kind in MAY_HAVE_RUN:\n            continue',
+        'tests/test_ownership_ledger.py',
+    ),
+    'a key that was not run is not burned': Mutation(
+        'ownership/_ledger.py',
+        'entry.done.set()',
+        'entry.done.set()\n        self.entries.pop(entry.key)',
+        'tests/test_ownership_ledger.py',
+    ),
+    'the same key takes another request': Mutation(
+        'ownership/_ledger.py',
+        'if entry.digest != digest:',
+        'if False:',
+        'tests/test_ownership_ledger.py',
+    ),
+    'a key below the floor begins again': Mutation(
+        'ownership/_ledger.py',
+        'if read_label(key) < self.floor:\n                raise',
+        'if False:\n                raise',
+        'tests/test_ownership_ledger.py',
+    ),
+    'labels that were given up still run': Mutation(
+        'ownership/_owner.py',
+        'if owner == self.incarnation and self._gave_up(label):',
+        'if False:',
+        'tests/test_ownership_ledger.py',
+    ),
+    'a caller that leaves cancels its call': Mutation(
+        'ownership/_owner.py',
+        'owner.running.start_soon(_execute, owner, call, entry)',
+        'owner.running.start_soon(_execute, owner, call, entry)\n'
+        '        owner.running.cancel_scope.deadline = 0.05',
+        'tests/test_ownership_ledger.py',
+    ),
+}
+
+
+@pytest.mark.parametrize('mutation', MUTATIONS.values(), ids=MUTATIONS.keys())
+def test_the_proof_goes_red(mutation, tmp_path):
+    shutil.copytree(ROOT / 'src', tmp_path / 'src')
+    broken = tmp_path / 'src' / 'ebonystream' / mutation.module
+    text = broken.read_text()
+    assert text.count(mutation.old) == 1
+    broken.write_text(text.replace(mutation.old, mutation.new))
+    run = subprocess.run(
+        [
+            *(sys.executable, '-m', 'pytest', '-x', mutation.test),
+            *('-o', f'pythonpath={tmp_path / "src"} tools'),
+        ],
+        cwd=ROOT,
+        env={**os.environ, 'PYTHONPATH': f'{tmp_path / "src"}:tools'},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert run.returncode == TESTS_FAILED, run.stdout
--- a/tests/test_ownership_grants.py
+++ b/tests/test_ownership_grants.py
@@ -126,27 +126,43 @@
             before[label] = owner
 
 
-@settings(derandomize=True, max_examples=200, deadline=None)
-@given(records_strategy, st.integers(0, 19))
-def test_a_late_reader_agrees_where_it_answers(records, skipped):
+MINUTE_MS = 60_000
+
+minutes_strategy = st.lists(
+    st.tuples(
+        st.sampled_from('abc'),
+        st.integers(-1, 10),
+        st.integers(1, 15),
+        st.booleans(),
+    ),
+    min_size=2,
+    max_size=20,
+)
+
+
+def make_minute_record(offset, owner, start, length, gives_up):
+    """A record of that minute: labels count from its own time."""
+    at = NOW + offset * MINUTE_MS
+    first = at + start * MINUTE_MS
+    if gives_up:
+        return at, Release(owner, first)
+    return at, Claim(owner, (Span(0, first, first + length * MINUTE_MS),))
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(minutes_strategy, st.integers(1, 10))
+def test_a_late_reader_agrees_where_it_answers(rows, skipped):
     """Records are a minute apart; the late reader misses the first ones."""
     whole = Grants(keep_ms=KEEP_MS)
     late = Grants(keep_ms=KEEP_MS)
-    for offset, record in enumerate(records):
-        at = NOW + offset * 60_000
-        moved = record
-        if isinstance(record, Claim):
-            span = record.spans[0]
-            shift = offset * 60_000
-            moved = Claim(
-                record.incarnation,
-                (Span(span.slice, span.start + shift, span.until + shift),),
-            )
-        one = LogRecord(offset, at, msgspec.json.encode(moved))
+    for offset, row in enumerate(rows):
+        at, record = make_minute_record(offset, *row)
+        one = LogRecord(offset, at, msgspec.json.encode(record))
         whole.fold(one)
         if offset >= skipped:
             late.fold(one)
-    for label in range(NOW, NOW + 60 * 60_000, 7_919):
+    for minute in range(60):
+        label = NOW + minute * MINUTE_MS + 1
         known = late.find_owner(0, label)
         assert known in {None, whole.find_owner(0, label)}
 
