Add the demo: two customers on three entry hosts

Cause: one command has to show the whole path as separate processes. Ruled out: a closed loop of callers; it would send less when answers are late and so hide it.

--- a/tools/standins/backendserver.py
+++ b/tools/standins/backendserver.py
@@ -113,6 +113,15 @@
         if key:
             self.runs[key] = self.runs.get(key, 0) + 1
 
+    def add(self, counts: Counts) -> None:
+        """Add what another ledger counted.
+
+        Args:
+            counts: What it reports.
+        """
+        for key, runs in counts.runs.items():
+            self.runs[key] = self.runs.get(key, 0) + runs
+
     def report(self) -> Counts:
         """Tell what was counted."""
         doubled = sum(runs > 1 for runs in self.runs.values())
--- a/tools/standins/bench.py
+++ b/tools/standins/bench.py
@@ -27,7 +27,8 @@
 from standins.backendserver import ServerSettings
 from standins.client import Client, connect, fetch
 from standins.cluster import LOOPBACK, Cluster, Service, lay_out
-from standins.startup import await_configuration, publish, start_cluster
+from standins.operation import await_configuration, publish
+from standins.startup import start_cluster
 from standins.statistic import find_percentile, format_table
 
 MS_PER_SECOND = 1000
--- /dev/null
+++ b/tools/standins/demoplan.py
@@ -0,0 +1,106 @@
+"""What the demo runs: zones, services, the two lists, and the calls."""
+
+from ebonystream._ids import CustomerId, PlanName, RouteName, ServiceName
+from ebonystream.configuration import (
+    CustomerPlan,
+    Lists,
+    PlanAllowance,
+    PlanClass,
+    Route,
+)
+from ebonystream.settings import BackendSettings
+from standins.backendserver import ServerSettings
+from standins.cluster import Service
+from standins.load import Job
+
+ZONES = ('ch-central-a', 'ch-central-b', 'ch-central-c')
+MOVED_ZONE = 'ch-central-b'
+
+LOOKUP = ServerSettings(name='', port=0, default_mean_ms=4)
+BOOKING = ServerSettings(name='', port=0, default_mean_ms=8)
+LIMITS = BackendSettings(queue=8)
+
+SERVICES = (
+    Service(name='inspections', per_zone=2, built=LOOKUP),
+    Service(name='passes', per_zone=2, built=LOOKUP),
+    Service(name='bookings', per_zone=1, built=BOOKING),
+)
+
+JOBS = (
+    Job(
+        customer='verein',
+        route='find-rack',
+        service='inspections',
+        method='GET',
+        target='/racks/7',
+        once=False,
+        share=5,
+    ),
+    Job(
+        customer='verein',
+        route='book-inspection',
+        service='bookings',
+        method='POST',
+        target='/bookings',
+        once=True,
+        share=1,
+    ),
+    Job(
+        customer='thistle-loop',
+        route='check-pass',
+        service='passes',
+        method='GET',
+        target='/passes/7',
+        once=False,
+        share=5,
+    ),
+    Job(
+        customer='thistle-loop',
+        route='sell-pass',
+        service='bookings',
+        method='POST',
+        target='/sales',
+        once=True,
+        share=1,
+    ),
+)
+
+CALLS_PER_SECOND = 1000
+BURST_CALLS = 500
+DEADLINE_MS = 2000
+
+
+def make_lists() -> Lists:
+    """Make both lists, with a plan for each customer."""
+    names = sorted({job.customer for job in JOBS})
+    return Lists(
+        customers=tuple(_make_customer(name) for name in names),
+        plans=tuple(_make_plan(name) for name in names),
+    )
+
+
+def _make_customer(name: str) -> CustomerPlan:
+    return CustomerPlan(customer=CustomerId(name), plan=PlanName(name))
+
+
+def _make_plan(name: str) -> PlanAllowance:
+    jobs = [job for job in JOBS if job.customer == name]
+    return PlanAllowance(
+        plan=PlanName(name),
+        plan_class=PlanClass.PROMISED,
+        calls_per_second=CALLS_PER_SECOND,
+        burst_calls=BURST_CALLS,
+        deadline_ms=DEADLINE_MS,
+        retries=1,
+        routes=tuple(_make_route(job) for job in jobs),
+    )
+
+
+def _make_route(job: Job) -> Route:
+    return Route(
+        route=RouteName(job.route),
+        service=ServiceName(job.service),
+        method=job.method,
+        path_prefix=job.target,
+        once=job.once,
+    )
--- a/tools/standins/load.py
+++ b/tools/standins/load.py
@@ -73,11 +73,13 @@
         job: The kind of call.
         tag: Names the request; its answer must say the same.
         key: Its idempotency key; empty where it needs none.
+        copies: How many are sent at once, under the one key.
     """
 
     job: Job
     tag: str
-    key: str
+    key: str = ''
+    copies: int = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -195,6 +197,7 @@
     rate: float,
     seed: int,
     stop: trio.Event,
+    twice_every: int = 0,
 ) -> list[Sample]:
     """Send calls at random moments until told to stop, then await the rest.
 
@@ -204,6 +207,8 @@
         rate: Calls per second.
         seed: Seeds the moments and the kinds.
         stop: Set when no further call is to be sent.
+        twice_every: One in so many calls is sent twice at once if it has a
+            key; 0 for none.
     """
     draws = random.Random(seed)
     shares = [job.share for job in jobs]
@@ -212,7 +217,8 @@
     async with trio.open_nursery() as calls:
         while not stop.is_set():
             job = draws.choices(jobs, shares)[0]
-            ticket = _make_ticket(job, f'{seed}-{len(samples)}')
+            twice = twice_every > 0 and not draws.randrange(twice_every)
+            ticket = _make_ticket(job, f'{seed}-{len(samples)}', twice=twice)
             sample = Sample(ticket=ticket, begun=trio.current_time())
             samples.append(sample)
             calls.start_soon(_run_call, send, sample)
@@ -221,20 +227,27 @@
     return samples
 
 
-def _make_ticket(job: Job, tag: str) -> Ticket:
-    return Ticket(job=job, tag=tag, key=str(uuid7()) if job.once else '')
+def _make_ticket(job: Job, tag: str, *, twice: bool) -> Ticket:
+    if job.once:
+        copies = 2 if twice else 1
+        return Ticket(job=job, tag=tag, key=str(uuid7()), copies=copies)
+    return Ticket(job=job, tag=tag)
 
 
 async def _run_call(send: Send, sample: Sample) -> None:
-    begun = trio.current_time()
-    ticket = sample.ticket
-    sample.begun = begun
-    sample.verdicts.append(await send(ticket))
+    sample.begun = trio.current_time()
+    async with trio.open_nursery() as copies:
+        for _ in range(sample.ticket.copies):
+            copies.start_soon(_send_once, send, sample)
     # The same key again is safe, and tells what a lost answer left open.
-    while ticket.key and _is_open(sample):
+    while sample.ticket.key and _is_open(sample):
         await trio.sleep(PAUSE_SECONDS)
-        sample.verdicts.append(await send(ticket))
-    sample.took_ms = (trio.current_time() - begun) * MS_PER_SECOND
+        await _send_once(send, sample)
+    sample.took_ms = (trio.current_time() - sample.begun) * MS_PER_SECOND
+
+
+async def _send_once(send: Send, sample: Sample) -> None:
+    sample.verdicts.append(await send(sample.ticket))
 
 
 def _is_open(sample: Sample) -> bool:
--- a/tools/standins/startup.py
+++ b/tools/standins/startup.py
@@ -1,4 +1,4 @@
-"""Starts a laid out system as plain processes and publishes its lists."""
+"""Starts a laid out system as plain processes."""
 
 from collections.abc import Iterator
 from ipaddress import ip_address
@@ -8,7 +8,6 @@
 import zmq
 
 from ebonystream._ids import HostId, ZoneName
-from ebonystream.configuration import Lists
 from ebonystream.settings import (
     AdminSettings,
     CallerSettings,
@@ -19,14 +18,11 @@
     Settings,
 )
 from standins.backend import ProcessSettings
-from standins.client import connect, fetch
 from standins.cluster import LOOPBACK, Cluster, EntryHost
 from standins.hostlist import Host, HostPage, Role
-from standins.processes import Program, run_command, start_program
+from standins.processes import Program, start_program
 
-IN_FORCE_SECONDS = 15
-POLL_SECONDS = 0.05
-CLI = 'ebonystream.cli'
+ENTRY_MODULE = 'ebonystream.cli'
 
 
 async def start_cluster(nursery: trio.Nursery, cluster: Cluster) -> None:
@@ -44,66 +40,6 @@
             starting.start_soon(start_program, nursery, program, directory)
 
 
-async def publish(cluster: Cluster, lists: Lists) -> None:
-    """Publish both lists through the command line, as operators do.
-
-    Args:
-        cluster: What runs.
-        lists: The two lists.
-    """
-    path = cluster.directory / 'lists.json'
-    path.write_text(lists.model_dump_json())
-    admin = cluster.entries[0].admin
-    await run_command(CLI, 'publish', str(path), '--admin', admin)
-
-
-async def await_configuration(cluster: Cluster, version: int) -> None:
-    """Wait until a configuration is in force on every entry host.
-
-    Args:
-        cluster: What runs.
-        version: The version of the configuration.
-
-    Raises:
-        trio.TooSlowError: It is not in force everywhere in time.
-    """
-    with trio.fail_after(IN_FORCE_SECONDS):
-        for entry in cluster.entries:
-            await _await_entry(cluster, entry, version)
-
-
-class Status(msgspec.Struct):
-    """What an entry host says of itself; other fields are left out.
-
-    Attributes:
-        configuration_version: The configuration in force.
-        backends: The backend servers that it knows.
-    """
-
-    configuration_version: int
-    backends: list[msgspec.Raw]
-
-
-async def _await_entry(
-    cluster: Cluster,
-    entry: EntryHost,
-    version: int,
-) -> None:
-    while True:
-        status = await _read_status(entry)
-        complete = len(status.backends) == len(cluster.backends)
-        if complete and status.configuration_version >= version:
-            return
-        await trio.sleep(POLL_SECONDS)
-
-
-async def _read_status(entry: EntryHost) -> Status:
-    client = await connect(LOOPBACK, entry.admin_port)
-    async with client.stream:
-        reply = await fetch(client, 'GET', '/v1/status')
-    return msgspec.json.decode(reply.body, type=Status)
-
-
 def _spell_platform(cluster: Cluster) -> Iterator[Program]:
     yield Program(
         name='log',
@@ -173,7 +109,7 @@
         path.write_text(settings.model_dump_json())
         yield Program(
             name=entry.name,
-            module=CLI,
+            module=ENTRY_MODULE,
             arguments=('run', str(path)),
             ports=(entry.caller_port, entry.admin_port),
         )
