Read and spell HTTP/1.1 with the parser of httptools

Change: the package http1 on httptools, the C parser that ASGI servers use, with limits on heads and bodies, pipelining, 100-continue, and responses that end with their connection; HEAD is not offered on routes yet.

--- a/src/ebonystream/caller/_connection.py
+++ b/src/ebonystream/caller/_connection.py
@@ -1,17 +1,22 @@
 """One caller's connection, from its first request to its close."""
 
 import attrs
-import h11
 import trio
 
-from ebonystream._http import RECEIVE_BYTES, read_message
 from ebonystream._ids import Seconds
 from ebonystream._timers import Timers
-from ebonystream.call import Answer, Received, Serve, refuse
+from ebonystream.call import Answer, Serve, refuse
 from ebonystream.caller._message import decode_request, encode_answer
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.http1 import (
+    RECEIVE_BYTES,
+    Message,
+    Reader,
+    ReaderLimits,
+    make_request_reader,
+)
 
-HEAD_TOO_LARGE_STATUS = 431
+GO_ON = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
 @attrs.frozen(kw_only=True)
@@ -19,14 +24,12 @@
     """What a caller may send, and how slowly.
 
     Attributes:
-        head_bytes: The longest head of a request.
-        body_bytes: The longest body of a request.
+        message: The longest request.
         receive: How long one request may take to arrive, in seconds.
         idle: How long a connection may stay without a request, in seconds.
     """
 
-    head_bytes: int
-    body_bytes: int
+    message: ReaderLimits
     receive: Seconds
     idle: Seconds
 
@@ -55,7 +58,7 @@
 @attrs.define
 class _Conversation:
     stream: trio.abc.Stream
-    parser: h11.Connection
+    reader: Reader
     limits: CallerLimits
     timers: Timers
     draining: Draining
@@ -78,10 +81,8 @@
         timers: Tells the time.
         draining: Tells when this host leaves.
     """
-    parser = h11.Connection(
-        our_role=h11.SERVER, max_incomplete_event_size=limits.head_bytes
-    )
-    talk = _Conversation(stream, parser, limits, timers, draining)
+    reader = make_request_reader(limits.message)
+    talk = _Conversation(stream, reader, limits, timers, draining)
     async with stream:
         try:
             await _converse(talk, serve)
@@ -90,25 +91,24 @@
 
 
 async def _converse(talk: _Conversation, serve: Serve) -> None:
-    while await _wait_for_request(talk):
-        try:
-            received = await _receive(talk)
-        except EbonystreamError as error:
-            await _send(talk, refuse(error), close=True)
-            return
-        if received is None:
-            return
-        await _send(talk, await serve(received), close=talk.draining.begun)
-        if talk.parser.our_state is not h11.DONE:
-            return
-        if talk.parser.their_state is not h11.DONE:
-            return
-        talk.parser.start_next_cycle()
+    try:
+        while await _wait_for_request(talk):
+            message = await _receive(talk)
+            if message is None:
+                return
+            received = decode_request(message, talk.timers.now())
+            answer = await serve(received)
+            close = talk.draining.begun or not message.keep_alive
+            await _send(talk, answer, close=close)
+            if close:
+                return
+    except EbonystreamError as error:
+        await _send(talk, refuse(error), close=True)
 
 
 async def _wait_for_request(talk: _Conversation) -> bool:
     """Wait for the first byte of a request; False where none comes."""
-    if talk.parser.trailing_data[0]:
+    if talk.reader.is_begun():
         return True
     if talk.draining.over:
         return False
@@ -118,56 +118,36 @@
             arrived = await talk.stream.receive_some(RECEIVE_BYTES)
         finally:
             talk.draining.waiting.discard(scope)
-        talk.parser.receive_data(bytes(arrived))
+        talk.reader.feed(bytes(arrived))
         return bool(arrived)
     return False
 
 
-async def _receive(talk: _Conversation) -> Received | None:
+async def _receive(talk: _Conversation) -> Message | None:
     """Take in one whole request; None where the caller left."""
+    message = talk.reader.take()
+    if message is not None:
+        return message
     with trio.move_on_after(talk.limits.receive):
-        try:
-            return await _receive_parts(talk)
-        except h11.RemoteProtocolError as error:
-            raise _name_error(error) from error
+        return await _receive_parts(talk)
     raise EbonystreamError(ErrorKind.SLOW_SENDER)
 
 
-async def _receive_parts(talk: _Conversation) -> Received | None:
-    async def receive_more() -> None:
-        await _receive_more(talk)
-
-    message = await read_message(
-        talk.parser, receive_more, max_body_bytes=talk.limits.body_bytes
-    )
-    if message.whole and isinstance(message.head, h11.Request):
-        body = b''.join(message.body)
-        return decode_request(message.head, body, talk.timers.now())
-    return None
-
-
-async def _receive_more(talk: _Conversation) -> None:
-    if talk.parser.they_are_waiting_for_100_continue:
-        go_on = h11.InformationalResponse(status_code=100, headers=[])
-        await talk.stream.send_all(talk.parser.send(go_on) or b'')
-    arrived = await talk.stream.receive_some(RECEIVE_BYTES)
-    talk.parser.receive_data(bytes(arrived))
-
-
-def _name_error(error: h11.RemoteProtocolError) -> EbonystreamError:
-    if error.error_status_hint == HEAD_TOO_LARGE_STATUS:
-        return EbonystreamError(ErrorKind.HEAD_TOO_LARGE, str(error))
-    return EbonystreamError(ErrorKind.MALFORMED_REQUEST, str(error))
+async def _receive_parts(talk: _Conversation) -> Message | None:
+    told_to_go_on = False
+    message: Message | None = None
+    while message is None:
+        if talk.reader.waits_for_continue() and not told_to_go_on:
+            await talk.stream.send_all(GO_ON)
+            told_to_go_on = True
+        arrived = await talk.stream.receive_some(RECEIVE_BYTES)
+        if not arrived:
+            return None
+        talk.reader.feed(bytes(arrived))
+        message = talk.reader.take()
+    return message
 
 
 async def _send(talk: _Conversation, answer: Answer, *, close: bool) -> None:
-    parser = talk.parser
-    if parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
-        return
-    head = encode_answer(answer, time=talk.timers.wall_ms(), close=close)
-    parts = [
-        parser.send(head),
-        parser.send(h11.Data(data=answer.body)),
-        parser.send(h11.EndOfMessage()),
-    ]
-    await talk.stream.send_all(b''.join(part or b'' for part in parts))
+    time = talk.timers.wall_ms()
+    await talk.stream.send_all(encode_answer(answer, time=time, close=close))
--- a/src/ebonystream/caller/_message.py
+++ b/src/ebonystream/caller/_message.py
@@ -1,9 +1,8 @@
 """How a caller's request and its answer are spelled in HTTP/1.1."""
 
-import h11
-
 from ebonystream._ids import EpochMs, Monotonic
 from ebonystream.call import Answer, Header, Received
+from ebonystream.http1 import Message, spell_response
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -20,27 +19,24 @@
 )
 
 
-def decode_request(head: h11.Request, body: bytes, at: Monotonic) -> Received:
+def decode_request(message: Message, at: Monotonic) -> Received:
     """Read a caller's whole request.
 
     Args:
-        head: The head of the HTTP request.
-        body: Its whole body.
+        message: The HTTP request.
         at: When its last byte came.
     """
     return Received(
-        method=head.method.decode('ascii'),
-        target=head.target.decode('latin-1'),
-        headers=tuple(one for one in head.headers if _is_end_to_end(one)),
-        body=body,
+        method=message.method.decode('ascii'),
+        target=message.target.decode('latin-1'),
+        headers=tuple(one for one in message.headers if _is_end_to_end(one)),
+        body=message.body,
         at=at,
     )
 
 
-def encode_answer(
-    answer: Answer, *, time: EpochMs, close: bool
-) -> h11.Response:
-    """Spell the head of an answer.
+def encode_answer(answer: Answer, *, time: EpochMs, close: bool) -> bytes:
+    """Spell an answer.
 
     Args:
         answer: What the caller gets.
@@ -49,13 +45,12 @@
     """
     headers = [
         *answer.headers,
-        (b'content-length', str(len(answer.body)).encode()),
         (b'x-outcome', answer.outcome.value.encode()),
         (b'x-system-time-ms', str(time).encode()),
     ]
     if close:
         headers.append((b'connection', b'close'))
-    return h11.Response(status_code=answer.status, headers=headers)
+    return spell_response(answer.status, headers, answer.body)
 
 
 def _is_end_to_end(header: Header) -> bool:
--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -16,6 +16,7 @@
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.configuration import PlanClass
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.http1 import ReaderLimits
 from ebonystream.observation import log_attempt, observe_run, observe_serve
 from ebonystream.upstream import make_sender
 
@@ -41,8 +42,10 @@
     return CallerListener(
         serve=observe_serve(serve, metrics=parts.metrics),
         limits=CallerLimits(
-            head_bytes=callers.max_head_bytes,
-            body_bytes=callers.max_body_bytes,
+            message=ReaderLimits(
+                head_bytes=callers.max_head_bytes,
+                body_bytes=callers.max_body_bytes,
+            ),
             receive=convert_ms(callers.receive_timeout_ms),
             idle=convert_ms(callers.idle_timeout_ms),
         ),
--- /dev/null
+++ b/src/ebonystream/http1/_reader.py
@@ -0,0 +1,143 @@
+"""Readers of one connection's messages, on the parser of httptools."""
+
+import attrs
+import httptools
+
+from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.http1._collector import (
+    Collector,
+    HeadFacts,
+    Message,
+    ReaderLimits,
+)
+
+RECEIVE_BYTES = 65_536
+"""How much is taken from a connection at once."""
+
+NO_STATUS = 0
+CONTINUE = (b'expect', b'100-continue')
+
+Parser = httptools.HttpRequestParser | httptools.HttpResponseParser
+
+
+@attrs.define
+class Reader:
+    """Reads messages from the bytes of one connection.
+
+    Attributes:
+        collector: Collects the parser's reports.
+        parser: The parser.
+    """
+
+    collector: Collector
+    parser: Parser
+    _fed_bytes: int = 0
+
+    def feed(self, arrived: bytes) -> None:
+        """Take bytes that arrived.
+
+        Args:
+            arrived: Some bytes; the end of the connection is not fed.
+
+        Raises:
+            EbonystreamError: They are no message, or one that is too long.
+        """
+        try:
+            self.parser.feed_data(arrived)
+        except httptools.HttpParserError as error:
+            self._raise_fault()
+            raise EbonystreamError(
+                ErrorKind.MALFORMED_REQUEST, str(error)
+            ) from error
+        except httptools.HttpParserUpgrade as error:
+            raise EbonystreamError(
+                ErrorKind.MALFORMED_REQUEST, 'upgrades are not supported'
+            ) from error
+        self._raise_fault()
+        self._check_unended_head(len(arrived))
+
+    def take(self) -> Message | None:
+        """Give the next whole message, if one has come."""
+        if self.collector.done:
+            return self.collector.done.popleft()
+        return None
+
+    def end(self) -> Message | None:
+        """Give the response that the connection's end completes, if any."""
+        collector = self.collector
+        names = {name for name, _ in collector.headers}
+        framed = names & {b'content-length', b'transfer-encoding'}
+        if framed or not (collector.begun and collector.in_body):
+            return None
+        message = collector.make_message(collector.ask_facts())
+        return attrs.evolve(message, keep_alive=False)
+
+    def is_begun(self) -> bool:
+        """Tell whether a part of a message has come, or a whole one."""
+        return self.collector.begun or bool(self.collector.done)
+
+    def waits_for_continue(self) -> bool:
+        """Tell whether the sender waits to be told to send the body."""
+        collector = self.collector
+        if not (collector.begun and collector.in_body):
+            return False
+        return any(_is_continue(field) for field in collector.headers)
+
+    def _raise_fault(self) -> None:
+        if self.collector.fault is not None:
+            raise self.collector.fault
+
+    def _check_unended_head(self, size: int) -> None:
+        """Count the bytes of a head whose fields the parser can't report."""
+        collector = self.collector
+        if not collector.begun or collector.in_body:
+            self._fed_bytes = 0
+            return
+        self._fed_bytes += size
+        limit = collector.limits.head_bytes
+        if self._fed_bytes > limit + RECEIVE_BYTES:
+            raise EbonystreamError(
+                ErrorKind.HEAD_TOO_LARGE, f'more than {limit} bytes'
+            )
+
+
+def make_request_reader(limits: ReaderLimits) -> Reader:
+    """Make a reader of requests.
+
+    Args:
+        limits: The longest request that is taken.
+    """
+
+    def ask_facts() -> HeadFacts:
+        return HeadFacts(
+            method=parser.get_method(),
+            status=NO_STATUS,
+            keep_alive=parser.should_keep_alive(),
+        )
+
+    collector = Collector(limits, ask_facts)
+    parser = httptools.HttpRequestParser(collector)
+    return Reader(collector, parser)
+
+
+def make_response_reader(limits: ReaderLimits) -> Reader:
+    """Make a reader of responses.
+
+    Args:
+        limits: The longest response that is taken.
+    """
+
+    def ask_facts() -> HeadFacts:
+        return HeadFacts(
+            method=b'',
+            status=parser.get_status_code(),
+            keep_alive=parser.should_keep_alive(),
+        )
+
+    collector = Collector(limits, ask_facts)
+    parser = httptools.HttpResponseParser(collector)
+    return Reader(collector, parser)
+
+
+def _is_continue(field: tuple[bytes, bytes]) -> bool:
+    return (field[0], field[1].lower()) == CONTINUE
--- a/src/ebonystream/upstream/_exchange.py
+++ b/src/ebonystream/upstream/_exchange.py
@@ -1,9 +1,7 @@
 """One exchange with one backend server: a call out, an answer in."""
 
-import h11
 import trio
 
-from ebonystream._http import RECEIVE_BYTES, read_message
 from ebonystream._ids import Seconds
 from ebonystream._timers import Timers
 from ebonystream.backend import (
@@ -16,17 +14,23 @@
 )
 from ebonystream.call import Call
 from ebonystream.errors import EbonystreamError
+from ebonystream.http1 import (
+    RECEIVE_BYTES,
+    Message,
+    ReaderLimits,
+    make_response_reader,
+)
 from ebonystream.upstream._message import decode_answer, encode_call
 from ebonystream.upstream._pool import ConnectionPool
 
-MAX_ANSWER_BYTES = 16_777_216
-
-EXCHANGE_FAILURES = (
-    trio.BrokenResourceError,
-    h11.RemoteProtocolError,
-    EbonystreamError,
+MAX_HEAD_BYTES = 65_536
+MAX_BODY_BYTES = 16_777_216
+ANSWER_LIMITS = ReaderLimits(
+    head_bytes=MAX_HEAD_BYTES, body_bytes=MAX_BODY_BYTES
 )
 
+EXCHANGE_FAILURES = (trio.BrokenResourceError, EbonystreamError)
+
 
 def make_sender(*, pool: ConnectionPool, timers: Timers) -> Send:
     """Make the function that sends a call to one backend server.
@@ -56,51 +60,30 @@
     if stream is None:
         return NOT_SENT
     remaining = Seconds(call.deadline - timers.now())
-    connection = h11.Connection(our_role=h11.CLIENT)
-    whole = False
+    answer: Message | None = None
     try:
-        attempt = await _exchange(
-            call, stream, connection, encode_call(call, server.at, remaining)
-        )
-        whole = _is_reusable(connection)
+        await stream.send_all(encode_call(call, server.at, remaining))
+        answer = await _receive(stream)
     except EXCHANGE_FAILURES:
         return CUT
     finally:
-        if not whole:
+        if answer is None or not answer.keep_alive:
             await trio.aclose_forcefully(stream)
-    await pool.give_back(server.at, stream)
-    return attempt
-
-
-async def _exchange(
-    call: Call,
-    stream: trio.SocketStream,
-    connection: h11.Connection,
-    head: h11.Request,
-) -> Attempt:
-    parts = [
-        connection.send(head),
-        connection.send(h11.Data(data=call.body)) if call.body else b'',
-        connection.send(h11.EndOfMessage()),
-    ]
-    await stream.send_all(b''.join(part or b'' for part in parts))
-    return await _receive(stream, connection)
-
-
-async def _receive(
-    stream: trio.SocketStream, connection: h11.Connection
-) -> Attempt:
-    async def receive_more() -> None:
-        connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
-
-    message = await read_message(
-        connection, receive_more, max_body_bytes=MAX_ANSWER_BYTES
-    )
-    if message.whole and isinstance(message.head, h11.Response):
-        return decode_answer(message.head, b''.join(message.body))
-    return CUT
-
-
-def _is_reusable(connection: h11.Connection) -> bool:
-    ours = connection.our_state is h11.DONE
-    return ours and connection.their_state is h11.DONE
+    if answer is None:
+        return CUT
+    if answer.keep_alive:
+        await pool.give_back(server.at, stream)
+    return decode_answer(answer)
+
+
+async def _receive(stream: trio.SocketStream) -> Message | None:
+    """Read one whole answer; None where the server left before its end."""
+    reader = make_response_reader(ANSWER_LIMITS)
+    while True:
+        arrived = await stream.receive_some(RECEIVE_BYTES)
+        if not arrived:
+            return reader.end()
+        reader.feed(bytes(arrived))
+        message = reader.take()
+        if message is not None:
+            return message
--- a/src/ebonystream/upstream/_message.py
+++ b/src/ebonystream/upstream/_message.py
@@ -2,8 +2,6 @@
 
 import math
 
-import h11
-
 from ebonystream._ids import BootId, Seconds
 from ebonystream._timers import MS_PER_SECOND
 from ebonystream.backend import (
@@ -22,6 +20,7 @@
     Headers,
 )
 from ebonystream.errors import Outcome
+from ebonystream.http1 import Message, spell_request
 
 NOT_RUN_HEADER = b'x-not-run'
 BOOT_HEADER = b'x-boot-id'
@@ -36,10 +35,8 @@
 )
 
 
-def encode_call(
-    call: Call, at: ServerAddress, remaining: Seconds
-) -> h11.Request:
-    """Spell a call as the head of an HTTP request.
+def encode_call(call: Call, at: ServerAddress, remaining: Seconds) -> bytes:
+    """Spell a call as an HTTP request.
 
     Args:
         call: What is sent.
@@ -52,31 +49,30 @@
         (CUSTOMER_HEADER, call.customer.encode('latin-1')),
         (b'x-route', call.route.encode('latin-1')),
         (b'x-deadline-ms', str(remaining_ms).encode()),
-        (b'content-length', str(len(call.body)).encode()),
     ]
-    return h11.Request(
-        method=call.method.encode(),
-        target=call.target.encode('latin-1'),
-        headers=own + _keep(call.headers, DROPPED_REQUEST_HEADERS),
+    return spell_request(
+        call.method.encode(),
+        call.target.encode('latin-1'),
+        own + _keep(call.headers, DROPPED_REQUEST_HEADERS),
+        call.body,
     )
 
 
-def decode_answer(head: h11.Response, body: bytes) -> Attempt:
+def decode_answer(message: Message) -> Attempt:
     """Read a backend server's whole answer.
 
     Args:
-        head: The head of the HTTP response.
-        body: Its whole body.
+        message: The HTTP response.
     """
-    headers: Headers = tuple(head.headers)
+    headers = message.headers
     report = read_report(headers)
     if _find(headers, NOT_RUN_HEADER) == b'true':
         return Attempt(AttemptKind.REFUSED, report=report)
     answer = Answer(
         outcome=Outcome.RAN,
-        status=head.status_code,
+        status=message.status,
         headers=tuple(_keep(headers, DROPPED_ANSWER_HEADERS)),
-        body=body,
+        body=message.body,
     )
     return Attempt(AttemptKind.ANSWERED, answer=answer, report=report)
 
