Carry messages between entry hosts and pair their answers

Cause: owners of keys are asked by other hosts, and nothing carried a message yet; a message did not name its sender, so no answer could find its way back. Change: the transport as four functions, over ZeroMQ with CURVE and a ZAP handler in one trio task, and in memory with seeded faults; frames that name sender, incarnation and recipient; the exchange, which pairs answers with requests by correlation, counts and drops the rest, and bounds the requests that it answers at a time. Messages are MessagePack arrays, so that a heartbeat stays small; heartbeats name the incarnation that `heard` counts for. Ruled out: answers over the ROUTER of the asked host. The asker's DEALER would have to be waited for too, one descriptor for each peer, and a connection that broke in between would lose the answer all the same. Queueing for a peer that is away (ZMQ_IMMEDIATE off): late copies of calls help nobody. Conclusion: Exchange.ask can carry calls to the owners of their keys.

--- a/src/ebonystream/peer/__init__.py
+++ b/src/ebonystream/peer/__init__.py
@@ -1,27 +1,62 @@
 """The peer aggregate: what entry hosts tell and ask one another."""
 
+from ebonystream.peer._drop import DropReason
+from ebonystream.peer._exchange import Exchange, ExchangeLimits
+from ebonystream.peer._frame import (
+    Envelope,
+    Frame,
+    decode_frame,
+    encode_frame,
+)
+from ebonystream.peer._handlers import (
+    AnswerCall,
+    AnswerFetch,
+    Handlers,
+    TakeHeartbeat,
+)
 from ebonystream.peer._messages import (
     FetchSnapshot,
     ForwardAnswer,
     ForwardCall,
     Heartbeat,
-    PeerMessage,
+    PeerAnswer,
+    PeerRequest,
     ServerLoad,
     Snapshot,
     VersionBrake,
-    decode_message,
-    encode_message,
+)
+from ebonystream.peer._questions import Questions
+from ebonystream.peer._transport import Transport
+from ebonystream.peer._zmq import (
+    ZmqSettings,
+    ZmqTransport,
+    open_zmq_transport,
 )
 
 __all__ = (
-    'FetchSnapshot',
+    'AnswerCall',
+    'AnswerFetch',
+    'DropReason',
+    'Envelope',
+    'Exchange',
+    'ExchangeLimits',
     'ForwardAnswer',
     'ForwardCall',
+    'Frame',
+    'FetchSnapshot',
+    'Handlers',
     'Heartbeat',
-    'PeerMessage',
+    'PeerAnswer',
+    'PeerRequest',
+    'Questions',
     'ServerLoad',
     'Snapshot',
+    'TakeHeartbeat',
+    'Transport',
     'VersionBrake',
-    'decode_message',
-    'encode_message',
+    'ZmqSettings',
+    'ZmqTransport',
+    'decode_frame',
+    'encode_frame',
+    'open_zmq_transport',
 )
--- a/src/ebonystream/peer/_messages.py
+++ b/src/ebonystream/peer/_messages.py
@@ -1,7 +1,7 @@
-"""Messages between entry hosts, as MessagePack.
+"""Messages between entry hosts, as MessagePack arrays.
 
-A message is one byte of protocol version and one tagged struct. Anything else
-is counted and dropped; see `decode_message`.
+Heartbeats travel as they are; a request or an answer travels in an envelope
+that names its sender. See `_frame` for what stands around them.
 """
 
 import msgspec
@@ -19,8 +19,6 @@
     ZoneName,
 )
 
-PROTOCOL_VERSION = 1
-
 
 class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
     """What one host does at one backend server.
@@ -50,7 +48,7 @@
     reason: str
 
 
-class Heartbeat(msgspec.Struct, tag='heartbeat', frozen=True):
+class Heartbeat(msgspec.Struct, tag='h', frozen=True, array_like=True):
     """What each host tells each peer, again and again.
 
     Attributes:
@@ -61,7 +59,8 @@
         leaving: Whether the host is stopping.
         control_next: The next offset of the control stream it will fold.
         keys_next: The next offset of the keys stream it will fold.
-        heard: The newest sequence it heard from the receiver's incarnation.
+        recipient: The incarnation of the receiver that it heard, if any.
+        heard: The newest sequence it heard from that incarnation.
         loads: What it does at backend servers, changed ones only.
         zones_in_flight: Calls that it has in hand in each zone.
         brakes: Versions that it stopped.
@@ -75,6 +74,7 @@
     leaving: bool = False
     control_next: Offset = Offset(0)
     keys_next: Offset = Offset(0)
+    recipient: Incarnation | None = None
     heard: int | None = None
     loads: tuple[ServerLoad, ...] = ()
     zones_in_flight: dict[ZoneName, int] = msgspec.field(default_factory=dict)
@@ -82,7 +82,7 @@
     suspects: tuple[str, ...] = ()
 
 
-class ForwardCall(msgspec.Struct, tag='call', frozen=True):
+class ForwardCall(msgspec.Struct, tag='call', frozen=True, array_like=True):
     """A call that must run once, on its way to the owner of its key.
 
     Attributes:
@@ -112,7 +112,7 @@
     key: str
 
 
-class ForwardAnswer(msgspec.Struct, tag='answer', frozen=True):
+class ForwardAnswer(msgspec.Struct, tag='answer', frozen=True, array_like=True):
     """The owner's answer to a forwarded call.
 
     Attributes:
@@ -132,7 +132,7 @@
     error: str | None = None
 
 
-class FetchSnapshot(msgspec.Struct, tag='fetch', frozen=True):
+class FetchSnapshot(msgspec.Struct, tag='fetch', frozen=True, array_like=True):
     """Asks a peer for what its fold of a stream came to.
 
     Attributes:
@@ -144,7 +144,7 @@
     stream: StreamName
 
 
-class Snapshot(msgspec.Struct, tag='snapshot', frozen=True):
+class Snapshot(msgspec.Struct, tag='snapshot', frozen=True, array_like=True):
     """What a fold came to.
 
     Attributes:
@@ -158,31 +158,8 @@
     state: bytes
 
 
-PeerMessage = Heartbeat | ForwardCall | ForwardAnswer | FetchSnapshot | Snapshot
-"""The closed list of messages between entry hosts."""
-
-_decoder = msgspec.msgpack.Decoder(PeerMessage)
-_encoder = msgspec.msgpack.Encoder()
-
+PeerRequest = ForwardCall | FetchSnapshot
+"""The closed list of requests between entry hosts."""
 
-def encode_message(message: PeerMessage) -> bytes:
-    """Spell a message.
-
-    Args:
-        message: Any message of the list.
-    """
-    return bytes((PROTOCOL_VERSION,)) + _encoder.encode(message)
-
-
-def decode_message(sent: bytes) -> PeerMessage | None:
-    """Read a message; None where it is no message of this protocol version.
-
-    Args:
-        sent: What came over the network.
-    """
-    if not sent or sent[0] != PROTOCOL_VERSION:
-        return None
-    try:
-        return _decoder.decode(sent[1:])
-    except msgspec.MsgspecError:
-        return None
+PeerAnswer = ForwardAnswer | Snapshot
+"""The closed list of answers between entry hosts."""
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,254 @@
+"""Answers of peers reach their own request; everything else is dropped."""
+
+from random import Random
+
+import msgspec
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.peer import (
+    DropReason,
+    Envelope,
+    Exchange,
+    ExchangeLimits,
+    FetchSnapshot,
+    ForwardAnswer,
+    ForwardCall,
+    Handlers,
+    Heartbeat,
+    Questions,
+    Snapshot,
+    decode_frame,
+    encode_frame,
+)
+from standins.network import Faults, Network
+
+MAX_BYTES = 4096
+MAX_REQUESTS = 4
+FETCH = FetchSnapshot(0, 'control')
+SNAPSHOT = Snapshot(0, 7, b'state')
+BEAT = Heartbeat('b', 'b1', 'z', 1)
+CALL = ForwardCall(0, 'b1', 'c', 'r', 's', 'GET', '/', (), b'body', 9, 'k')
+ANSWER = ForwardAnswer(0, 'ran', 200, (), b'body')
+
+
+def make_exchange(network, host, seed=1):
+    transport = network.open_transport(host)
+    for peer in 'abc':
+        transport.connect(peer, '127.0.0.1', 1)
+    return Exchange(
+        host=host,
+        incarnation=f'{host}1',
+        transport=transport,
+        limits=ExchangeLimits(message_bytes=MAX_BYTES, requests=MAX_REQUESTS),
+        questions=Questions(Random(seed)),
+    )
+
+
+def make_handlers(answer, take_heartbeat=None):
+    return Handlers(
+        answer_call=answer,
+        answer_fetch=answer,
+        take_heartbeat=take_heartbeat or [].append,
+    )
+
+
+async def echo(sender, request):
+    """Answer after a moment, with what was asked in the answer."""
+    if isinstance(request, ForwardCall):
+        await trio.sleep(request.remaining_ms / 1000)
+        return msgspec.structs.replace(ANSWER, body=request.body)
+    return msgspec.structs.replace(SNAPSHOT, state=request.stream.encode())
+
+
+async def decline(sender, request):
+    return None
+
+
+async def fail(sender, request):
+    raise EbonystreamError(ErrorKind.KEY_UNOWNED)
+
+
+@pytest.mark.parametrize(
+    ('frame', 'reason'),
+    [
+        (b'', DropReason.MALFORMED),
+        (b'\x01', DropReason.MALFORMED),
+        (b'\x01\xff', DropReason.MALFORMED),
+        (b'\x02' + encode_frame(BEAT)[1:], DropReason.UNKNOWN_VERSION),
+        (encode_frame(BEAT) + b'x', DropReason.MALFORMED),
+        (encode_frame(BEAT)[:-1], DropReason.MALFORMED),
+        (b'\x01' * (MAX_BYTES + 1), DropReason.OVERSIZE),
+        (encode_frame(Heartbeat('a', 'x', 'z', 1)), DropReason.OWN_NAME),
+        (encode_frame(Envelope('a', 'x', None, FETCH)), DropReason.OWN_NAME),
+        (encode_frame(Envelope('b', 'b1', 'a1', SNAPSHOT)), DropReason.LATE),
+        (
+            encode_frame(Envelope('b', 'b1', 'a0', SNAPSHOT)),
+            DropReason.OTHER_RECIPIENT,
+        ),
+        (
+            encode_frame(Envelope('b', 'b1', None, SNAPSHOT)),
+            DropReason.OTHER_RECIPIENT,
+        ),
+        (encode_frame(Envelope('b', 'b1', None, FETCH)), DropReason.DECLINED),
+    ],
+)
+async def test_drops(autojump_clock, frame, reason):
+    network = Network(Random(1))
+    exchange = make_exchange(network, 'a')
+    beats = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(exchange.run, make_handlers(fail, beats.append))
+        network.ports['a'].inbox.send_nowait(frame)
+        network.ports['a'].inbox.send_nowait(encode_frame(BEAT))
+        await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+    assert exchange.drops == {reason: 1}
+    assert beats == [BEAT]
+
+
+@given(st.binary(max_size=200), st.booleans())
+def test_any_bytes_are_read_or_dropped(sent, versioned):
+    frame = decode_frame(b'\x01' * versioned + sent, max_bytes=MAX_BYTES)
+    assert isinstance(frame, DropReason | Heartbeat | Envelope)
+
+
+@pytest.mark.parametrize(
+    ('answer', 'faults', 'drops'),
+    [
+        (decline, Faults(), {DropReason.DECLINED: 1}),
+        (fail, Faults(), {DropReason.DECLINED: 1}),
+        (echo, Faults(loss=1), {}),
+    ],
+)
+async def test_no_answer(autojump_clock, answer, faults, drops):
+    network = Network(Random(1), faults)
+    asking, asked = (make_exchange(network, host) for host in 'ab')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(network.run)
+        nursery.start_soon(asking.run, make_handlers(decline))
+        nursery.start_soon(asked.run, make_handlers(answer))
+        with pytest.raises(EbonystreamError) as caught:
+            await asking.ask('b', FETCH, trio.current_time() + 2)
+        assert caught.value.kind is ErrorKind.OWNER_UNREACHABLE
+        assert trio.current_time() == 2
+        nursery.cancel_scope.cancel()
+    assert asked.drops == drops
+    assert not asking.questions.waiting
+
+
+@pytest.mark.parametrize(
+    ('sender', 'answer', 'reason'),
+    [
+        ('b', SNAPSHOT, None),
+        ('c', SNAPSHOT, DropReason.CROSSED),
+        ('b', ANSWER, DropReason.CROSSED),
+    ],
+)
+def test_only_its_own_answer(sender, answer, reason):
+    questions = Questions(Random(1))
+    with questions.open('b', FETCH) as question:
+        answer = msgspec.structs.replace(
+            answer, correlation=question.correlation
+        )
+        assert questions.settle(sender, answer) is reason
+        assert question.answer == (None if reason else answer)
+        again = reason or DropReason.LATE
+        assert questions.settle(sender, answer) is again
+    assert questions.settle(sender, answer) is DropReason.LATE
+
+
+@pytest.mark.parametrize(
+    ('sender', 'correlation', 'before'),
+    [('c', 1, None), ('b', 2, None), ('b', 1, SNAPSHOT)],
+)
+def test_a_wrong_answer_is_asserted(sender, correlation, before):
+    questions = Questions(Random(1))
+    with questions.open('b', FETCH) as question:
+        question.correlation = 1
+        question.answer = before
+        with pytest.raises(AssertionError):
+            question.settle(
+                sender,
+                msgspec.structs.replace(SNAPSHOT, correlation=correlation),
+            )
+
+
+@pytest.mark.parametrize('seed', range(8))
+async def test_answers_under_faults(autojump_clock, seed):
+    random = Random(seed)
+    faults = Faults(
+        loss=0.1, duplication=0.2, min_delay_s=0.001, max_delay_s=0.5
+    )
+    network = Network(random, faults)
+    exchanges = [make_exchange(network, host, seed) for host in 'abc']
+    answered, unanswered = [], []
+
+    async def ask(exchange, host, number):
+        body = f'{exchange.host}{host}{number}'.encode()
+        call = msgspec.structs.replace(
+            CALL, body=body, remaining_ms=random.randrange(700)
+        )
+        await trio.sleep(random.random() * 20)
+        try:
+            answer = await exchange.ask(host, call, trio.current_time() + 1)
+        except EbonystreamError:
+            unanswered.append(body)
+            return
+        assert answer.body == body
+        answered.append(body)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(network.run)
+        for exchange in exchanges:
+            nursery.start_soon(exchange.run, make_handlers(echo))
+        async with trio.open_nursery() as asking:
+            for number in range(50):
+                for exchange in exchanges:
+                    for host in {'a', 'b', 'c'} - {exchange.host}:
+                        asking.start_soon(ask, exchange, host, number)
+        nursery.cancel_scope.cancel()
+    assert len(answered) + len(unanswered) == 300
+    assert len(answered) > 100
+    assert unanswered
+    late = sum(one.drops[DropReason.LATE] for one in exchanges)
+    assert late > 10
+    assert all(not one.questions.waiting for one in exchanges)
+
+
+async def test_bounded_requests(autojump_clock):
+    network = Network(Random(1))
+    asking, asked = (make_exchange(network, host) for host in 'ab')
+    slow = msgspec.structs.replace(CALL, remaining_ms=500)
+    refused = []
+
+    async def ask():
+        try:
+            await asking.ask('b', slow, trio.current_time() + 1)
+        except EbonystreamError:
+            refused.append(slow)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(network.run)
+        nursery.start_soon(asking.run, make_handlers(decline))
+        nursery.start_soon(asked.run, make_handlers(echo))
+        async with trio.open_nursery() as calls:
+            for _ in range(MAX_REQUESTS + 3):
+                calls.start_soon(ask)
+        nursery.cancel_scope.cancel()
+    assert len(refused) == 3
+    assert asked.drops == {DropReason.OVERLOADED: 3}
+    assert asked.running == 0
+
+
+async def test_oversize_is_not_sent(autojump_clock):
+    network = Network(Random(1))
+    exchange = make_exchange(network, 'a')
+    big = msgspec.structs.replace(CALL, body=b'x' * MAX_BYTES)
+    with pytest.raises(EbonystreamError):
+        await exchange.ask('b', big, trio.current_time() + 1)
+    assert exchange.drops == {DropReason.OVERSIZE: 1}
+    assert network.sent == 0
