Keep the membership of entry hosts by heartbeats that prove life

Cause: duties (owners, probers, sponsors) fall to hosts that are reachable, and the host list lags; a late heartbeat of an ended run must not pass for a live one. Change: the membership aggregate. One task for each peer sends heartbeats and watches silence. An incarnation is believed only after it echoed a heartbeat that was sent after it was first heard, which no late copy can do; the earlier one is then gone for good. A peer that does not echo is unreachable (one-way cut); an own pause excuses the silence of the others; more peers slow the pace. Rendezvous hashing over the reachable members and this host. Ruled out: the newest incarnation heard wins. Reordered heartbeats of an ended run then bury the live one for ever (mutation below). Order by start time: two hosts' clocks may disagree. Red by mutation, each in test_mutations: ten, among them no proof, an early echo as proof, candidates kept, order, tombstones, echo, own pause.

--- /dev/null
+++ b/src/ebonystream/membership/__init__.py
@@ -0,0 +1,36 @@
+"""The membership aggregate: which entry hosts there are, and how they stand."""
+
+from ebonystream.membership._contents import (
+    FillHeartbeat,
+    HeartbeatContents,
+)
+from ebonystream.membership._member import ListedPeer, Member
+from ebonystream.membership._membership import Membership
+from ebonystream.membership._pace import Pace, choose_pace
+from ebonystream.membership._ranking import choose_first, rank
+from ebonystream.membership._state import IgnoreReason, MemberState
+from ebonystream.membership._table import Identity, MemberTable
+from ebonystream.membership._tombstones import Tombstones
+from ebonystream.membership._views import Confirmation, MemberView
+from ebonystream.membership._watching import Links, watch_members
+
+__all__ = (
+    'Confirmation',
+    'FillHeartbeat',
+    'HeartbeatContents',
+    'Identity',
+    'IgnoreReason',
+    'Links',
+    'ListedPeer',
+    'Member',
+    'MemberState',
+    'MemberTable',
+    'MemberView',
+    'Membership',
+    'Pace',
+    'Tombstones',
+    'choose_first',
+    'choose_pace',
+    'rank',
+    'watch_members',
+)
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -37,6 +37,66 @@
 
 
 MUTATIONS = {
+    'a stranger may connect': Mutation(
+        'peer/_zap.py',
+        'if hmac.compare_digest(credentials, public_key):',
+        'if credentials:',
+        'tests/test_zmq_transport.py::test_strangers_are_not_heard',
+    ),
+    'another host may answer': Mutation(
+        'peer/_questions.py',
+        'return same_kind and sender == question.host',
+        'return same_kind',
+        'tests/test_exchange.py::test_only_its_own_answer',
+    ),
+    'answers to an earlier incarnation are taken': Mutation(
+        'peer/_exchange.py',
+        'if envelope.recipient == self.incarnation:',
+        'if envelope:',
+        'tests/test_exchange.py::test_drops',
+    ),
+    'whoever is heard is believed': Mutation(
+        'membership/_hearing.py',
+        'return hearing.echo >= candidate.proof',
+        'return True',
+        'tests/test_membership_faults.py::test_any_mix_of_faults',
+    ),
+    'an early echo is proof': Mutation(
+        'membership/_hearing.py',
+        'proof=hearing.sent + 1',
+        'proof=0',
+        'tests/test_membership.py::test_one_peer',
+    ),
+    'a proof outlives the next incarnation': Mutation(
+        'membership/_member.py',
+        'self.candidates.clear()',
+        'self.candidates.pop(heartbeat.incarnation)',
+        'tests/test_membership.py::test_one_peer',
+    ),
+    'heartbeats are taken in any order': Mutation(
+        'membership/_hearing.py',
+        'heartbeat.sequence <= _find_newest(member, heartbeat)',
+        'heartbeat.sequence < 0',
+        'tests/test_membership_faults.py::test_any_mix_of_faults',
+    ),
+    'what is gone comes back': Mutation(
+        'membership/_hearing.py',
+        'if heartbeat.incarnation in hearing.tombstones:',
+        'if not heartbeat.incarnation:',
+        'tests/test_membership.py::test_one_peer',
+    ),
+    'a peer that hears nothing is reachable': Mutation(
+        'membership/_member.py',
+        'if now - echoed_at > pace.silence + pace.period:',
+        'if not now:',
+        'tests/test_membership_faults.py::test_cut_one_way',
+    ),
+    'an own pause is the silence of all others': Mutation(
+        'membership/_membership.py',
+        'member.excuse(now)',
+        'member.excuse(member.excused_at)',
+        'tests/test_membership.py::test_one_peer',
+    ),
     'the later claim wins': Mutation(
         'ownership/_intervals.py',
         'free = list(self._find_free(new))',
--- a/tests/test_zmq_transport.py
+++ b/tests/test_zmq_transport.py
@@ -14,6 +14,7 @@
 SHARED = zmq.curve_keypair()
 OTHER = zmq.curve_keypair()
 MAX_BYTES = 4096
+MAX_SENDS = 1000
 
 
 def make_settings(keys=SHARED):
@@ -32,9 +33,10 @@
     async with trio.open_nursery() as nursery:
 
         async def repeat():
-            while True:
+            for _ in range(MAX_SENDS):
                 sender.send(host, sent)
                 await trio.sleep(0.01)
+            raise AssertionError('the peer heard nothing')
 
         nursery.start_soon(repeat)
         heard = await receiver.receive()
--- a/tools/standins/network.py
+++ b/tools/standins/network.py
@@ -137,7 +137,9 @@
         Args:
             host: Names the host.
         """
-        self.ports[host].running = trio.Event()
+        port = self.ports[host]
+        if port.running.is_set():
+            port.running = trio.Event()
 
     def resume(self, host: HostId) -> None:
         """Let a host go on; what was sent to it meanwhile reaches it now.
