Never give up a label that has run: a key ran on two hosts

Ruled out: a fold that disagrees between hosts (the properties of the fold hold); the ledger forgetting (its floor was far below). Change: an owner remembers the highest label it has begun and releases only what lies beyond. A table of its own, and a mutation that brings the fault back. Also: the randomised run itself, with loss, delay, duplication, one-way cuts, held and replaced hosts, log outages, lost answers, skewed clocks, callers that leave; the fake back end asserts that no key runs twice nor after "not run".

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 VENV ?= .venv
+SEEDS ?= 0-99
 PY = $(VENV)/bin/python
 export PYTHONPATH := src:tools
 STAMP = $(VENV)/.installed
 
-.PHONY: install mutations run bench test check format lint types unit features
+.PHONY: soak install mutations run bench test check format lint types unit features
 
 install: $(STAMP)
 
@@ -38,6 +39,9 @@
 unit: install
 	$(PY) -m pytest -m "not mutations"
 
+soak: install
+	SEEDS=$(SEEDS) $(PY) -m pytest -s tests/test_once_everywhere.py
+
 mutations: install
 	$(PY) -m pytest -m mutations tests/test_mutations.py
 
--- a/src/ebonystream/ownership/_claims.py
+++ b/src/ebonystream/ownership/_claims.py
@@ -109,8 +109,7 @@
         log: The log service.
         stream: The keys stream.
     """
-    since = EpochMs(owner.timers.wall_ms() + RELEASE_NOTICE_MS)
-    owner.serves_until = since
+    since = owner.give_up(EpochMs(owner.timers.wall_ms() + RELEASE_NOTICE_MS))
     await _append(log, stream, Release(owner.incarnation, since))
 
 
--- a/src/ebonystream/ownership/_ledger.py
+++ b/src/ebonystream/ownership/_ledger.py
@@ -52,12 +52,14 @@
         max_bytes: The most that the entries may take together.
         used_bytes: What they take now.
         floor: The lowest label that may be begun.
+        ceiling: The highest label that was begun.
         entries: Each remembered key.
     """
 
     max_bytes: int
     used_bytes: int = 0
     floor: EpochMs = EpochMs(0)
+    ceiling: EpochMs = EpochMs(0)
     entries: dict[IdempotencyKey, Entry] = attrs.field(factory=dict)
     _finished: list[tuple[EpochMs, IdempotencyKey]] = attrs.field(factory=list)
 
@@ -97,6 +99,7 @@
             raise EbonystreamError(ErrorKind.MEMORY_FULL)
         entry = Entry(key, digest)
         self.entries[key] = entry
+        self.ceiling = max(self.ceiling, read_label(key))
         self.used_bytes += ENTRY_BYTES
         return entry
 
--- a/src/ebonystream/ownership/_owner.py
+++ b/src/ebonystream/ownership/_owner.py
@@ -58,6 +58,18 @@
             return None
         return owner
 
+    def give_up(self, since: EpochMs) -> EpochMs:
+        """Stop serving labels, and give the first one that is given up.
+
+        A caller whose clock is ahead may have run a later label here
+        already: nobody else may ever own that one.
+
+        Args:
+            since: The first label to give up, if none from it on has run.
+        """
+        self.serves_until = EpochMs(max(since, self.ledger.ceiling + 1))
+        return self.serves_until
+
     def _gave_up(self, label: EpochMs) -> bool:
         return self.serves_until is not None and label >= self.serves_until
 
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -92,6 +92,26 @@
         'if False:',
         'tests/test_ownership_ledger.py',
     ),
+    'a leaving owner gives up labels that ran': Mutation(
+        'ownership/_owner.py',
+        'max(since, self.ledger.ceiling + 1)',
+        'since',
+        'tests/test_once_everywhere.py',
+    ),
+    'an owner that is held loses its labels to others': Mutation(
+        'ownership/_intervals.py',
+        'free = list(self._find_free(new))',
+        'self.cut_all(new.start)\n        free = [new]\n\n'
+        '    def cut_all(self, since: EpochMs) -> None:\n'
+        '        """Drop whatever others own."""\n'
+        '        self.sorted = [\n'
+        '            one for one in self.sorted if one.until <= since\n'
+        '        ]\n\n'
+        '    def unused(self, new: Interval) -> None:\n'
+        '        """Keep the lines that follow in a function."""\n'
+        '        free: list[Interval] = []',
+        'tests/test_once_everywhere.py',
+    ),
     'a caller that leaves cancels its call': Mutation(
         'ownership/_owner.py',
         'owner.running.start_soon(_execute, owner, call, entry)',
--- /dev/null
+++ b/tests/test_once_everywhere.py
@@ -0,0 +1,184 @@
+"""Each key runs at most once over all hosts, whatever fails; "not run" stays.
+
+Longer runs: `make soak SEEDS=0-99`. One seed: `make soak SEEDS=17-17`.
+"""
+
+import os
+from collections import Counter
+from random import Random
+
+import pytest
+import trio
+
+from ebonystream.errors import Outcome
+from ebonystream.ownership import make_key
+from standins.keyhosts import (
+    KEYS_STREAM,
+    Backend,
+    KeyHosts,
+    make_booking,
+    read_epoch_ms,
+)
+from standins.logstore import Conduct, LogStore, Outage
+from standins.network import Faults, Network
+
+NAMES = [f'host{number}' for number in range(5)]
+CALLERS = 12
+FAULT_EVERY_S = 4
+MAX_SENDS = 6
+CI_SEEDS = '0-5'
+
+
+def list_seeds():
+    first, _, last = os.environ.get('SEEDS', CI_SEEDS).partition('-')
+    return range(int(first), int(last) + 1)
+
+
+async def cause_faults(hosts, random, counts):
+    """Break something, and mend something, again and again."""
+    while True:
+        await trio.sleep(random.uniform(0, FAULT_EVERY_S))
+        fault = random.choice(FAULTS)
+        counts[fault.__name__] += 1
+        await fault(hosts, random)
+
+
+async def replace_host(hosts, random):
+    name = random.choice(NAMES)
+    if name in hosts.hosts:
+        hosts.kill(name)
+    await trio.sleep(random.uniform(0, 2))
+    if name not in hosts.hosts:
+        await hosts.start(name)
+
+
+async def leave_host(hosts, random):
+    name = random.choice(NAMES)
+    if name not in hosts.hosts:
+        return
+    await hosts.leave(name)
+    await trio.sleep(random.uniform(0, 8))
+    if name in hosts.hosts:
+        hosts.kill(name)
+    await hosts.start(name)
+
+
+async def hold_host(hosts, random):
+    name = random.choice(NAMES)
+    if name not in hosts.hosts:
+        return
+    incarnation = hosts.hosts[name].incarnation
+    hosts.hold(name)
+    await trio.sleep(random.choice((0.5, 5, 45)))
+    if name in hosts.hosts and hosts.hosts[name].incarnation == incarnation:
+        hosts.resume(name)
+
+
+async def cut_link(hosts, random):
+    link = tuple(random.sample(NAMES, 2))
+    hosts.network.cuts.add(link)
+    await trio.sleep(random.uniform(0, 6))
+    hosts.network.cuts.discard(link)
+
+
+async def stop_log(hosts, random):
+    hosts.store.behave(Conduct(outage=Outage.REFUSE))
+    await trio.sleep(random.choice((1, 10, 40)))
+    hosts.store.behave(Conduct())
+
+
+async def lose_log_answers(hosts, random):
+    hosts.store.behave(Conduct(lose_answers=3, delay_ms=800))
+    await trio.sleep(random.uniform(0, 5))
+    hosts.store.behave(Conduct())
+
+
+async def shorten_retention(hosts, random):
+    hosts.store.behave(Conduct(retention_ms=1_080_000))
+
+
+FAULTS = (
+    replace_host,
+    leave_host,
+    hold_host,
+    cut_link,
+    stop_log,
+    lose_log_answers,
+    shorten_retention,
+)
+
+
+async def send_bookings(hosts, random, counts):
+    """Book again and again, each under a fresh key."""
+    while True:
+        await trio.sleep(random.uniform(0, 1))
+        skew_ms = random.choice((0, 0, 0, -3000, 2000, -70_000, 500_000))
+        key = make_key(read_epoch_ms() + skew_ms, random)
+        await send_booking(hosts, random, key, counts)
+
+
+async def send_booking(hosts, random, key, counts):
+    """Send one key through any hosts until its outcome is known."""
+    told = set()
+    for _ in range(MAX_SENDS):
+        if not hosts.hosts:
+            return
+        host = hosts.hosts[random.choice(sorted(hosts.hosts))]
+        answer = None
+        with trio.move_on_after(random.choice((0.2, 5))):
+            call = make_booking(key, timeout_s=random.choice((0.3, 2)))
+            answer = await host.run(call)
+        if answer is None:
+            counts['left'] += 1
+            continue
+        counts[answer.outcome.value] += 1
+        if answer.outcome is Outcome.NOT_RUN:
+            assert key not in hosts.backend.runs, 'a false "not run"'
+            hosts.backend.declared_not_run.add(key)
+        if answer.outcome is Outcome.RAN:
+            assert hosts.backend.runs[key] == 1
+            assert answer.body == key.encode(), "another call's answer"
+        if answer.outcome is not Outcome.UNKNOWN:
+            told.add((answer.outcome, answer.body))
+            assert len(told) == 1, 'two answers to one key'
+        if answer.outcome is not Outcome.UNKNOWN and random.random() < 0.7:
+            return
+
+
+async def run_hosts(seed, *, seconds):
+    """Run hosts, callers and faults for a length of virtual time."""
+    random = Random(seed)
+    counts = Counter()
+    faults = Faults(
+        loss=0.02, duplication=0.05, min_delay_s=0.001, max_delay_s=0.3
+    )
+    async with trio.open_nursery() as nursery:
+        hosts = KeyHosts(
+            random=random,
+            network=Network(Random(seed), faults),
+            store=LogStore(read_epoch_ms),
+            backend=Backend(random),
+            nursery=nursery,
+        )
+        nursery.start_soon(hosts.network.run)
+        for name in NAMES:
+            await hosts.start(name)
+        await trio.sleep(3)
+        nursery.start_soon(cause_faults, hosts, random, counts)
+        for _ in range(CALLERS):
+            nursery.start_soon(send_bookings, hosts, random, counts)
+        await trio.sleep(seconds)
+        nursery.cancel_scope.cancel()
+    counts['runs'] = len(hosts.backend.runs)
+    counts['records'] = len(hosts.store.streams[KEYS_STREAM].records)
+    return counts
+
+
+@pytest.mark.parametrize('seed', list_seeds())
+async def test_each_key_runs_at_most_once(seed, autojump_clock):
+    counts = await run_hosts(seed, seconds=180)
+    print(f'seed {seed}: {dict(counts)}')
+    assert counts['runs'] > 100
+    assert counts['ran'] > 100
+    assert counts['not_run'] > 0
+    assert counts['unknown'] > 0
--- a/tests/test_ownership_ledger.py
+++ b/tests/test_ownership_ledger.py
@@ -282,6 +282,26 @@
     assert backend.ran == 0
 
 
+GIVEN_UP = {
+    'nothing ran ahead': (0, NOW + 5, NOW + 5),
+    'a later label ran already': (100, NOW + 5, NOW + 101),
+}
+
+
+@pytest.mark.parametrize(
+    ('ahead', 'since', 'given_up'), GIVEN_UP.values(), ids=GIVEN_UP.keys()
+)
+async def test_a_label_that_ran_is_never_given_up(
+    ahead, since, given_up, autojump_clock
+):
+    """Found by seed 0 of test_once_everywhere: a key ran on two hosts."""
+    async with trio.open_nursery() as nursery:
+        owner = make_owner(Backend([]), nursery)
+        await make_owned_run(owner)(make_call(key_at(NOW + ahead)))
+        assert owner.give_up(since) == given_up
+    assert owner.serves_until == given_up
+
+
 MUTATIONS = {
     'a ledger that forgets what it may still begin': '_finished',
     'a floor that falls': 'floor',
