Fold moves, verdicts and checkpoints from the control stream

Cause: the control stream held publishes alone. A record with deep nesting ended the host that folded it, and a reader that met a gap (records that the log had forgotten) went on as if nothing was missing. Ruled out: a checkpoint that is valid wherever it stands. A late reader would have to buffer and replay, and two checkpoints could differ; here one that stands at another offset than its state's is void for everyone. Keeping the reasons of rejections in the state: their wording belongs to a library's version, so hosts of two versions would disagree. Parsing depth left to the parser: it hangs on the stack, so hosts could fold differently. A host serves only once it has caught up.

--- a/src/ebonystream/_ids.py
+++ b/src/ebonystream/_ids.py
@@ -39,6 +39,9 @@
 MoveId = NewType('MoveId', str)
 """Names one move that operators asked for."""
 
+RequestId = NewType('RequestId', str)
+"""Names one record that operators or hosts ask the control stream to take."""
+
 IdempotencyKey = NewType('IdempotencyKey', str)
 """The canonical spelling of a caller's UUIDv7 idempotency key."""
 
--- a/src/ebonystream/_watch.py
+++ b/src/ebonystream/_watch.py
@@ -1,5 +1,7 @@
 """Waiting for a state to change, without polling."""
 
+from collections.abc import Callable
+
 import attrs
 import trio
 
@@ -9,9 +11,16 @@
     """Wakes everyone who waits, each time something changes."""
 
     _next: trio.Event = attrs.field(factory=trio.Event)
+    _subscribers: list[Callable[[], None]] = attrs.field(factory=list)
+
+    def subscribe(self, call: Callable[[], None]) -> None:
+        """Have a function called at each change, before anyone wakes."""
+        self._subscribers.append(call)
 
     def notify(self) -> None:
-        """Wake everyone who waits now."""
+        """Tell the subscribers, then wake everyone who waits now."""
+        for call in self._subscribers:
+            call()
         self._next.set()
         self._next = trio.Event()
 
--- a/src/ebonystream/admin/_app.py
+++ b/src/ebonystream/admin/_app.py
@@ -1,37 +1,34 @@
 """The routes of the administration API."""
 
 import hmac
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Awaitable, Callable, Mapping
+from http import HTTPStatus
+from types import MappingProxyType
 
-import attrs
+import msgspec
 from quart import Response, request
 from quart_trio import QuartTrio
+from werkzeug.exceptions import HTTPException
 
-from ebonystream._ids import ConfigurationVersion
+from ebonystream._ids import MoveId
+from ebonystream.admin._handlers import Sent
+from ebonystream.admin._openapi import DESCRIPTION_PATH, describe_api
+from ebonystream.admin._operations import OPERATIONS, Operation
+from ebonystream.admin._verbs import AdminVerbs
 from ebonystream.call import Answer, refuse
-from ebonystream.configuration import Control, PublishLists
 from ebonystream.errors import EbonystreamError, ErrorKind
 
-Json = dict[str, Any]
-"""A JSON object, as the API spells it."""
-
 BEARER = 'Bearer '
+JSON_TYPE = 'application/json'
 
-
-@attrs.frozen(kw_only=True)
-class AdminVerbs:
-    """What the administration API can do.
-
-    Attributes:
-        control: The configuration in force.
-        publish: Publishes the two lists.
-        report_status: Tells how this host stands.
-    """
-
-    control: Control
-    publish: PublishLists
-    report_status: Callable[[], Json]
+HTTP_KINDS: Mapping[HTTPStatus, ErrorKind] = MappingProxyType(
+    {
+        HTTPStatus.NOT_FOUND: ErrorKind.NOT_FOUND,
+        HTTPStatus.METHOD_NOT_ALLOWED: ErrorKind.NOT_FOUND,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ErrorKind.BODY_TOO_LARGE,
+        HTTPStatus.REQUEST_TIMEOUT: ErrorKind.SLOW_SENDER,
+    }
+)
 
 
 def make_admin_app(verbs: AdminVerbs, *, key: str | None) -> QuartTrio:
@@ -41,69 +38,63 @@
         verbs: What it can do.
         key: The key that each request must carry, if any.
     """
-    app = QuartTrio('ebonystream.admin')
+    app = QuartTrio('ebonystream.admin', static_folder=None)
     _require_key(app, key)
-    _add_lists(app, verbs)
-
-    @app.get('/v1/status')
-    async def show_status() -> Json:
-        return verbs.report_status()
+    _answer_errors(app)
+    for operation in OPERATIONS:
+        app.add_url_rule(
+            operation.path.replace('{move}', '<move>'),
+            endpoint=f'{operation.method.value} {operation.path}',
+            view_func=_make_view(operation, verbs),
+            methods=[operation.method.value.upper()],
+        )
+    described = msgspec.json.encode(describe_api(OPERATIONS))
 
-    @app.errorhandler(EbonystreamError)
-    async def answer_error(error: EbonystreamError) -> Response:
-        return _spell(refuse(error))
+    @app.get(DESCRIPTION_PATH)
+    async def describe() -> Response:
+        return Response(described, content_type=JSON_TYPE)
 
     return app
 
 
 def _require_key(app: QuartTrio, key: str | None) -> None:
+    wanted = None if key is None else key.encode()
+
     @app.before_request
     async def check_key() -> None:
         sent = request.headers.get('authorization', '').removeprefix(BEARER)
-        if key is not None and not hmac.compare_digest(sent, key):
+        if wanted is None:
+            return
+        if not hmac.compare_digest(sent.encode(), wanted):
             raise EbonystreamError(ErrorKind.UNAUTHORIZED)
 
 
-def _add_lists(app: QuartTrio, verbs: AdminVerbs) -> None:
-    @app.get('/v1/lists')
-    async def show_lists() -> Json:
-        control = verbs.control
-        lists = control.lists
-        return {
-            'version': control.version,
-            'lists': None if lists is None else lists.model_dump(mode='json'),
-        }
-
-    @app.post('/v1/lists')
-    async def publish_lists() -> Json:
-        sent = await request.get_json(force=True, silent=True)
-        if not isinstance(sent, dict):
-            raise EbonystreamError(
-                ErrorKind.MALFORMED_REQUEST, 'the body is not a JSON object'
-            )
-        version = await verbs.publish(_read_version(sent), _read_lists(sent))
-        return {'version': version}
-
-
-def _read_version(sent: Json) -> ConfigurationVersion:
-    based_on = sent.get('based_on')
-    if not isinstance(based_on, int):
-        raise EbonystreamError(
-            ErrorKind.MALFORMED_REQUEST, 'based_on is not a whole number'
-        )
-    return ConfigurationVersion(based_on)
+def _answer_errors(app: QuartTrio) -> None:
+    @app.errorhandler(EbonystreamError)
+    async def answer_error(error: EbonystreamError) -> Response:
+        return _spell(refuse(error))
 
+    @app.errorhandler(HTTPException)
+    async def answer_http(error: HTTPException) -> Response:
+        status = HTTPStatus(error.code or HTTPStatus.INTERNAL_SERVER_ERROR)
+        kind = HTTP_KINDS.get(status, ErrorKind.MALFORMED_REQUEST)
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            kind = ErrorKind.INTERNAL
+        detail = f'{request.method} {request.path}'
+        return _spell(refuse(EbonystreamError(kind, detail)))
 
-def _read_lists(sent: Json) -> Json:
-    lists = sent.get('lists')
-    if not isinstance(lists, dict):
-        raise EbonystreamError(
-            ErrorKind.MALFORMED_REQUEST, 'lists is not a JSON object'
-        )
-    return lists
+
+def _make_view(
+    operation: Operation, verbs: AdminVerbs
+) -> Callable[..., Awaitable[Response]]:
+    async def view(move: str = '') -> Response:
+        body = await request.body
+        sent = Sent(body, MoveId(move))
+        answer = await operation.handle(verbs, sent)
+        return Response(msgspec.json.encode(answer), content_type=JSON_TYPE)
+
+    return view
 
 
 def _spell(answer: Answer) -> Response:
-    return Response(
-        answer.body, status=answer.status, content_type='application/json'
-    )
+    return Response(answer.body, status=answer.status, content_type=JSON_TYPE)
--- a/src/ebonystream/composition/_admin.py
+++ b/src/ebonystream/composition/_admin.py
@@ -1,44 +1,36 @@
 """Wires the administration API."""
 
 from ebonystream.admin import AdminVerbs, make_admin_app, serve_admin
-from ebonystream.composition._parts import Parts, convert_ms
+from ebonystream.composition._moves import list_moves, make_ask, report_move
+from ebonystream.composition._parts import Parts
+from ebonystream.composition._reports import (
+    report_backends,
+    report_hosts,
+    report_status,
+    report_versions,
+    show_lists,
+)
 from ebonystream.configuration import make_publishing
 
 
 async def serve_admin_api(parts: Parts) -> None:
     """Serve the administration API until the host stops."""
-    settings = parts.settings
-    verbs = AdminVerbs(
-        control=parts.control,
-        publish=make_publishing(
-            control=parts.control,
-            log=parts.log,
-            stream=settings.log.control_stream,
-            patience=convert_ms(2 * settings.log.timeout_ms),
-        ),
-        report_status=lambda: report_status(parts),
-    )
-    app = make_admin_app(verbs, key=settings.admin.key)
-    await serve_admin(app, settings.admin, wait_for_stop=parts.stopping.wait)
+    settings = parts.settings.admin
+    app = make_admin_app(make_verbs(parts), key=settings.key)
+    await serve_admin(app, settings, wait_for_stop=parts.stopping.wait)
 
 
-def report_status(parts: Parts) -> dict[str, object]:
-    """Tell how this host and its backend servers stand."""
-    return {
-        'host': parts.settings.host.id,
-        'zone': parts.settings.host.zone,
-        'incarnation': parts.incarnation,
-        'configuration_version': parts.control.version,
-        'leaving': parts.stopping.is_set(),
-        'backends': [
-            {
-                'server': server.id,
-                'service': server.service,
-                'version': server.version,
-                'zone': server.zone,
-                'leaving': server.leaving,
-                'in_flight': server.in_flight,
-            }
-            for server in parts.directory.servers.values()
-        ],
-    }
+def make_verbs(parts: Parts) -> AdminVerbs:
+    """Make what the administration API can do."""
+    ask = make_ask(parts)
+    return AdminVerbs(
+        publish=make_publishing(ask),
+        ask=ask,
+        show_lists=lambda: show_lists(parts),
+        list_moves=lambda: list_moves(parts),
+        report_move=lambda move: report_move(parts, move),
+        report_status=lambda: report_status(parts),
+        report_hosts=lambda: report_hosts(parts),
+        report_backends=lambda: report_backends(parts),
+        report_versions=lambda: report_versions(parts),
+    )
--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from ebonystream._ids import IdempotencyKey, ZoneName
+from ebonystream._ids import IdempotencyKey
 from ebonystream.backend import (
     Dispatch,
     make_dispatch,
@@ -12,6 +12,7 @@
 )
 from ebonystream.call import CallKind, make_admission, make_serving
 from ebonystream.caller import CallerLimits, CallerListener
+from ebonystream.composition._moves import guard_place, make_zone_observer
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.upstream import make_sender
@@ -26,7 +27,7 @@
         count_retries=lambda call: 0,
     )
     admit = make_admission(
-        get_plans=lambda: parts.control.plans, parse_key=_refuse_key
+        get_plans=parts.control.get_plans, parse_key=_refuse_key
     )
     return CallerListener(
         serve=make_serving(admit=admit, runs={CallKind.IDEMPOTENT: run}),
@@ -44,20 +45,19 @@
 
 def _make_dispatch(parts: Parts) -> Dispatch:
     return make_dispatch(
-        place=make_placing(
-            directory=parts.directory,
-            is_out=_is_never_out,
-            random=Random(parts.incarnation),
+        place=guard_place(
+            make_placing(
+                directory=parts.directory,
+                is_out=parts.control.is_out,
+                random=Random(parts.incarnation),
+            ),
+            parts.zones_in_flight,
         ),
         send=make_sender(pool=parts.pool, timers=parts.timers),
-        observers=(release_place,),
+        observers=(release_place, make_zone_observer(parts.zones_in_flight)),
         timers=parts.timers,
     )
 
 
 def _refuse_key(sent: bytes) -> IdempotencyKey:
     raise EbonystreamError(ErrorKind.KEY_MALFORMED, sent.decode('latin-1'))
-
-
-def _is_never_out(zone: ZoneName) -> bool:
-    return not zone
--- /dev/null
+++ b/src/ebonystream/composition/_moves.py
@@ -0,0 +1,159 @@
+"""Wires moves: what hosts confirm, verdicts, and zones that come back."""
+
+from random import Random
+
+import xxhash
+
+from ebonystream._ids import (
+    MoveId,
+    RequestId,
+    Seconds,
+    ServerId,
+    ZoneName,
+)
+from ebonystream.backend import Attempt, BackendServer, Observe, Place
+from ebonystream.call import Call
+from ebonystream.composition._parts import Parts, convert_ms
+from ebonystream.configuration import Ask, make_asking, write_checkpoints
+from ebonystream.errors import EbonystreamError
+from ebonystream.move import (
+    CloseMove,
+    Confirmation,
+    EndMove,
+    MoveReport,
+    VerdictKind,
+    VersionMove,
+    ZonesInFlight,
+    finish_zone_moves,
+    make_report,
+    make_return_watch,
+)
+
+
+def make_ask(parts: Parts) -> Ask:
+    """Make the function that asks the control stream to take a record."""
+    return make_asking(
+        control=parts.control,
+        log=parts.log,
+        stream=parts.settings.log.control_stream,
+        patience=convert_ms(2 * parts.settings.log.timeout_ms),
+    )
+
+
+def make_end_move(parts: Parts) -> EndMove:
+    """Make the function that asks the log for a verdict on a move."""
+    ask = make_ask(parts)
+
+    async def end_move(move: MoveId, verdict: VerdictKind, reason: str) -> None:
+        # Hosts that come to the same verdict ask under the same name, so that
+        # the second of them changes nothing.
+        name = xxhash.xxh128_hexdigest(f'{verdict.value} {move}'.encode())
+        record = CloseMove(RequestId(name), move, verdict, reason)
+        try:
+            await ask(record)
+        except EbonystreamError:
+            return
+
+    return end_move
+
+
+def list_confirmations(parts: Parts) -> tuple[Confirmation, ...]:
+    """Give the newest word of each live entry host, this one first."""
+    own = Confirmation(
+        host=parts.settings.host.id,
+        incarnation=parts.incarnation,
+        control_next=parts.control.next,
+        zones_in_flight=dict(parts.zones_in_flight.calls),
+    )
+    return own, *parts.peers.list_confirmations()
+
+
+def report_move(parts: Parts, move: MoveId) -> MoveReport:
+    """Report on a move; raises `NOT_FOUND`."""
+    moves = parts.control.folded.moves
+    return make_report(
+        moves.table.find(move),
+        list_confirmations(parts),
+        now_ms=parts.timers.wall_ms(),
+        explain=_explain_nothing,
+    )
+
+
+def list_moves(parts: Parts) -> tuple[MoveId, ...]:
+    """Name open moves and the latest closed ones, in the order of asking."""
+    moves = parts.control.folded.moves
+    return tuple(moves.table.by_id)
+
+
+async def finish_moves(parts: Parts) -> None:
+    """Ask for the verdict on zone moves that are done, for ever."""
+    await finish_zone_moves(
+        get_moves=lambda: parts.control.folded.moves,
+        list_confirmations=lambda: list_confirmations(parts),
+        end_move=make_end_move(parts),
+        timers=parts.timers,
+        random=Random(parts.incarnation),
+    )
+
+
+async def keep_checkpoints(parts: Parts) -> None:
+    """Write the state to the log again before it expires, for ever."""
+    settings = parts.settings.log
+    await write_checkpoints(
+        control=parts.control,
+        log=parts.log,
+        stream=settings.control_stream,
+        retention=convert_ms(settings.retention_ms),
+        timers=parts.timers,
+        random=Random(parts.incarnation),
+    )
+
+
+def watch_returns(parts: Parts) -> None:
+    """Have zones that come back treated as cold, from the next change on."""
+    parts.control.watch.subscribe(
+        make_return_watch(
+            get_moves=lambda: parts.control.folded.moves,
+            on_zone_back=_leave_as_it_is,
+            timers=parts.timers,
+        )
+    )
+
+
+def guard_place(place: Place, zones: ZonesInFlight) -> Place:
+    """Count each call in its zone, and assert that the zone is not out.
+
+    Args:
+        place: Finds a server with room.
+        zones: Counts the calls in hand; see `make_zone_observer`.
+    """
+
+    async def place_guarded(call: Call, tried: set[ServerId]) -> BackendServer:
+        server = await place(call, tried)
+        zones.begin(server.zone)
+        return server
+
+    return place_guarded
+
+
+def make_zone_observer(zones: ZonesInFlight) -> Observe:
+    """Make the observer that counts the end of each call in its zone.
+
+    Args:
+        zones: Counts the calls in hand.
+    """
+
+    def observe(
+        call: Call, server: BackendServer, attempt: Attempt, took: Seconds
+    ) -> None:
+        zones.end(server.zone)
+
+    return observe
+
+
+def _explain_nothing(move: VersionMove) -> str:
+    return ''
+
+
+def _leave_as_it_is(zone: ZoneName) -> None:
+    """Take a zone's return for what its servers show of it."""
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -10,7 +10,9 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
 from ebonystream.backend import Directory
+from ebonystream.composition._peers import ListedPeers
 from ebonystream.configuration import Control
+from ebonystream.move import ZonesInFlight
 from ebonystream.platform import (
     LogService,
     ReadHosts,
@@ -30,6 +32,8 @@
     log: LogService
     read_hosts: ReadHosts
     control: Control
+    peers: ListedPeers
+    zones_in_flight: ZonesInFlight
     directory: Directory
     pool: ConnectionPool
     incarnation: Incarnation
@@ -49,12 +53,15 @@
         idle=convert_ms(settings.backends.idle_ms),
         connect_timeout=convert_ms(settings.backends.connect_timeout_ms),
     )
+    control = Control()
     return Parts(
         settings=settings,
         timers=timers,
         log=make_http_log(client=client, url=settings.log.url),
         read_hosts=make_host_reader(client=client, url=settings.host_list.url),
-        control=Control(),
+        control=control,
+        peers=ListedPeers(),
+        zones_in_flight=ZonesInFlight(control.is_out),
         directory=Directory(),
         pool=ConnectionPool(limits, timers),
         incarnation=Incarnation(uuid.uuid4().hex),
--- /dev/null
+++ b/src/ebonystream/composition/_reports.py
@@ -0,0 +1,107 @@
+"""Wires what operators are shown."""
+
+from collections import Counter
+
+from ebonystream._ids import ServiceName
+from ebonystream.admin import (
+    BackendStatus,
+    BackendStatuses,
+    HostStatus,
+    HostStatuses,
+    ListsInForce,
+    ServiceVersions,
+    Status,
+    VersionStatuses,
+)
+from ebonystream.backend import BackendServer
+from ebonystream.composition._moves import list_confirmations
+from ebonystream.composition._parts import Parts
+from ebonystream.move import Confirmation
+
+
+def show_lists(parts: Parts) -> ListsInForce:
+    """Give the lists in force."""
+    published = parts.control.folded.published
+    lists = published.lists
+    spelled = None if lists is None else lists.model_dump(mode='json')
+    return ListsInForce(published.version, spelled)
+
+
+def report_status(parts: Parts) -> Status:
+    """Tell how this host stands."""
+    progress = parts.control.progress
+    return Status(
+        host=parts.settings.host.id,
+        zone=parts.settings.host.zone,
+        incarnation=parts.incarnation,
+        configuration_version=parts.control.version,
+        control_next=progress.next,
+        following=progress.following,
+        caught_up=progress.caught_up,
+        leaving=parts.stopping.is_set(),
+        backends=report_backends(parts).backends,
+    )
+
+
+def report_hosts(parts: Parts) -> HostStatuses:
+    """Tell how all entry hosts stand."""
+    return HostStatuses(tuple(map(_describe_host, list_confirmations(parts))))
+
+
+def report_backends(parts: Parts) -> BackendStatuses:
+    """Tell how backend servers stand."""
+    return BackendStatuses(
+        tuple(
+            _describe_backend(server, parts)
+            for server in parts.directory.servers.values()
+        )
+    )
+
+
+def report_versions(parts: Parts) -> VersionStatuses:
+    """Tell how the versions of services stand."""
+    services = set(parts.directory.by_service)
+    moves = parts.control.folded.moves
+    services.update(moves.versions.settled)
+    return VersionStatuses(
+        tuple(_describe_service(name, parts) for name in sorted(services))
+    )
+
+
+def _describe_host(word: Confirmation) -> HostStatus:
+    return HostStatus(
+        host=word.host,
+        incarnation=word.incarnation,
+        control_next=word.control_next,
+        zones_in_flight=dict(word.zones_in_flight),
+        unreachable_since_ms=word.silent_since,
+    )
+
+
+def _describe_backend(server: BackendServer, parts: Parts) -> BackendStatus:
+    return BackendStatus(
+        server=server.id,
+        service=server.service,
+        version=server.version,
+        zone=server.zone,
+        zone_out=parts.control.is_out(server.zone),
+        leaving=server.leaving,
+        in_flight=server.in_flight,
+    )
+
+
+def _describe_service(service: ServiceName, parts: Parts) -> ServiceVersions:
+    moves = parts.control.folded.moves
+    running = parts.directory.list_service(service)
+    open_moves = (
+        one.id
+        for one in moves.table.list_version_moves()
+        if one.service == service
+    )
+    return ServiceVersions(
+        service=service,
+        settled=moves.versions.settled.get(service),
+        servers=dict(Counter(server.version for server in running)),
+        open_move=next(open_moves, None),
+        taken_back=moves.versions.list_taken_back(service),
+    )
--- a/src/ebonystream/composition/_tasks.py
+++ b/src/ebonystream/composition/_tasks.py
@@ -1,13 +1,14 @@
 """The background tasks of one entry host."""
 
 import signal
+from collections.abc import Iterable
 
 import trio
 
-from ebonystream._ids import Offset, Seconds, ServerId
+from ebonystream._ids import HostId, Seconds, ServerId
 from ebonystream.backend import BackendServer, ServerAddress
 from ebonystream.composition._parts import Parts, convert_ms
-from ebonystream.configuration import tail_stream
+from ebonystream.configuration import tail_pages
 from ebonystream.errors import EbonystreamError
 from ebonystream.platform import HostRole, HostState, ListedHost
 
@@ -23,11 +24,11 @@
 
 async def tail_control(parts: Parts) -> None:
     """Fold the control stream for ever."""
-    await tail_stream(
+    await tail_pages(
         log=parts.log,
         stream=parts.settings.log.control_stream,
-        get_next=lambda: Offset(parts.control.next),
-        fold=parts.control.fold,
+        get_next=lambda: parts.control.progress.cursor,
+        take=parts.control.take_page,
         wait=convert_ms(parts.settings.log.poll_wait_ms),
         timers=parts.timers,
     )
@@ -46,6 +47,15 @@
             for host in listed
             if host.role is HostRole.BACKEND
         )
+        _refresh_peers(parts, listed)
+
+
+def _refresh_peers(parts: Parts, listed: Iterable[ListedHost]) -> None:
+    own = parts.settings.host.id
+    names = {
+        HostId(host.name) for host in listed if host.role is HostRole.ENTRY
+    }
+    parts.peers.replace(names - {own}, parts.timers.wall_ms())
 
 
 def _convert_host(host: ListedHost) -> BackendServer:
--- a/src/ebonystream/configuration/__init__.py
+++ b/src/ebonystream/configuration/__init__.py
@@ -1,6 +1,13 @@
-"""The configuration aggregate: the operators' two lists and their versions."""
+"""The configuration aggregate: the operators' two lists and their versions.
 
+It owns the control stream: the fold takes publishes itself and hands records
+of moves to the move aggregate.
+"""
+
+from ebonystream.configuration._asking import Ask, make_asking
+from ebonystream.configuration._checkpointing import write_checkpoints
 from ebonystream.configuration._control import Control
+from ebonystream.configuration._decisions import Decision
 from ebonystream.configuration._lists import (
     CustomerPlan,
     Lists,
@@ -8,18 +15,31 @@
     PlanClass,
     Route,
 )
+from ebonystream.configuration._progress import Following
 from ebonystream.configuration._publishing import (
     PublishLists,
     make_publishing,
 )
-from ebonystream.configuration._records import ControlRecord, Publish
+from ebonystream.configuration._records import (
+    Asked,
+    Checkpoint,
+    ControlRecord,
+    ControlState,
+    Publish,
+)
 from ebonystream.configuration._table import PlanTable, index_lists
-from ebonystream.configuration._tail import tail_stream
+from ebonystream.configuration._tail import tail_pages, tail_stream
 
 __all__ = (
+    'Ask',
+    'Asked',
+    'Checkpoint',
     'Control',
     'ControlRecord',
+    'ControlState',
     'CustomerPlan',
+    'Decision',
+    'Following',
     'Lists',
     'PlanAllowance',
     'PlanClass',
@@ -28,6 +48,9 @@
     'PublishLists',
     'Route',
     'index_lists',
+    'make_asking',
     'make_publishing',
+    'tail_pages',
     'tail_stream',
+    'write_checkpoints',
 )
--- a/src/ebonystream/configuration/_control.py
+++ b/src/ebonystream/configuration/_control.py
@@ -6,74 +6,146 @@
 
 import attrs
 import msgspec
-from pydantic import ValidationError
 
-from ebonystream._ids import ConfigurationVersion, Offset
+from ebonystream._ids import ConfigurationVersion, Offset, ZoneName
 from ebonystream._watch import Watch
-from ebonystream.configuration._lists import Lists
-from ebonystream.configuration._records import ControlRecord, Publish
-from ebonystream.configuration._table import PlanTable, index_lists
-from ebonystream.platform import LogRecord
-
-FIRST_OFFSET = Offset(0)
-NO_VERSION = ConfigurationVersion(0)
+from ebonystream.configuration._folded import Folded
+from ebonystream.configuration._progress import Following, Progress
+from ebonystream.configuration._records import (
+    SCHEMA,
+    Checkpoint,
+    ControlState,
+    decode_record,
+    decode_state,
+)
+from ebonystream.configuration._state import dump_folded, load_folded
+from ebonystream.configuration._table import PlanTable
+from ebonystream.move import RecordPlace
+from ebonystream.platform import LogPage, LogRecord
 
 
 @attrs.define
 class Control:
-    """The configuration in force.
+    """The configuration and the moves in force.
 
     Attributes:
-        next: The offset of the next record to fold.
-        version: The version in force; 0 before the first publish.
-        lists: The two lists in force.
-        plans: The same, indexed for look-ups.
-        accepted: The version that each accepted publish made.
-        rejected: Why each rejected publish was rejected.
-        unreadable: Records that were no control records.
+        folded: What the records come to.
+        progress: How far the stream was followed.
+        unreadable: Records and snapshots that were malformed.
+        refused: Snapshots that were no newer than this state.
         watch: Wakes those who wait for a change.
     """
 
-    next: Offset = FIRST_OFFSET
-    version: ConfigurationVersion = NO_VERSION
-    lists: Lists | None = None
-    plans: PlanTable | None = None
-    accepted: dict[str, ConfigurationVersion] = attrs.field(factory=dict)
-    rejected: dict[str, str] = attrs.field(factory=dict)
+    folded: Folded = attrs.field(factory=Folded)
+    progress: Progress = attrs.field(factory=Progress)
     unreadable: int = 0
+    refused: int = 0
     watch: Watch = attrs.field(factory=Watch)
 
+    @property
+    def next(self) -> Offset:
+        """The offset of the first record that the state lacks."""
+        return self.progress.next
+
+    @property
+    def version(self) -> ConfigurationVersion:
+        """The version of the lists in force; 0 before the first publish."""
+        return self.folded.published.version
+
+    def get_plans(self) -> PlanTable | None:
+        """Give the plans in force; None until this host knows them all.
+
+        A host that starts serves nobody before it has caught up: an older
+        state could send work to a zone that is out.
+        """
+        if not self.progress.caught_up:
+            return None
+        return self.folded.published.plans
+
+    def is_out(self, zone: ZoneName) -> bool:
+        """Tell whether operators took a zone out."""
+        return self.folded.moves.is_out(zone)
+
+    def take_page(self, page: LogPage) -> None:
+        """Take what one read of the stream gave.
+
+        Args:
+            page: A read from `progress.cursor` on.
+        """
+        self.progress.skip_to(page.first)
+        for record in page.records:
+            self.fold(record)
+        folding = self.progress.following is Following.FOLDING
+        if folding and self.progress.cursor >= page.next:
+            self.progress.caught_up = True
+        self.watch.notify()
+
     def fold(self, record: LogRecord) -> None:
         """Take the next record into the state.
 
         Args:
-            record: A record of the control stream; one that was folded
+            record: A record of the control stream; one that was read
                 before changes nothing.
         """
-        if record.offset < self.next:
+        if record.offset < self.progress.cursor:
             return
-        self.next = Offset(record.offset + 1)
-        try:
-            decoded = msgspec.json.decode(record.body, type=ControlRecord)
-        except msgspec.MsgspecError:
+        self.progress.skip_to(record.offset)
+        decoded = decode_record(record.body)
+        if decoded is None:
             self.unreadable += 1
-            return
-        self._publish(decoded)
+        elif isinstance(decoded, Checkpoint):
+            self._take_checkpoint(decoded.state, record)
+        elif self.progress.following is Following.FOLDING:
+            place = RecordPlace(record.offset, record.at)
+            self.folded.take(decoded, place)
+        self.progress.read(record.offset, record.at)
         self.watch.notify()
 
-    def _publish(self, publish: Publish) -> None:
-        if publish.based_on != self.version:
-            self.rejected[publish.publish_id] = (
-                f'based on version {publish.based_on}, '
-                f'but version {self.version} is in force'
-            )
+    def take_snapshot(self) -> bytes | None:
+        """Spell the state for a peer; None until this host has caught up."""
+        if not self.progress.caught_up:
+            return None
+        return msgspec.json.encode(dump_folded(self.folded, self.next))
+
+    def restore(self, snapshot: bytes) -> bool:
+        """Take over the state of a peer that is further ahead.
+
+        Args:
+            snapshot: What `take_snapshot` gave there.
+
+        Returns:
+            Whether it was taken; one that is malformed or no newer is counted
+            and dropped.
+        """
+        state = decode_state(snapshot)
+        if state is None:
+            self.unreadable += 1
+            return False
+        if state.next <= self.next or state.version < self.version:
+            self.refused += 1
+            return False
+        if not self._adopt(state):
+            return False
+        self.progress.caught_up = True
+        self.watch.notify()
+        return True
+
+    def _take_checkpoint(self, state: ControlState, read: LogRecord) -> None:
+        if state.next != read.offset or state.schema != SCHEMA:
             return
-        try:
-            lists = Lists.model_validate(publish.lists)
-        except ValidationError as error:
-            self.rejected[publish.publish_id] = str(error)
+        if self.progress.following is Following.FOLDING:
+            own = dump_folded(self.folded, read.offset)
+            assert state == own, f'the checkpoint at {read.offset} disagrees'
+        elif not self._adopt(state):
             return
-        self.version = ConfigurationVersion(self.version + 1)
-        self.lists = lists
-        self.plans = index_lists(lists)
-        self.accepted[publish.publish_id] = self.version
+        self.progress.base_ms = read.at
+
+    def _adopt(self, state: ControlState) -> bool:
+        folded = load_folded(state)
+        if folded is None:
+            self.unreadable += 1
+            return False
+        assert folded.published.version >= self.version, 'the version fell'
+        self.folded = folded
+        self.progress.adopt(state.next)
+        return True
--- a/src/ebonystream/configuration/_records.py
+++ b/src/ebonystream/configuration/_records.py
@@ -1,24 +1,129 @@
 """Records of the control stream, as JSON."""
 
-from typing import Any
+import re
+from typing import Annotated, Any
 
 import msgspec
 
-from ebonystream._ids import ConfigurationVersion
+from ebonystream._ids import ConfigurationVersion, Offset, RequestId
+from ebonystream.configuration._decisions import Decision
+from ebonystream.move import (
+    AskVersionMove,
+    AskZoneMove,
+    CloseMove,
+    MovesState,
+    TakeBack,
+)
+
+SCHEMA = 1
+"""Counts the changes of `ControlState` and of the rules that lead to it."""
+
+MAX_DEPTH = 32
+MAX_REQUEST = 128
+
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
+_BRACKET = re.compile(rb'[\[\]{}]')
+_OPENING = frozenset((b'[', b'{'))
 
 
 class Publish(msgspec.Struct, tag='publish', frozen=True):
     """Both lists, published together.
 
     Attributes:
-        publish_id: Names this publish, so that its sender finds it again.
+        request: Names this publish, so that its sender finds it again.
         based_on: The version that the operator had read.
         lists: The lists, in the spelling of the operators.
     """
 
-    publish_id: str
+    request: Annotated[
+        RequestId, msgspec.Meta(min_length=1, max_length=MAX_REQUEST)
+    ]
     based_on: ConfigurationVersion
     lists: dict[str, Any]
 
 
-ControlRecord = Publish
+class ControlState(msgspec.Struct, frozen=True):
+    """What all records before an offset come to.
+
+    Attributes:
+        schema: The rules that led to it; others are not comparable.
+        next: The offset of the first record that is not in it.
+        version: The version of the lists.
+        lists: The lists, if any were published.
+        decisions: The latest decisions, in the order of the log.
+        moves: The moves.
+    """
+
+    schema: int
+    next: Offset
+    version: ConfigurationVersion
+    lists: dict[str, Any] | None
+    decisions: tuple[Decision, ...]
+    moves: MovesState
+
+
+class Checkpoint(msgspec.Struct, tag='checkpoint', frozen=True):
+    """The state as of the record's own offset, for readers that start late.
+
+    A checkpoint that stands at another offset than its state's is void: some
+    record came between, and the next checkpoint holds it.
+
+    Attributes:
+        state: The state.
+    """
+
+    state: ControlState
+
+
+Asked = Publish | AskZoneMove | AskVersionMove | TakeBack | CloseMove
+"""Records that are accepted or rejected."""
+
+ControlRecord = Asked | Checkpoint
+"""The closed list of records of the control stream."""
+
+_decoder = msgspec.json.Decoder(ControlRecord)
+_state_decoder = msgspec.json.Decoder(ControlState)
+
+
+def decode_record(body: bytes) -> ControlRecord | None:
+    """Read a record; None where it is no control record.
+
+    Args:
+        body: What the log has.
+    """
+    # How deep a parser can go hangs on the stack it runs on; a limit of our
+    # own makes each host come to the same decision.
+    if measure_depth(body) > MAX_DEPTH:
+        return None
+    try:
+        return _decoder.decode(body)
+    except msgspec.MsgspecError:
+        return None
+
+
+def decode_state(body: bytes) -> ControlState | None:
+    """Read a state that a peer sent; None where it is none.
+
+    Args:
+        body: What the peer sent.
+    """
+    if measure_depth(body) > MAX_DEPTH:
+        return None
+    try:
+        return _state_decoder.decode(body)
+    except msgspec.MsgspecError:
+        return None
+
+
+def measure_depth(body: bytes) -> int:
+    """Count how deep the values of a JSON text are nested.
+
+    Args:
+        body: The text; it need not be well formed.
+    """
+    depth = 0
+    deepest = 0
+    for bracket in _BRACKET.findall(_STRING.sub(b'', body)):
+        depth += 1 if bracket in _OPENING else -1
+        deepest = max(deepest, depth)
+    return deepest
--- a/src/ebonystream/configuration/_tail.py
+++ b/src/ebonystream/configuration/_tail.py
@@ -1,31 +1,31 @@
-"""Tailing: a task that folds a stream of the log as it grows."""
+"""Tailing: a task that reads a stream of the log as it grows."""
 
 from collections.abc import Callable
 
 from ebonystream._ids import Offset, Seconds, StreamName
 from ebonystream._timers import Timers
 from ebonystream.errors import EbonystreamError
-from ebonystream.platform import LogRecord, LogService
+from ebonystream.platform import LogPage, LogRecord, LogService
 
 RETRY_PAUSE = Seconds(0.1)
 
 
-async def tail_stream(
+async def tail_pages(
     *,
     log: LogService,
     stream: StreamName,
     get_next: Callable[[], Offset],
-    fold: Callable[[LogRecord], None],
+    take: Callable[[LogPage], None],
     wait: Seconds,
     timers: Timers,
 ) -> None:
-    """Fold each record of a stream, for ever, through outages of the log.
+    """Take each page of a stream, for ever, through outages of the log.
 
     Args:
         log: The log service.
         stream: Which stream is read.
-        get_next: Gives the offset of the next record to fold.
-        fold: Takes one record into a state.
+        get_next: Gives the offset to read from.
+        take: Takes one page into a state.
         wait: How long one read waits at the end of the stream, in seconds.
         timers: Sleeps between failed reads.
     """
@@ -35,5 +35,38 @@
         except EbonystreamError:
             await timers.wait(RETRY_PAUSE)
             continue
+        take(page)
+
+
+async def tail_stream(
+    *,
+    log: LogService,
+    stream: StreamName,
+    get_next: Callable[[], Offset],
+    fold: Callable[[LogRecord], None],
+    wait: Seconds,
+    timers: Timers,
+) -> None:
+    """Fold each record of a stream, for ever, through outages of the log.
+
+    Args:
+        log: The log service.
+        stream: Which stream is read.
+        get_next: Gives the offset of the next record to fold.
+        fold: Takes one record into a state.
+        wait: How long one read waits at the end of the stream, in seconds.
+        timers: Sleeps between failed reads.
+    """
+
+    def take(page: LogPage) -> None:
         for record in page.records:
             fold(record)
+
+    await tail_pages(
+        log=log,
+        stream=stream,
+        get_next=get_next,
+        take=take,
+        wait=wait,
+        timers=timers,
+    )
--- /dev/null
+++ b/tests/control_records.py
@@ -0,0 +1,80 @@
+"""Records of the control stream, for the tests of its fold."""
+
+import msgspec
+
+from ebonystream.configuration import Checkpoint, Publish
+from ebonystream.move import (
+    AskVersionMove,
+    AskZoneMove,
+    CloseMove,
+    TakeBack,
+    VerdictKind,
+    ZoneDirection,
+)
+from ebonystream.platform import LogRecord
+
+LISTS = {
+    'customers': [{'customer': 'verein', 'plan': 'gold'}],
+    'plans': [
+        {
+            'plan': 'gold',
+            'plan_class': 'promised',
+            'calls_per_second': 50,
+            'burst_calls': 10,
+            'deadline_ms': 500,
+            'routes': [
+                {
+                    'route': 'racks',
+                    'service': 'inspections',
+                    'method': 'GET',
+                    'path_prefix': '/racks',
+                    'once': False,
+                }
+            ],
+        }
+    ],
+}
+FAULTY = {**LISTS, 'customers': [{'customer': 'verein', 'plan': 'silver'}]}
+
+
+def publish(request, based_on, lists=None):
+    return Publish(request, based_on, LISTS if lists is None else lists)
+
+
+def out(request, zone='a'):
+    return AskZoneMove(request, zone, ZoneDirection.OUT)
+
+
+def back(request, zone='a'):
+    return AskZoneMove(request, zone, ZoneDirection.BACK)
+
+
+def version(request, old='v1', new='v2', service='scans', finish_by=9000):
+    return AskVersionMove(request, service, old, new, finish_by)
+
+
+def take_back(request, move):
+    return TakeBack(request, move, 'an operator said so')
+
+
+def finish(request, move):
+    return CloseMove(request, move, VerdictKind.FINISHED, 'done')
+
+
+def condemn(request, move):
+    return CloseMove(request, move, VerdictKind.TAKEN_BACK, 'it fails')
+
+
+def checkpoint(state):
+    return Checkpoint(state)
+
+
+def to_record(offset, record):
+    body = record if isinstance(record, bytes) else msgspec.json.encode(record)
+    return LogRecord(offset=offset, at=1000 + offset, body=body)
+
+
+def fold_all(control, records, start=0):
+    for offset, record in enumerate(records, start):
+        control.fold(to_record(offset, record))
+    return control
--- /dev/null
+++ b/tests/test_control_fold.py
@@ -0,0 +1,281 @@
+"""Each rule of the control stream, as a table of records and decisions."""
+
+import msgspec
+import pytest
+from control_records import (
+    FAULTY,
+    LISTS,
+    back,
+    checkpoint,
+    condemn,
+    finish,
+    fold_all,
+    out,
+    publish,
+    take_back,
+    to_record,
+    version,
+)
+
+from ebonystream.configuration import Control, Following
+from ebonystream.configuration._state import dump_folded
+from ebonystream.platform import LogPage
+
+NESTED = b'{"type":"publish","request":"r","based_on":0,"lists":'
+DEEP = NESTED + b'{"a":' * 100_000 + b'0' + b'}' * 100_001
+
+
+def decide(control):
+    decisions = control.folded.decisions
+    return {
+        name: decisions.rejections[name].reason
+        for name, one in decisions.by_request.items()
+        if not one.accepted
+    }
+
+
+@pytest.mark.parametrize(
+    ('records', 'rejected'),
+    [
+        ([publish('p', 0)], {}),
+        ([publish('p', 0), publish('p', 0)], {}),
+        (
+            [publish('p', 0), publish('q', 0)],
+            {'q': 'based on version 0, but version 1 is in force'},
+        ),
+        (
+            [publish('p', 1), publish('q', 0), publish('p', 1)],
+            {'p': 'based on version 1, but version 0 is in force'},
+        ),
+        (
+            [publish('p', 0, FAULTY)],
+            {
+                'p': '$: Value error, customer verein has the plan silver,'
+                ' which is not in plans'
+            },
+        ),
+        (
+            [publish('p', 0, {'customers': [], 'plans': [{'plan': 3}]})],
+            {
+                'p': '$.plans.0.plan: Input should be a valid string; '
+                '$.plans.0.plan_class: Field required; '
+                '$.plans.0.calls_per_second: Field required; '
+                '$.plans.0.burst_calls: Field required; '
+                '$.plans.0.deadline_ms: Field required; '
+                '$.plans.0.routes: Field required'
+            },
+        ),
+        ([out('m')], {}),
+        ([out('m'), out('m')], {}),
+        ([out('m'), out('n')], {'n': 'zone a is out already'}),
+        ([out('m'), out('n', 'b')], {}),
+        ([back('m')], {'m': 'zone a is not out'}),
+        ([out('m'), back('n'), back('o')], {'o': 'zone a is not out'}),
+        ([out('m'), back('n'), out('o')], {}),
+        ([out('m'), finish('f', 'm'), back('n')], {}),
+        (
+            [out('m'), finish('f', 'm'), finish('g', 'm')],
+            {'g': 'move m is finished already'},
+        ),
+        (
+            [out('m'), finish('f', 'm'), take_back('t', 'm')],
+            {'t': 'move m is finished already'},
+        ),
+        (
+            [out('m'), take_back('t', 'm'), finish('f', 'm')],
+            {'f': 'move m is taken_back already'},
+        ),
+        (
+            [out('m'), condemn('c', 'm')],
+            {'c': 'm moves a zone: only operators take it back'},
+        ),
+        (
+            [out('m'), back('n'), take_back('t', 'n')],
+            {'t': 'n brings a zone back: ask for the zone out'},
+        ),
+        ([finish('f', 'm')], {'f': 'there is no move m'}),
+        ([version('m')], {}),
+        (
+            [version('m'), version('n', new='v3')],
+            {'n': 'scans is in move m already'},
+        ),
+        ([version('m'), version('n', service='sales')], {}),
+        ([version('m'), finish('f', 'm'), version('n', 'v2', 'v3')], {}),
+        (
+            [version('m'), finish('f', 'm'), version('n', 'v1', 'v3')],
+            {'n': 'scans stands at v2, not v1'},
+        ),
+        (
+            [version('m'), condemn('c', 'm'), version('n')],
+            {'n': 'scans v2 was taken back for good'},
+        ),
+        (
+            [version('m'), take_back('t', 'm'), version('n')],
+            {'n': 'scans v2 was taken back for good'},
+        ),
+        (
+            [version('m'), condemn('c', 'm'), finish('f', 'm')],
+            {'f': 'move m is taken_back already'},
+        ),
+        (
+            [version('m', 'v1', 'v1')],
+            {'m': 'scans is to move from v1 to itself'},
+        ),
+        (
+            [version('m', finish_by=1000)],
+            {'m': 'finish_by_ms 1000 is past at 1000'},
+        ),
+    ],
+)
+def test_rule(records, rejected):
+    assert decide(fold_all(Control(), records)) == rejected
+
+
+@pytest.mark.parametrize(
+    ('records', 'zones_out', 'returned_at'),
+    [
+        ([out('m')], {'a'}, None),
+        ([out('m'), back('n')], set(), 1),
+        ([out('m'), take_back('t', 'm')], set(), 1),
+        ([out('m'), finish('f', 'm'), back('n')], set(), 2),
+        ([out('m'), back('n'), out('o')], {'a'}, 1),
+        ([out('m'), out('n', 'b'), back('o')], {'b'}, 2),
+    ],
+)
+def test_zones(records, zones_out, returned_at):
+    control = fold_all(Control(), records)
+    assert {zone for zone in 'ab' if control.is_out(zone)} == zones_out
+    returns = control.folded.moves.zones.returns
+    assert (returns['a'].offset if 'a' in returns else None) == returned_at
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'[]',
+        b'{"type":"other"}',
+        b'{"type":"publish","request":"","based_on":0,"lists":{}}',
+        b'{"type":"ask_zone_move","request":"r","zone":"","direction":"out"}',
+        b'{"type":"ask_zone_move","request":"r","zone":"a","direction":"up"}',
+        b'{"type":"publish","request":"\xff"}',
+        NESTED + b'{"a":1e999}}',
+        DEEP,
+        b'{"type":"checkpoint","state":{}}',
+    ],
+    ids=lambda body: body[:40].decode('latin-1'),
+)
+def test_malformed_record_is_counted(body):
+    control = fold_all(Control(), [body, publish('p', 0)])
+    assert (control.unreadable, control.version, control.next) == (1, 1, 2)
+
+
+def test_id_of_another_request_is_noticed():
+    first = fold_all(Control(), [out('m'), out('m', 'b')])
+    decision = first.folded.decisions.find('m')
+    assert decision.accepted
+    assert not first.is_out('b')
+
+
+HISTORY = [publish('p', 0), out('m'), version('n'), condemn('c', 'n')]
+
+
+def make_page(records, *, first, following=()):
+    listed = [to_record(first + at, one) for at, one in enumerate(records)]
+    return LogPage(
+        first=first, next=first + len(records), records=tuple(listed)
+    )
+
+
+def dump(control):
+    return dump_folded(control.folded, control.next)
+
+
+@pytest.mark.parametrize(
+    ('suffix', 'following', 'next_offset'),
+    [
+        ([], Following.LACKING, 0),
+        ([out('x', 'b')], Following.LACKING, 0),
+        (['checkpoint'], Following.FOLDING, 5),
+        (['checkpoint', out('x', 'b')], Following.FOLDING, 6),
+        ([out('x', 'b'), 'checkpoint'], Following.FOLDING, 6),
+        ([out('x', 'b'), 'void'], Following.LACKING, 0),
+        (['checkpoint', 'void', out('x', 'b')], Following.FOLDING, 7),
+        (['other schema'], Following.LACKING, 0),
+    ],
+)
+def test_reader_of_a_suffix(suffix, following, next_offset):
+    whole = fold_all(Control(), HISTORY)
+    first = whole.next
+    records = []
+    for one in suffix:
+        state = dump(whole)
+        if one == 'void':
+            state = msgspec.structs.replace(state, next=state.next - 1)
+        elif one == 'other schema':
+            state = msgspec.structs.replace(state, schema=0)
+        record = checkpoint(state) if isinstance(one, str) else one
+        whole.fold(to_record(whole.next, record))
+        records.append(record)
+    late = Control()
+    late.take_page(make_page(records, first=first))
+    assert late.progress.following is following
+    assert late.next == next_offset
+    assert late.progress.cursor == whole.next
+    assert late.progress.caught_up is (following is Following.FOLDING)
+    if following is Following.FOLDING:
+        assert dump(late) == dump(whole)
+
+
+def test_checkpoint_that_disagrees_is_asserted():
+    liar = fold_all(Control(), [publish('q', 0), *HISTORY[1:]])
+    whole = fold_all(Control(), HISTORY)
+    with pytest.raises(AssertionError, match='checkpoint at 4 disagrees'):
+        whole.fold(to_record(4, checkpoint(dump(liar))))
+
+
+@pytest.mark.parametrize(
+    ('own', 'peer', 'taken', 'counted'),
+    [
+        ([], HISTORY, True, (0, 0)),
+        (HISTORY[:1], HISTORY, True, (0, 0)),
+        (HISTORY, HISTORY, False, (0, 1)),
+        (HISTORY, HISTORY[:1], False, (0, 1)),
+        (HISTORY, [b'{}'] * 9, False, (0, 1)),
+        ([], b'{', False, (1, 0)),
+        ([], b'\xff', False, (1, 0)),
+        ([], DEEP, False, (1, 0)),
+    ],
+    ids=range(8),
+)
+def test_snapshot(own, peer, taken, counted):
+    host = fold_all(Control(), own)
+    before = dump(host)
+    snapshot = peer
+    if not isinstance(peer, bytes):
+        other = Control()
+        other.take_page(make_page(peer, first=0))
+        before = dump(other) if taken else before
+        snapshot = other.take_snapshot()
+    assert host.restore(snapshot) is taken
+    assert dump(host) == before
+    assert (host.unreadable, host.refused) == counted
+
+
+def test_only_a_host_that_caught_up_serves_and_gives_snapshots():
+    host = Control()
+    page = make_page([publish('p', 0), out('m')], first=0)
+    host.take_page(LogPage(0, 2, page.records[:1]))
+    assert host.get_plans() is None
+    assert host.take_snapshot() is None
+    host.take_page(LogPage(0, 2, page.records[1:]))
+    assert host.get_plans().find_plan('verein') is not None
+    host.take_page(LogPage(first=7, next=7, records=()))
+    assert host.get_plans() is None
+    assert host.progress.following is Following.LACKING
+
+
+def test_lists_survive_the_spelling():
+    host = fold_all(Control(), [publish('p', 0)])
+    spelled = host.folded.published.lists.model_dump(mode='json')
+    assert spelled['customers'] == LISTS['customers']
