--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:tools
 STAMP = $(VENV)/.installed
 
-.PHONY: install run test check format lint types unit features
+.PHONY: install run bench test check format lint types unit features
 
 install: $(STAMP)
 
@@ -15,11 +15,15 @@
 run: install
 	$(PY) -m standins.demo
 
+bench: install
+	$(PY) -m standins.bench
+
 test: install lint types unit features
 
 check: test
 
 format: install
+	$(VENV)/bin/ruff format -q src tools tests features
 	$(VENV)/bin/ruff check -q --fix src tools tests features
 	$(VENV)/bin/ruff format -q src tools tests features
 
--- a/src/ebonystream/admin/_app.py
+++ b/src/ebonystream/admin/_app.py
@@ -12,11 +12,16 @@
 
 from ebonystream._ids import MoveId
 from ebonystream.admin._handlers import Sent
-from ebonystream.admin._openapi import DESCRIPTION_PATH, describe_api
+from ebonystream.admin._openapi import (
+    DESCRIPTION_PATH,
+    METRICS_PATH,
+    describe_api,
+)
 from ebonystream.admin._operations import OPERATIONS, Operation
 from ebonystream.admin._verbs import AdminVerbs
 from ebonystream.call import Answer, refuse
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.observation import render_metrics
 
 BEARER = 'Bearer '
 JSON_TYPE = 'application/json'
@@ -54,6 +59,11 @@
     async def describe() -> Response:
         return Response(described, content_type=JSON_TYPE)
 
+    @app.get(METRICS_PATH)
+    async def show_metrics() -> Response:
+        text, content_type = render_metrics(verbs.metrics)
+        return Response(text, content_type=content_type)
+
     return app
 
 
--- a/src/ebonystream/admin/_openapi.py
+++ b/src/ebonystream/admin/_openapi.py
@@ -12,6 +12,7 @@
 from ebonystream.errors import ANSWERS, ErrorKind
 
 DESCRIPTION_PATH = '/v1/openapi.json'
+METRICS_PATH = '/metrics'
 SCHEMA_REFERENCE = '#/components/schemas/{name}'
 PYDANTIC_REFERENCE = '#/components/schemas/{model}'
 
@@ -36,7 +37,13 @@
         'openapi': '3.1.0',
         'info': {'title': 'ebonystream administration', 'version': 'v1'},
         'security': [{'key': []}, {}],
-        'paths': {**paths, DESCRIPTION_PATH: _describe_itself()},
+        'paths': {
+            **paths,
+            DESCRIPTION_PATH: _describe_plain(
+                'Describe the API.', 'application/json'
+            ),
+            METRICS_PATH: _describe_plain('Show the metrics.', 'text/plain'),
+        },
         'components': {
             'securitySchemes': {'key': {'type': 'http', 'scheme': 'bearer'}},
             'schemas': _list_schemas(listed),
@@ -92,16 +99,9 @@
     return {'content': {'application/json': {'schema': reference}}}
 
 
-def _describe_itself() -> Json:
-    content = {'application/json': {'schema': {'type': 'object'}}}
-    done = {'description': 'This description.', 'content': content}
-    return {
-        'get': {
-            'summary': 'Describe the API.',
-            'operationId': 'describe_api',
-            'responses': {'200': done},
-        }
-    }
+def _describe_plain(summary: str, content_type: str) -> Json:
+    done = {'description': 'Done.', 'content': {content_type: {}}}
+    return {'get': {'summary': summary, 'responses': {'200': done}}}
 
 
 def _list_schemas(operations: tuple[Operation, ...]) -> Json:
--- a/src/ebonystream/admin/_verbs.py
+++ b/src/ebonystream/admin/_verbs.py
@@ -14,6 +14,7 @@
 )
 from ebonystream.configuration import Ask, PublishLists
 from ebonystream.move import MoveReport
+from ebonystream.observation import Metrics
 
 
 @attrs.frozen(kw_only=True)
@@ -30,6 +31,7 @@
         report_hosts: Tells how all entry hosts stand.
         report_backends: Tells how backend servers stand.
         report_versions: Tells how the versions of services stand.
+        metrics: What this host counts.
     """
 
     publish: PublishLists
@@ -41,3 +43,4 @@
     report_hosts: Callable[[], HostStatuses]
     report_backends: Callable[[], BackendStatuses]
     report_versions: Callable[[], VersionStatuses]
+    metrics: Metrics
--- a/src/ebonystream/composition/_admin.py
+++ b/src/ebonystream/composition/_admin.py
@@ -33,4 +33,5 @@
         report_hosts=lambda: report_hosts(parts),
         report_backends=lambda: report_backends(parts),
         report_versions=lambda: report_versions(parts),
+        metrics=parts.metrics,
     )
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -13,6 +13,7 @@
 from ebonystream.composition._peers import ListedPeers
 from ebonystream.configuration import Control
 from ebonystream.move import ZonesInFlight
+from ebonystream.observation import Metrics
 from ebonystream.platform import (
     LogService,
     ReadHosts,
@@ -36,6 +37,7 @@
     zones_in_flight: ZonesInFlight
     directory: Directory
     pool: ConnectionPool
+    metrics: Metrics
     incarnation: Incarnation
     stopping: trio.Event
 
@@ -64,6 +66,7 @@
         zones_in_flight=ZonesInFlight(control.is_out),
         directory=Directory(),
         pool=ConnectionPool(limits, timers),
+        metrics=Metrics(),
         incarnation=Incarnation(uuid.uuid4().hex),
         stopping=trio.Event(),
     )
