--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -3,7 +3,7 @@
 from functools import partial
 from random import Random
 
-from ebonystream._ids import CustomerId, IdempotencyKey, ZoneName
+from ebonystream._ids import CustomerId, IdempotencyKey
 from ebonystream.backend import (
     Dispatch,
     make_dispatch,
@@ -13,6 +13,7 @@
 )
 from ebonystream.call import CallKind, make_admission, make_serving
 from ebonystream.caller import CallerLimits, CallerListener
+from ebonystream.composition._moves import guard_place, make_zone_observer
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.configuration import PlanClass
 from ebonystream.errors import EbonystreamError, ErrorKind
@@ -30,7 +31,7 @@
         count_retries=lambda call: 0,
     )
     admit = make_admission(
-        get_plans=lambda: parts.control.plans, parse_key=_refuse_key
+        get_plans=parts.control.get_plans, parse_key=_refuse_key
     )
     observed = observe_run(
         run,
@@ -57,14 +58,18 @@
 
 def _make_dispatch(parts: Parts) -> Dispatch:
     return make_dispatch(
-        place=make_placing(
-            directory=parts.directory,
-            is_out=_is_never_out,
-            random=Random(parts.incarnation),
+        place=guard_place(
+            make_placing(
+                directory=parts.directory,
+                is_out=parts.control.is_out,
+                random=Random(parts.incarnation),
+            ),
+            parts.zones_in_flight,
         ),
         send=make_sender(pool=parts.pool, timers=parts.timers),
         observers=(
             release_place,
+            make_zone_observer(parts.zones_in_flight),
             parts.metrics.count_attempt,
             log_attempt,
         ),
@@ -73,14 +78,10 @@
 
 
 def _find_class(parts: Parts, customer: CustomerId) -> PlanClass:
-    plans = parts.control.plans
+    plans = parts.control.get_plans()
     plan = plans.find_plan(customer) if plans else None
     return plan.plan_class if plan else PlanClass.SPARE
 
 
 def _refuse_key(sent: bytes) -> IdempotencyKey:
     raise EbonystreamError(ErrorKind.KEY_MALFORMED, sent.decode('latin-1'))
-
-
-def _is_never_out(zone: ZoneName) -> bool:
-    return not zone
