Fetch the state of a stream from a peer while the log can't give it

Cause: a host that starts while the log is down, or that missed a record just before, has to reach what its peers know within seconds. Change: one task for each shared stream. Where a host misses for 1 s what a peer's heartbeat told of, it asks one of the peers that are ahead, chosen by chance, and takes its state over; it asserts that its offset never falls. Confirmations of moves are left to the move aggregate, which has its own type; members show since when they can't be reached instead. Ruled out: fetching at the first sign of being behind. A host that follows the log would fetch with each record (test_a_host_that_keeps_up_fetches_nothing). Red by mutation: no waiting time; the assertion taken out.

--- a/src/ebonystream/membership/_member.py
+++ b/src/ebonystream/membership/_member.py
@@ -48,6 +48,7 @@
 
     Attributes:
         place: What the host list said last.
+        known_since: When the host list named it first.
         listed: Whether the host list still names it.
         state: How it stands.
         life: Its incarnation that proved to be alive, if any.
@@ -60,6 +61,7 @@
     """
 
     place: ListedPeer
+    known_since: Monotonic
     listed: bool = True
     state: MemberState = MemberState.LISTED
     life: Life | None = None
--- a/src/ebonystream/membership/_membership.py
+++ b/src/ebonystream/membership/_membership.py
@@ -55,20 +55,25 @@
             heartbeats_per_second=self.heartbeats_per_second,
         )
 
-    def replace_listed(self, listed: Iterable[ListedPeer]) -> None:
+    def replace_listed(
+        self, listed: Iterable[ListedPeer], now: Monotonic
+    ) -> None:
         """Take over a reading of the host list.
 
         A member that the list no longer names stays while it is heard.
 
         Args:
             listed: Every entry host on the list.
+            now: The time.
         """
         places = {one.host: one for one in listed}
         places.pop(self.table.own.host, None)
         for host, member in self.table.peers.items():
             member.listed = host in places
         for host, place in places.items():
-            known = self.table.peers.setdefault(host, Member(place=place))
+            known = self.table.peers.setdefault(
+                host, Member(place=place, known_since=now)
+            )
             known.place = place
         self.watch.notify()
 
--- a/src/ebonystream/membership/_table.py
+++ b/src/ebonystream/membership/_table.py
@@ -6,12 +6,7 @@
 from ebonystream.membership._member import Member
 from ebonystream.membership._ranking import choose_first
 from ebonystream.membership._state import MemberState
-from ebonystream.membership._views import (
-    Confirmation,
-    MemberView,
-    show_confirmation,
-    show_member,
-)
+from ebonystream.membership._views import MemberView, show_member
 
 
 @attrs.frozen(kw_only=True)
@@ -47,10 +42,6 @@
         """Give every peer as it stands now, with its newest heartbeat."""
         return tuple(map(show_member, self.peers.values()))
 
-    def list_confirmations(self) -> tuple[Confirmation, ...]:
-        """Tell how far each peer has come, for the report on a move."""
-        return tuple(map(show_confirmation, self.peers.values()))
-
     def list_fit(self) -> tuple[HostId, ...]:
         """Give the hosts that may get duties: reachable ones and this one."""
         fit = [
--- a/src/ebonystream/membership/_views.py
+++ b/src/ebonystream/membership/_views.py
@@ -1,14 +1,11 @@
 """What other parts learn of the members."""
 
-from collections.abc import Mapping
-
 import attrs
 
 from ebonystream._ids import (
     HostId,
     Incarnation,
     Monotonic,
-    Offset,
     ZoneName,
 )
 from ebonystream.membership._member import Member
@@ -26,7 +23,7 @@
         state: How it stands.
         incarnation: Which run of it is believed, if any.
         heartbeat: The newest heartbeat of that run, if any.
-        heard_at: When that came.
+        silent_since: Since when it can't be reached; None while it can.
     """
 
     host: HostId
@@ -34,27 +31,7 @@
     state: MemberState
     incarnation: Incarnation | None
     heartbeat: Heartbeat | None
-    heard_at: Monotonic | None
-
-
-@attrs.frozen(kw_only=True)
-class Confirmation:
-    """How far one peer has come, for the report on a move.
-
-    Attributes:
-        host: Names it.
-        state: How it stands; what a peer that is not reachable confirmed
-            last may be out of date.
-        incarnation: Which run of it confirms, if any.
-        control_next: The next offset of the control stream it will fold.
-        zones_in_flight: Calls that it has in hand in each zone.
-    """
-
-    host: HostId
-    state: MemberState
-    incarnation: Incarnation | None
-    control_next: Offset | None
-    zones_in_flight: Mapping[ZoneName, int]
+    silent_since: Monotonic | None
 
 
 def show_member(member: Member) -> MemberView:
@@ -70,21 +47,13 @@
         state=member.state,
         incarnation=None if life is None else life.incarnation,
         heartbeat=None if life is None else life.newest,
-        heard_at=None if life is None else life.heard_at,
+        silent_since=_find_silence(member),
     )
 
 
-def show_confirmation(member: Member) -> Confirmation:
-    """Tell how far a peer has come.
-
-    Args:
-        member: The peer.
-    """
-    life = member.life
-    return Confirmation(
-        host=member.place.host,
-        state=member.state,
-        incarnation=None if life is None else life.incarnation,
-        control_next=None if life is None else life.newest.control_next,
-        zones_in_flight={} if life is None else life.newest.zones_in_flight,
-    )
+def _find_silence(member: Member) -> Monotonic | None:
+    if member.state in {MemberState.REACHABLE, MemberState.LEAVING}:
+        return None
+    if member.life is None:
+        return member.known_since
+    return min(member.life.heard_at, member.life.echoed_at)
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -37,6 +37,18 @@
 
 
 MUTATIONS = {
+    'a snapshot is fetched at once': Mutation(
+        'membership/_snapshots.py',
+        'return now - self.since >= BEHIND_AFTER',
+        'return True',
+        'tests/test_snapshots.py::test_lag',
+    ),
+    'a snapshot may go back': Mutation(
+        'membership/_snapshots.py',
+        'assert state.get_next() >= before, (',
+        'assert state.get_next() is not None, (',
+        'tests/test_snapshots.py::test_going_back_is_asserted',
+    ),
     'a stranger may connect': Mutation(
         'peer/_zap.py',
         'if hmac.compare_digest(credentials, public_key):',
--- a/tools/standins/members.py
+++ b/tools/standins/members.py
@@ -9,18 +9,21 @@
 from ebonystream._timers import Timers
 from ebonystream.membership import (
     HeartbeatContents,
+    Helpers,
     Identity,
     Links,
     ListedPeer,
     Membership,
     MemberTable,
     Pace,
+    SharedState,
+    catch_up,
+    make_fetch_answer,
     watch_members,
 )
 from ebonystream.peer import (
     Exchange,
     ExchangeLimits,
-    FetchSnapshot,
     ForwardCall,
     Handlers,
     Heartbeat,
@@ -49,34 +52,46 @@
         exchange: Talks with its peers.
         membership: What it knows of them.
         links: The ways to them.
+        states: What it shares with them.
         scope: Ends it.
     """
 
     exchange: Exchange
     membership: Membership
     links: Links
+    states: tuple[SharedState, ...] = ()
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     async def run(self) -> None:
         """Keep the membership until it is ended."""
         handlers = Handlers(
             answer_call=decline,
-            answer_fetch=decline,
+            answer_fetch=make_fetch_answer(self.states),
             take_heartbeat=self.take_heartbeat,
         )
         with self.scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.exchange.run, handlers)
                 nursery.start_soon(watch_members, self.membership, self.links)
+                for state in self.states:
+                    nursery.start_soon(catch_up, state, self._list_helpers())
 
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Learn from a heartbeat."""
         now = self.links.timers.now()
         self.membership.take_heartbeat(heartbeat, now)
 
+    def _list_helpers(self) -> Helpers:
+        return Helpers(
+            table=self.membership.table,
+            ask=self.exchange.ask,
+            timers=self.links.timers,
+            random=self.links.random,
+        )
+
 
-async def decline(sender: HostId, request: ForwardCall | FetchSnapshot) -> None:
-    """Give no answer to a peer's request."""
+async def decline(sender: HostId, call: ForwardCall) -> None:
+    """Give no answer to a call."""
 
 
 def make_member_host(
@@ -154,7 +169,8 @@
         )
         self.hosts[host] = run
         self.nursery.start_soon(run.run)
-        run.membership.replace_listed(self.listed.values())
+        now = run.links.timers.now()
+        run.membership.replace_listed(self.listed.values(), now)
         return run
 
     def kill(self, host: HostId) -> None:
@@ -183,4 +199,5 @@
     def read_list(self) -> None:
         """Let each host read the host list."""
         for run in self.hosts.values():
-            run.membership.replace_listed(self.listed.values())
+            now = run.links.timers.now()
+            run.membership.replace_listed(self.listed.values(), now)
