--- a/src/ebonystream/backend/__init__.py
+++ b/src/ebonystream/backend/__init__.py
@@ -4,6 +4,7 @@
     ABANDONED,
     CUT,
     NOT_SENT,
+    WITHDRAWN,
     Attempt,
     AttemptKind,
     LoadReport,
@@ -14,36 +15,76 @@
     MAY_HAVE_RUN,
     make_idempotent_run,
 )
+from ebonystream.backend._cold import (
+    StartingRules,
+    check_starting,
+    make_starting_begin,
+    make_starting_gate,
+)
 from ebonystream.backend._directory import Directory
 from ebonystream.backend._dispatch import (
+    Begin,
     Dispatch,
+    MayTake,
     Observe,
     Place,
     Send,
     make_dispatch,
 )
+from ebonystream.backend._growth import ANSWERS_PER_STEP, COLD_LIMIT
+from ebonystream.backend._learning import chill_zone, make_starting_observer
+from ebonystream.backend._leaving import LEAVING_BOUND
 from ebonystream.backend._routing import make_placing, release_place
 from ebonystream.backend._server import BackendServer, ServerAddress
+from ebonystream.backend._sponsor import HANDOVER, IsSponsor, Sponsorship
+from ebonystream.backend._standing import (
+    Standing,
+    StandingExchange,
+    TakeReport,
+    make_report_taker,
+)
+from ebonystream.backend._warmth import ServerPhase, Warmth
 
 __all__ = (
     'ABANDONED',
+    'ANSWERS_PER_STEP',
+    'COLD_LIMIT',
     'CUT',
     'FAILURES',
+    'HANDOVER',
+    'LEAVING_BOUND',
     'MAY_HAVE_RUN',
     'NOT_SENT',
+    'WITHDRAWN',
     'Attempt',
     'AttemptKind',
     'BackendServer',
+    'Begin',
     'Directory',
     'Dispatch',
+    'IsSponsor',
     'LoadReport',
+    'MayTake',
     'Observe',
     'Place',
     'Send',
     'ServerAddress',
+    'ServerPhase',
     'ServerState',
+    'Sponsorship',
+    'Standing',
+    'StandingExchange',
+    'StartingRules',
+    'TakeReport',
+    'Warmth',
+    'check_starting',
+    'chill_zone',
     'make_dispatch',
     'make_idempotent_run',
     'make_placing',
+    'make_report_taker',
+    'make_starting_begin',
+    'make_starting_gate',
+    'make_starting_observer',
     'release_place',
 )
--- a/src/ebonystream/backend/_attempt.py
+++ b/src/ebonystream/backend/_attempt.py
@@ -17,6 +17,9 @@
     NOT_SENT = 'not_sent'
     """No byte was sent: the call did not run there."""
 
+    WITHDRAWN = 'withdrawn'
+    """This host kept the call back although it had its place there."""
+
     REFUSED = 'refused'
     """The server itself says that it did no work on the call."""
 
@@ -68,6 +71,9 @@
 NOT_SENT = Attempt(AttemptKind.NOT_SENT)
 """An attempt that found no connection."""
 
+WITHDRAWN = Attempt(AttemptKind.WITHDRAWN)
+"""An attempt that was given up before anything was sent."""
+
 CUT = Attempt(AttemptKind.CUT)
 """An attempt whose connection broke."""
 
--- a/src/ebonystream/backend/_attempts.py
+++ b/src/ebonystream/backend/_attempts.py
@@ -17,6 +17,7 @@
 FAILURES: Mapping[AttemptKind, ErrorKind] = MappingProxyType(
     {
         AttemptKind.NOT_SENT: ErrorKind.NO_BACKEND,
+        AttemptKind.WITHDRAWN: ErrorKind.NO_BACKEND,
         AttemptKind.REFUSED: ErrorKind.REFUSED_BY_BACKEND,
         AttemptKind.CUT: ErrorKind.OUTCOME_LOST,
         AttemptKind.ABANDONED: ErrorKind.OUTCOME_LOST,
--- a/src/ebonystream/backend/_dispatch.py
+++ b/src/ebonystream/backend/_dispatch.py
@@ -4,7 +4,7 @@
 
 from ebonystream._ids import Seconds, ServerId
 from ebonystream._timers import Timers
-from ebonystream.backend._attempt import ABANDONED, Attempt
+from ebonystream.backend._attempt import ABANDONED, WITHDRAWN, Attempt
 from ebonystream.backend._server import BackendServer
 from ebonystream.call import Call
 
@@ -18,6 +18,15 @@
 Send = Callable[[Call, BackendServer], Awaitable[Attempt]]
 """Sends a call to one server and tells how that ended."""
 
+MayTake = Callable[[Call, BackendServer], bool]
+"""Tells whether a server may be sent a call now; several must all agree."""
+
+Begin = Callable[[Call, BackendServer], bool]
+"""Sees each call that has its place, in the step in which it is sent.
+
+False keeps the call back: what was true when it got its place is no longer.
+"""
+
 Observe = Callable[[Call, BackendServer, Attempt, Seconds], None]
 """Learns from an attempt that took that long, in seconds."""
 
@@ -31,6 +40,7 @@
     send: Send,
     observers: Sequence[Observe],
     timers: Timers,
+    begins: Sequence[Begin] = (),
 ) -> Dispatch:
     """Make the function that makes one attempt of a call.
 
@@ -39,6 +49,7 @@
         send: Sends the call there.
         observers: Learn from the attempt; the first gives the place back.
         timers: Tells how long the attempt took.
+        begins: See the call just before it is sent; all must agree.
     """
 
     async def dispatch(call: Call, tried: set[ServerId]) -> Attempt:
@@ -47,7 +58,10 @@
         began = timers.now()
         attempt = ABANDONED
         try:
-            attempt = await send(call, server)
+            if all(begin(call, server) for begin in begins):
+                attempt = await send(call, server)
+            else:
+                attempt = WITHDRAWN
         finally:
             took = Seconds(timers.now() - began)
             for observe in observers:
--- a/src/ebonystream/backend/_routing.py
+++ b/src/ebonystream/backend/_routing.py
@@ -6,7 +6,7 @@
 from ebonystream._ids import Seconds, ServerId, ZoneName
 from ebonystream.backend._attempt import Attempt
 from ebonystream.backend._directory import Directory
-from ebonystream.backend._dispatch import Place
+from ebonystream.backend._dispatch import MayTake, Place
 from ebonystream.backend._server import BackendServer
 from ebonystream.call import Call
 from ebonystream.errors import EbonystreamError, ErrorKind
@@ -19,6 +19,7 @@
     directory: Directory,
     is_out: Callable[[ZoneName], bool],
     random: Random,
+    may_take: MayTake | None = None,
 ) -> Place:
     """Make the function that finds a server for a call.
 
@@ -26,6 +27,7 @@
         directory: The servers that are known.
         is_out: Tells whether operators took a zone out.
         random: The seeded source of random choices.
+        may_take: Tells whether a server may be sent a call; None for all.
     """
 
     async def place(call: Call, tried: set[ServerId]) -> BackendServer:
@@ -35,6 +37,7 @@
             if server.id not in tried
             and not server.leaving
             and not is_out(server.zone)
+            and (may_take is None or may_take(call, server))
         ]
         if not fit:
             raise EbonystreamError(ErrorKind.NO_BACKEND, call.service)
--- a/src/ebonystream/backend/_server.py
+++ b/src/ebonystream/backend/_server.py
@@ -2,7 +2,15 @@
 
 import attrs
 
-from ebonystream._ids import ServerId, ServiceName, VersionName, ZoneName
+from ebonystream._ids import (
+    Monotonic,
+    ServerId,
+    ServiceName,
+    VersionName,
+    ZoneName,
+)
+from ebonystream.backend._latency import Slowdown
+from ebonystream.backend._warmth import Warmth
 
 
 @attrs.frozen
@@ -30,6 +38,9 @@
         zone: The availability zone it stands in.
         leaving: Whether the host list says that it leaves.
         in_flight: Calls of this entry host that it has in hand.
+        leaving_since: When this host learned that it leaves.
+        warmth: How much work it bears.
+        slowdown: How its latency is beside its own past.
     """
 
     id: ServerId
@@ -39,3 +50,6 @@
     zone: ZoneName
     leaving: bool = False
     in_flight: int = 0
+    leaving_since: Monotonic | None = None
+    warmth: Warmth = attrs.field(factory=Warmth)
+    slowdown: Slowdown = attrs.field(factory=Slowdown)
--- /dev/null
+++ b/tests/server_fakes.py
@@ -0,0 +1,262 @@
+"""Small fakes: a backend server, and entry hosts that gossip on a delay."""
+
+from random import Random
+
+import attrs
+import trio
+
+from ebonystream._ids import (
+    BootId,
+    CustomerId,
+    Monotonic,
+    RouteName,
+    ServerId,
+    ServiceName,
+    VersionName,
+    ZoneName,
+)
+from ebonystream._timers import Timers
+from ebonystream.backend import (
+    CUT,
+    Attempt,
+    AttemptKind,
+    BackendServer,
+    Directory,
+    LoadReport,
+    ServerAddress,
+    ServerState,
+    Sponsorship,
+    StandingExchange,
+    StartingRules,
+    make_dispatch,
+    make_placing,
+    make_starting_begin,
+    make_starting_gate,
+    make_starting_observer,
+    release_place,
+)
+from ebonystream.call import Answer, Call, CallKind
+from ebonystream.errors import Outcome
+
+SERVICE = ServiceName('passes')
+SLOTS = 2
+TIMERS = Timers(epoch_at_zero=0)
+SPREAD = 0.35
+"""What a heartbeat and its way take at most here, in seconds."""
+
+
+def make_call(
+    body=b'', *, kind=CallKind.IDEMPOTENT, room=5.0, now=0.0, route='check'
+):
+    return Call(
+        customer=CustomerId('loop'),
+        route=RouteName(route),
+        service=SERVICE,
+        kind=kind,
+        method='POST',
+        target='/passes',
+        headers=(),
+        body=body,
+        deadline=Monotonic(now + room),
+    )
+
+
+def make_listed(name, *, leaving=False, version='v1', port=1, zone='a'):
+    return BackendServer(
+        id=ServerId(name),
+        at=ServerAddress('127.0.0.1', port),
+        service=SERVICE,
+        version=VersionName(version),
+        zone=ZoneName(zone),
+        leaving=leaving,
+    )
+
+
+def make_attempt(state=ServerState.SERVING, boot='b0', *, refused=False):
+    report = LoadReport(
+        state=state,
+        boot=None if boot is None else BootId(boot),
+        in_flight=None,
+    )
+    if refused:
+        return Attempt(AttemptKind.REFUSED, report=report)
+    answer = Answer(outcome=Outcome.RAN, status=200, headers=(), body=b'')
+    return Attempt(AttemptKind.ANSWERED, answer=answer, report=report)
+
+
+@attrs.define
+class FakeServer:
+    """A server with the truth: its run, its state and the calls in hand."""
+
+    name: str
+    random: Random
+    boots: int = 0
+    announces: bool = True
+    state: ServerState = ServerState.COLD
+    answered: int = 0
+    warm_after: int = 20
+    mean: float = 0.01
+    slow: float = 8
+    crashed: trio.Event = attrs.field(factory=trio.Event)
+    in_hand: list[float] = attrs.field(factory=list)
+    shown_at: float | None = None
+    most_in_cold: int = 0
+    latest_in_drain: float = 0
+    crash_bodies: set[bytes] = attrs.field(factory=set)
+    crashes: int = 0
+
+    async def run(self, call):
+        """Run one call to its end, or until the server is restarted."""
+        boot = f'{self.name}-{self.boots}'
+        began = trio.current_time()
+        self.in_hand.append(began)
+        self._measure(began)
+        crashed = self.crashed
+        try:
+            with trio.move_on_after(self._draw(call)):
+                if call.body in self.crash_bodies:
+                    await trio.sleep(0.002)
+                    self.restart()
+                    self.crashes += 1
+                await crashed.wait()
+            if crashed.is_set():
+                self._show()
+                return CUT
+        finally:
+            self.in_hand.remove(began)
+        return self._answer(boot)
+
+    def _measure(self, now):
+        if self.shown_at is None:
+            return
+        if self.state is ServerState.DRAINING:
+            self.latest_in_drain = max(
+                self.latest_in_drain, now - self.shown_at
+            )
+        if self.state is ServerState.COLD:
+            told = self.shown_at + SPREAD
+            new = sum(began > told for began in self.in_hand)
+            self.most_in_cold = max(self.most_in_cold, new)
+
+    def _show(self):
+        if self.shown_at is None:
+            self.shown_at = trio.current_time()
+
+    def relapse(self):
+        """Turn cold in the same run."""
+        self.state = ServerState.COLD
+        self.answered = 0
+        self.shown_at = None
+
+    def restart(self):
+        """Cut all connections and begin a new run, cold."""
+        self.boots += 1
+        self.relapse()
+        self.crashed.set()
+        self.crashed = trio.Event()
+
+    def drain(self):
+        """Drain from now on."""
+        self.state = ServerState.DRAINING
+        self.shown_at = None
+
+    def _draw(self, call):
+        slow = self.slow if self.state is ServerState.COLD else 1
+        return slow * self.random.uniform(0.5, 1.5) * self.mean
+
+    def _answer(self, boot):
+        shown = self.state
+        self._show()
+        if shown is ServerState.COLD:
+            self.answered += 1
+            if self.answered >= self.warm_after:
+                self.state = ServerState.SERVING
+            if not self.announces:
+                shown = ServerState.SERVING
+        return make_attempt(shown, boot)
+
+
+@attrs.define
+class FakeHost:
+    """One entry host: the product's own parts on a shared set of servers."""
+
+    name: str
+    directory: Directory
+    sponsorship: Sponsorship
+    standings: StandingExchange
+    dispatch: object
+    heard: dict = attrs.field(factory=dict)
+
+
+def make_host(name, fakes, random, *, is_sponsor, is_alone, mutate=None):
+    directory = Directory()
+    heard = {}
+    sponsorship = Sponsorship(is_sponsor, is_alone, TIMERS)
+
+    def count_elsewhere(server):
+        return sum(loads.get(server, 0) for loads in heard.values())
+
+    rules = StartingRules(
+        directory=directory,
+        is_held=sponsorship.is_held,
+        count_elsewhere=count_elsewhere,
+        slots=SLOTS,
+        timers=TIMERS,
+    )
+
+    async def send(call, server):
+        return await fakes[server.id].run(call)
+
+    parts = {
+        'gate': make_starting_gate(rules),
+        'begin': make_starting_begin(rules),
+        'observer': make_starting_observer(rules),
+        'rules': rules,
+    }
+    if mutate is not None:
+        mutate(parts)
+    place = make_placing(
+        directory=directory,
+        is_out=lambda zone: False,
+        random=random,
+        may_take=parts['gate'],
+    )
+    dispatch = make_dispatch(
+        place=place,
+        send=send,
+        observers=(release_place, parts['observer']),
+        timers=TIMERS,
+        begins=(parts['begin'],),
+    )
+    return FakeHost(
+        name=name,
+        directory=directory,
+        sponsorship=sponsorship,
+        standings=StandingExchange(directory, TIMERS),
+        dispatch=dispatch,
+        heard=heard,
+    )
+
+
+async def gossip(hosts, random, *, period=0.25, delay=0.05):
+    """Carry standings and loads between all hosts for ever."""
+
+    async def carry(standings, loads, sender, receiver):
+        await trio.sleep(random.uniform(0, delay))
+        receiver.standings.take_standings(standings)
+        receiver.heard[sender.name] = loads
+
+    async with trio.open_nursery() as nursery:
+        while True:
+            for sender in hosts:
+                standings = sender.standings.list_standings()
+                loads = {
+                    server.id: server.in_flight
+                    for server in sender.directory.servers.values()
+                }
+                for receiver in hosts:
+                    if receiver is not sender:
+                        nursery.start_soon(
+                            carry, standings, loads, sender, receiver
+                        )
+            await trio.sleep(period)
