--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 SEEDS ?= 0-99
 PY = $(VENV)/bin/python
 export PYTHONPATH := src:tools
+export PYTHONHASHSEED := 0
 STAMP = $(VENV)/.installed
 
 .PHONY: soak install mutations run bench test check format lint types unit features
--- a/src/ebonystream/admin/_answers.py
+++ b/src/ebonystream/admin/_answers.py
@@ -90,6 +90,7 @@
         zone: The zone it stands in.
         zone_out: Whether operators took that zone out.
         leaving: Whether the platform says that it leaves.
+        phase: Whether it is cold, warming or serving.
         in_flight: Calls of the answering host that it has in hand.
     """
 
@@ -99,6 +100,7 @@
     zone: ZoneName
     zone_out: bool
     leaving: bool
+    phase: str
     in_flight: int
 
 
