--- a/src/ebonystream/configuration/_control.py
+++ b/src/ebonystream/configuration/_control.py
@@ -115,7 +115,8 @@
 
         Returns:
             Whether it was taken; one that is malformed or no newer is counted
-            and dropped.
+            and dropped. The host serves once `progress.settle` or the log
+            says that it knows all.
         """
         state = decode_state(snapshot)
         if state is None:
@@ -126,7 +127,6 @@
             return False
         if not self._adopt(state):
             return False
-        self.progress.caught_up = True
         self.watch.notify()
         return True
 
--- a/src/ebonystream/configuration/_progress.py
+++ b/src/ebonystream/configuration/_progress.py
@@ -28,7 +28,8 @@
         next: The offset of the first record that the state lacks.
         cursor: The offset to read next; beyond `next` only while lacking.
         following: How the host stands to what it reads.
-        caught_up: Whether the state was once as new as the log, or as a peer.
+        caught_up: Whether the state was once as new as the log, or as that
+            of every peer.
         base_ms: When the log took the record that a late reader begins with,
             the first of all or a checkpoint; None where this host can't know.
     """
@@ -61,6 +62,19 @@
         self.cursor = as_of
         self.following = Following.FOLDING
 
+    def settle(self, newest: Offset) -> None:
+        """Count as caught up with the peers, for a start without the log.
+
+        One peer's snapshot is not enough: that peer may be behind the others.
+
+        Args:
+            newest: The furthest `next` of all live peers, each of which was
+                heard or counts as unreachable.
+        """
+        folding = self.following is Following.FOLDING
+        if folding and FIRST_OFFSET < newest <= self.next:
+            self.caught_up = True
+
     def _advance(self, to: Offset) -> None:
         assert to >= self.next, f'offset {to} is before {self.next}'
         self.next = to
