--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -57,12 +57,14 @@
 
 
 def _make_dispatch(parts: Parts) -> Dispatch:
+    rules = parts.server_rules
     return make_dispatch(
         place=guard_place(
             make_placing(
                 directory=parts.directory,
                 is_out=parts.control.is_out,
                 random=Random(parts.incarnation),
+                may_take=rules.may_take,
             ),
             parts.zones_in_flight,
         ),
@@ -72,8 +74,10 @@
             make_zone_observer(parts.zones_in_flight),
             parts.metrics.count_attempt,
             log_attempt,
+            *rules.observers,
         ),
         timers=parts.timers,
+        begins=rules.begins,
     )
 
 
--- a/src/ebonystream/composition/_root.py
+++ b/src/ebonystream/composition/_root.py
@@ -12,6 +12,7 @@
     watch_returns,
 )
 from ebonystream.composition._parts import make_parts
+from ebonystream.composition._servers import refresh_sponsorship
 from ebonystream.composition._tasks import (
     close_idle,
     refresh_hosts,
@@ -41,6 +42,12 @@
             background.start_soon(keep_checkpoints, parts)
             background.start_soon(refresh_hosts, parts)
             background.start_soon(close_idle, parts)
+            background.start_soon(
+                refresh_sponsorship,
+                parts.server_rules,
+                parts.directory,
+                parts.timers,
+            )
             background.start_soon(serve_admin_api, parts)
             await make_listener(parts).run(listeners, parts.stopping)
             background.cancel_scope.cancel()
