Wire ownership of keys, to be joined with the peers

Cause: a host needs its owner, its claims and its way to other owners. Change: composition/_ownership.py; nothing starts it yet. Ruled out: starting it without peers: a lone host would own what it can't know. Conclusion: joined once the ways to peers are wired.

--- /dev/null
+++ b/src/ebonystream/composition/_ownership.py
@@ -0,0 +1,136 @@
+"""Wires calls that must run once: ownership of keys, and the way to owners."""
+
+from functools import partial
+from random import SystemRandom
+
+import attrs
+import trio
+
+from ebonystream._ids import HostId, SliceNumber
+from ebonystream.backend import Dispatch
+from ebonystream.call import Run
+from ebonystream.composition._parts import Parts, convert_ms
+from ebonystream.configuration import tail_stream
+from ebonystream.membership import MemberTable, choose_first
+from ebonystream.ownership import (
+    SLICES,
+    AskOwner,
+    IssueKey,
+    Owner,
+    keep_claims,
+    make_forward,
+    make_key_issue,
+    make_once_run,
+    make_owned_run,
+    release_slices,
+)
+
+
+@attrs.frozen(kw_only=True)
+class Ownership:
+    """What this host needs for calls that must run once.
+
+    Attributes:
+        owner: The state of ownership.
+        run: Runs such a call, here or at its owner.
+        run_owned: Runs such a call if this host owns its key.
+        issue: Gives fresh keys that this host owns.
+    """
+
+    owner: Owner
+    run: Run
+    run_owned: Run
+    issue: IssueKey
+
+
+def make_ownership(
+    parts: Parts,
+    *,
+    members: MemberTable,
+    ask: AskOwner,
+    dispatch: Dispatch,
+    running: trio.Nursery,
+) -> Ownership:
+    """Make what this host needs for calls that must run once.
+
+    Args:
+        parts: What the tasks of this host share.
+        members: The other entry hosts.
+        ask: Asks one of them.
+        dispatch: Makes one attempt at a backend server.
+        running: Where calls run to their end.
+    """
+    owner = Owner(
+        incarnation=parts.incarnation,
+        grants=parts.grants,
+        ledger=parts.ledger,
+        dispatch=dispatch,
+        timers=parts.timers,
+        running=running,
+    )
+    run_owned = make_owned_run(owner)
+    forward = make_forward(
+        ask=ask, find_host=members.find_host, timers=parts.timers
+    )
+    return Ownership(
+        owner=owner,
+        run=make_once_run(owner=owner, run_owned=run_owned, forward=forward),
+        run_owned=run_owned,
+        issue=make_key_issue(owner=owner, random=SystemRandom()),
+    )
+
+
+async def tail_keys(parts: Parts) -> None:
+    """Fold the keys stream for ever."""
+    await tail_stream(
+        log=parts.log,
+        stream=parts.settings.log.keys_stream,
+        get_next=lambda: parts.grants.next,
+        fold=parts.grants.fold,
+        wait=convert_ms(parts.settings.log.poll_wait_ms),
+        timers=parts.timers,
+    )
+
+
+async def claim_slices(
+    parts: Parts, ownership: Ownership, members: MemberTable
+) -> None:
+    """Keep this host's slices claimed ahead of time, for ever."""
+    await keep_claims(
+        owner=ownership.owner,
+        log=parts.log,
+        stream=parts.settings.log.keys_stream,
+        list_slices=partial(list_slices, members),
+        horizon_ms=parts.settings.ownership.horizon_ms,
+        window_ms=parts.settings.ownership.window_ms,
+    )
+
+
+def list_slices(members: MemberTable) -> list[SliceNumber]:
+    """Give the slices that fall to this host, as it sees the members.
+
+    Args:
+        members: The entry hosts.
+    """
+    fit = members.list_fit()
+    return [
+        SliceNumber(number)
+        for number in range(SLICES)
+        if _choose_owner(fit, number) == members.own.host
+    ]
+
+
+async def leave_ownership(parts: Parts, ownership: Ownership) -> None:
+    """Give up this host's slices, and wait until its last labels are past."""
+    await release_slices(
+        owner=ownership.owner,
+        log=parts.log,
+        stream=parts.settings.log.keys_stream,
+    )
+    since = ownership.owner.serves_until
+    if since is not None:
+        await parts.timers.wait(convert_ms(since - parts.timers.wall_ms()))
+
+
+def _choose_owner(fit: tuple[HostId, ...], number: int) -> HostId | None:
+    return choose_first(fit, f'slice/{number}')
