Have the demo make its zone move in earnest

Cause: the demo marked phases of a move that it never asked for. Change: move_zone asks the administration API and waits for the verdict; a move that does not end fails the demo with what it waits for. Ruled out: the command line; it has no subcommand for moves yet.

--- a/tools/standins/demo.py
+++ b/tools/standins/demo.py
@@ -14,6 +14,7 @@
 
 import trio
 
+from ebonystream.move import ZoneDirection
 from standins.cluster import Backend, Cluster, lay_out
 from standins.demoplan import (
     JOBS,
@@ -138,11 +139,11 @@
     _mark(marks, Phase.BEFORE)
     await trio.sleep(PHASE_SECONDS)
     _mark(marks, Phase.LEAVING)
-    await move_zone(cluster, MOVED_ZONE, out=True)
+    await move_zone(cluster, MOVED_ZONE, ZoneDirection.OUT)
     _mark(marks, Phase.OUT)
     await trio.sleep(PHASE_SECONDS)
     _mark(marks, Phase.RETURNING)
-    await move_zone(cluster, MOVED_ZONE, out=False)
+    await move_zone(cluster, MOVED_ZONE, ZoneDirection.BACK)
     _mark(marks, Phase.BACK)
     await trio.sleep(PHASE_SECONDS)
     stop.set()
--- a/tools/standins/operation.py
+++ b/tools/standins/operation.py
@@ -1,18 +1,46 @@
 """What operators and observers ask of a running system."""
 
+from http import HTTPStatus
+from typing import TypeVar
+
 import msgspec
 import trio
 
 from ebonystream.configuration import Lists
+from ebonystream.move import MoveReport, MoveState, ZoneDirection
 from standins.backendserver import Counts, Ledger
 from standins.client import connect, fetch
 from standins.cluster import LOOPBACK, Cluster, EntryHost
 from standins.processes import run_command
 
 IN_FORCE_SECONDS = 15
+MOVE_SECONDS = 15
+MOVES_PATH = '/v1/moves/zones'
 POLL_SECONDS = 0.05
 CLI = 'ebonystream.cli'
 
+Shape = TypeVar('Shape')
+
+
+class AdminRefused(Exception):
+    """Raised when an entry host refuses what operators ask."""
+
+
+class MoveUnfinished(Exception):
+    """Raised when a move takes too long; says what it waits for."""
+
+
+class Status(msgspec.Struct):
+    """What an entry host says of itself; other fields are left out.
+
+    Attributes:
+        configuration_version: The configuration in force.
+        backends: The backend servers that it knows.
+    """
+
+    configuration_version: int
+    backends: list[msgspec.Raw]
+
 
 async def publish(cluster: Cluster, lists: Lists) -> None:
     """Publish both lists through the command line, as operators do.
@@ -27,15 +55,32 @@
     await run_command(CLI, 'publish', str(path), '--admin', admin)
 
 
-async def move_zone(cluster: Cluster, zone: str, *, out: bool) -> None:
-    """Take a zone out or bring it back through the command line.
+async def move_zone(
+    cluster: Cluster,
+    zone: str,
+    direction: ZoneDirection,
+) -> None:
+    """Take a zone out or bring it back, and wait until that is finished.
 
     Args:
         cluster: What runs.
         zone: The availability zone.
-        out: Whether it is taken out.
+        direction: Which way it moves.
+
+    Raises:
+        MoveUnfinished: The move is not finished in time.
     """
-    await trio.lowlevel.checkpoint()
+    wanted = {'zone': zone, 'direction': direction.value}
+    body = msgspec.json.encode(wanted)
+    entry = cluster.entries[0]
+    report = await _ask(entry, 'POST', MOVES_PATH, MoveReport, body=body)
+    path = f'/v1/moves/{report.move.id}'
+    with trio.move_on_after(MOVE_SECONDS):
+        while report.state is not MoveState.FINISHED:
+            await trio.sleep(POLL_SECONDS)
+            report = await _ask(entry, 'GET', path, MoveReport)
+        return
+    raise MoveUnfinished(f'{zone} {direction.value}: {report.reason}')
 
 
 async def await_configuration(cluster: Cluster, version: int) -> None:
@@ -53,36 +98,33 @@
             await _await_entry(cluster, entry, version)
 
 
-class Status(msgspec.Struct):
-    """What an entry host says of itself; other fields are left out.
-
-    Attributes:
-        configuration_version: The configuration in force.
-        backends: The backend servers that it knows.
-    """
-
-    configuration_version: int
-    backends: list[msgspec.Raw]
-
-
 async def _await_entry(
     cluster: Cluster,
     entry: EntryHost,
     version: int,
 ) -> None:
     while True:
-        status = await _read_status(entry)
+        status = await _ask(entry, 'GET', '/v1/status', Status)
         complete = len(status.backends) == len(cluster.backends)
         if complete and status.configuration_version >= version:
             return
         await trio.sleep(POLL_SECONDS)
 
 
-async def _read_status(entry: EntryHost) -> Status:
+async def _ask(
+    entry: EntryHost,
+    method: str,
+    path: str,
+    shape: type[Shape],
+    *,
+    body: bytes = b'',
+) -> Shape:
     client = await connect(LOOPBACK, entry.admin_port)
     async with client.stream:
-        reply = await fetch(client, 'GET', '/v1/status')
-    return msgspec.json.decode(reply.body, type=Status)
+        reply = await fetch(client, method, path, body=body)
+    if reply.status != HTTPStatus.OK:
+        raise AdminRefused(f'{method} {path}: {reply.body!r}')
+    return msgspec.json.decode(reply.body, type=shape)
 
 
 async def read_counts(cluster: Cluster) -> Counts:
