--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -11,6 +11,11 @@
 from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
 from ebonystream.backend import Directory
 from ebonystream.composition._peers import ListedPeers
+from ebonystream.composition._servers import (
+    ServerRules,
+    make_lone_view,
+    make_server_rules,
+)
 from ebonystream.configuration import Control
 from ebonystream.move import ZonesInFlight
 from ebonystream.observation import Metrics
@@ -36,6 +41,7 @@
     peers: ListedPeers
     zones_in_flight: ZonesInFlight
     directory: Directory
+    server_rules: ServerRules
     pool: ConnectionPool
     metrics: Metrics
     incarnation: Incarnation
@@ -56,6 +62,7 @@
         connect_timeout=convert_ms(settings.backends.connect_timeout_ms),
     )
     control = Control()
+    directory = Directory()
     return Parts(
         settings=settings,
         timers=timers,
@@ -64,7 +71,13 @@
         control=control,
         peers=ListedPeers(),
         zones_in_flight=ZonesInFlight(control.is_out),
-        directory=Directory(),
+        directory=directory,
+        server_rules=make_server_rules(
+            directory=directory,
+            view=make_lone_view(),
+            slots=settings.backends.slots,
+            timers=timers,
+        ),
         pool=ConnectionPool(limits, timers),
         metrics=Metrics(),
         incarnation=Incarnation(uuid.uuid4().hex),
