Tell in one line why the demo or the bench failed

Cause: a failed move ended the demo with 60 lines of nested groups. Change: standins.launch prints each failure as one line; exit code 2 means that there is no report. Ruled out: printing the groups too; the kinds and their texts name the cause.

--- a/tests/test_demo_report.py
+++ b/tests/test_demo_report.py
@@ -8,7 +8,9 @@
 from standins.backendserver import Counts
 from standins.demoplan import JOBS, make_lists
 from standins.demoreport import Mark, Phase, Run, format_report, summarize
+from standins.launch import launch
 from standins.load import Outcome, Sample, Ticket, Verdict, run_load
+from standins.processes import NotReady, ProcessEnded
 from standins.statistic import find_percentile
 
 RAN = Verdict(outcome=Outcome.ANSWERED, server='b')
@@ -103,3 +105,25 @@
         for route in plan.routes
     }
     assert routes == {(job.route, job.once) for job in JOBS}
+
+
+async def give_report():
+    await trio.lowlevel.checkpoint()
+    return 'report'
+
+
+async def fail_twice():
+    async with trio.open_nursery():
+        raise ExceptionGroup('all', [ProcessEnded('a'), NotReady('b')])
+
+
+@pytest.mark.parametrize(
+    ('run', 'report', 'printed'),
+    [
+        (give_report, 'report', ''),
+        (fail_twice, None, 'ProcessEnded: a\nNotReady: b\n'),
+    ],
+)
+def test_launch(capsys, run, report, printed):
+    assert launch(run) == report
+    assert capsys.readouterr().err == printed
--- a/tools/standins/bench.py
+++ b/tools/standins/bench.py
@@ -27,6 +27,7 @@
 from standins.backendserver import ServerSettings
 from standins.client import Client, connect, fetch
 from standins.cluster import LOOPBACK, Cluster, Service, lay_out
+from standins.launch import launch
 from standins.operation import await_configuration, publish
 from standins.startup import start_cluster
 from standins.statistic import find_percentile, format_table
@@ -39,6 +40,7 @@
 CALLS_OF_CALLER = 400
 SLOTS = 64
 OK_STATUS = 200
+NO_REPORT = 2
 HEADERS = MappingProxyType(
     {'x-customer': 'verein', 'x-route': 'find-rack'},
 )
@@ -267,7 +269,9 @@
 
 def main() -> None:
     """Run the bench and print its report."""
-    figures = trio.run(run_bench)
+    figures = launch(run_bench)
+    if figures is None:
+        sys.exit(NO_REPORT)
     print(format_table(list(_list_rows(figures))))
     print(msgspec.json.encode(figures).decode())
     sys.exit(1 if figures.failed else 0)
--- a/tools/standins/demo.py
+++ b/tools/standins/demo.py
@@ -25,6 +25,7 @@
     make_lists,
 )
 from standins.demoreport import Mark, Phase, Run, format_report, summarize
+from standins.launch import launch
 from standins.load import (
     Pool,
     Sample,
@@ -48,7 +49,7 @@
 PHASE_SECONDS = 5
 TWICE_EVERY = 20
 SEED = 7
-STOPPED = 2
+NO_REPORT = 2
 
 Say = Callable[[str], None]
 """Tells how far the demo got."""
@@ -222,9 +223,9 @@
 
 def main() -> None:
     """Run the demo and print its report."""
-    run = trio.run(run_demo)
+    run = launch(run_demo)
     if run is None:
-        sys.exit(STOPPED)
+        sys.exit(NO_REPORT)
     print(f'\n{format_report(run)}')
     sys.exit(0 if summarize(run).good else 1)
 
--- a/tools/standins/operation.py
+++ b/tools/standins/operation.py
@@ -11,7 +11,7 @@
 from standins.backendserver import Counts, Ledger
 from standins.client import connect, fetch
 from standins.cluster import LOOPBACK, Cluster, EntryHost
-from standins.processes import run_command
+from standins.processes import LaunchFailed, run_command
 
 IN_FORCE_SECONDS = 15
 MOVE_SECONDS = 15
@@ -22,11 +22,15 @@
 Shape = TypeVar('Shape')
 
 
-class AdminRefused(Exception):
+class AdminRefused(LaunchFailed):
     """Raised when an entry host refuses what operators ask."""
 
 
-class MoveUnfinished(Exception):
+class NotInForce(LaunchFailed):
+    """Raised when a configuration takes too long to be in force."""
+
+
+class MoveUnfinished(LaunchFailed):
     """Raised when a move takes too long; says what it waits for."""
 
 
@@ -91,11 +95,13 @@
         version: The version of the configuration.
 
     Raises:
-        trio.TooSlowError: It is not in force everywhere in time.
+        NotInForce: It is not in force everywhere in time.
     """
-    with trio.fail_after(IN_FORCE_SECONDS):
+    with trio.move_on_after(IN_FORCE_SECONDS):
         for entry in cluster.entries:
             await _await_entry(cluster, entry, version)
+        return
+    raise NotInForce(f'version {version}')
 
 
 async def _await_entry(
--- a/tools/standins/processes.py
+++ b/tools/standins/processes.py
@@ -13,11 +13,19 @@
 TAIL_BYTES = 2000
 
 
-class ProcessEnded(Exception):
+class LaunchFailed(Exception):
+    """The base of what ends a launcher before its report."""
+
+
+class ProcessEnded(LaunchFailed):
     """Raised when a process ends that should still run."""
 
 
-class CommandFailed(Exception):
+class NotReady(LaunchFailed):
+    """Raised when a process does not serve in time."""
+
+
+class CommandFailed(LaunchFailed):
     """Raised when a command ends with another exit code than 0."""
 
 
@@ -53,12 +61,14 @@
         directory: Where its log file goes.
 
     Raises:
-        trio.TooSlowError: It does not serve in time.
+        NotReady: It does not serve in time.
     """
     nursery.start_soon(_run_program, program, directory)
-    with trio.fail_after(READY_SECONDS):
+    with trio.move_on_after(READY_SECONDS):
         for port in program.ports:
             await _wait_for_port(port)
+        return
+    raise NotReady(program.name)
 
 
 async def run_command(module: str, *arguments: str) -> str:
