Ask for moves, watch them and report by command line and API

Cause: operators could publish and show; moves and reports had no verbs, a refusal took two lines, and a POST whose answer was lost ended with "the host did not answer", as if nothing could have taken effect. Ruled out: watching by a long read at the host; it would end with the host that serves it, a poll goes on. Change: subcommands for moves, hosts, backends and versions, tables for people and `--json`, progress of `watch` on standard error, two exit codes more, ids that make repeated asking harmless, one line for each error. A key beyond ASCII is compared as the bytes that came. Conclusion: the verbs stand; a run with real processes comes next.

--- a/src/ebonystream/admin/_app.py
+++ b/src/ebonystream/admin/_app.py
@@ -75,7 +75,7 @@
         sent = request.headers.get('authorization', '').removeprefix(BEARER)
         if wanted is None:
             return
-        if not hmac.compare_digest(sent.encode(), wanted):
+        if not hmac.compare_digest(sent.encode('latin-1'), wanted):
             raise EbonystreamError(ErrorKind.UNAUTHORIZED)
 
 
--- a/src/ebonystream/cli/_app.py
+++ b/src/ebonystream/cli/_app.py
@@ -1,15 +1,32 @@
 """The subcommands."""
 
-import json
 import sys
-from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import trio
 import typer
 
-from ebonystream.cli._client import ask_admin
+from ebonystream.cli._client import AdminClient
 from ebonystream.cli._exit import ExitCode
+from ebonystream.cli._moves import moves
+from ebonystream.cli._options import (
+    DEFAULT_ADMIN,
+    Admin,
+    AsJson,
+    Key,
+    ListsPath,
+    RequestName,
+    SettingsPath,
+    print_answer,
+    read_json,
+)
+from ebonystream.cli._spelling import (
+    spell_backends,
+    spell_hosts,
+    spell_lists,
+    spell_status,
+    spell_versions,
+)
 from ebonystream.composition import run_entry_host
 from ebonystream.observation import start_logs
 from ebonystream.settings import Settings, SettingsError, read_settings
@@ -19,24 +36,14 @@
     add_completion=False,
     help='Run an entry host, and operate a running system.',
 )
+app.add_typer(moves, name='move')
 
-SettingsPath = Annotated[Path, typer.Argument(help='The settings file, JSON.')]
-Admin = Annotated[
-    str,
-    typer.Option(
-        help='Base address of an administration API.',
-        envvar='EBONYSTREAM_ADMIN',
-    ),
-]
-Key = Annotated[
-    str | None,
-    typer.Option(
-        help='The administration key.', envvar='EBONYSTREAM_ADMIN_KEY'
-    ),
-]
-AsJson = Annotated[bool, typer.Option('--json', help='Print JSON.')]
+LISTS_PATH = '/v1/lists'
 
-DEFAULT_ADMIN = 'http://127.0.0.1:7070'
+BasedOn = Annotated[
+    int | None,
+    typer.Option(help='Version that was read; the current one if left out.'),
+]
 
 
 @app.command()
@@ -56,22 +63,25 @@
 
 @app.command()
 def publish(
-    lists: Annotated[Path, typer.Argument(help='Both lists, JSON.')],
+    lists: ListsPath,
+    name: RequestName,
     admin: Admin = DEFAULT_ADMIN,
     key: Key = None,
-    based_on: Annotated[
-        int | None,
-        typer.Option(help='Version that was read; the current one if left out'),
-    ] = None,
+    based_on: BasedOn = None,
+    as_json: AsJson = False,
 ) -> None:
     """Publish the customers' plans and what each plan may use."""
-    body = _read_json(lists)
+    client = AdminClient(admin, key)
+    body = read_json(lists)
     if based_on is None:
-        based_on = ask_admin(admin, key, 'GET', '/v1/lists')['version']
-    told = ask_admin(
-        admin, key, 'POST', '/v1/lists', {'based_on': based_on, 'lists': body}
+        based_on = client.read(LISTS_PATH)['version']
+    asked = {'id': name, 'based_on': based_on, 'lists': body}
+    told = client.ask(LISTS_PATH, asked)
+    print_answer(
+        told,
+        lambda made: f'version {made["version"]} is accepted',
+        as_json=as_json,
     )
-    typer.echo(f'version {told["version"]} is accepted')
 
 
 @app.command()
@@ -79,35 +89,50 @@
     admin: Admin = DEFAULT_ADMIN, key: Key = None, as_json: AsJson = False
 ) -> None:
     """Show the lists in force."""
-    told = ask_admin(admin, key, 'GET', '/v1/lists')
-    typer.echo(json.dumps(told, indent=None if as_json else 2))
+    told = AdminClient(admin, key).read(LISTS_PATH)
+    print_answer(told, spell_lists, as_json=as_json)
 
 
 @app.command()
 def status(
     admin: Admin = DEFAULT_ADMIN, key: Key = None, as_json: AsJson = False
 ) -> None:
-    """Show how an entry host and its backend servers stand."""
-    told = ask_admin(admin, key, 'GET', '/v1/status')
-    typer.echo(json.dumps(told, indent=None if as_json else 2))
+    """Show how the entry host that is asked stands."""
+    told = AdminClient(admin, key).read('/v1/status')
+    print_answer(told, spell_status, as_json=as_json)
+
+
+@app.command()
+def hosts(
+    admin: Admin = DEFAULT_ADMIN, key: Key = None, as_json: AsJson = False
+) -> None:
+    """Show every live entry host."""
+    told = AdminClient(admin, key).read('/v1/hosts')
+    print_answer(told, spell_hosts, as_json=as_json)
+
+
+@app.command()
+def backends(
+    admin: Admin = DEFAULT_ADMIN, key: Key = None, as_json: AsJson = False
+) -> None:
+    """Show every backend server."""
+    told = AdminClient(admin, key).read('/v1/backends')
+    print_answer(told, spell_backends, as_json=as_json)
+
+
+@app.command()
+def versions(
+    admin: Admin = DEFAULT_ADMIN, key: Key = None, as_json: AsJson = False
+) -> None:
+    """Show the versions of every service."""
+    told = AdminClient(admin, key).read('/v1/versions')
+    print_answer(told, spell_versions, as_json=as_json)
 
 
-def _read(path: Path) -> Settings:
+def _read(path: SettingsPath) -> Settings:
     try:
         return read_settings(path)
     except SettingsError as error:
         for fault in error.faults:
             typer.echo(str(fault), err=True)
         raise typer.Exit(ExitCode.BAD_INPUT) from error
-
-
-def _read_json(path: Path) -> dict[str, Any]:
-    try:
-        found = json.loads(path.read_bytes())
-    except (OSError, ValueError) as error:
-        typer.echo(f'{path}: {error}', err=True)
-        raise typer.Exit(ExitCode.BAD_INPUT) from error
-    if not isinstance(found, dict):
-        typer.echo(f'{path}: is not a JSON object', err=True)
-        raise typer.Exit(ExitCode.BAD_INPUT)
-    return found
--- a/src/ebonystream/settings/_file.py
+++ b/src/ebonystream/settings/_file.py
@@ -22,7 +22,7 @@
 
     def __str__(self) -> str:
         """Spell the fault as one line."""
-        return f'{self.path}: {self.reason}'
+        return ''.join(map(_escape, f'{self.path}: {self.reason}'))
 
 
 class SettingsError(Exception):
@@ -48,6 +48,11 @@
     )
 
 
+def _escape(letter: str) -> str:
+    # A key of the file may hold a line break or codes for a terminal.
+    return letter if letter.isprintable() else repr(letter)[1:-1]
+
+
 def read_settings(path: Path) -> Settings:
     """Read and check the settings of an entry host.
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,220 @@
+"""The command line: what it prints, and with which exit code it ends."""
+
+import json
+
+import httpx
+import pytest
+from typer.testing import CliRunner
+
+from ebonystream.cli import _client, _moves
+from ebonystream.cli._app import app
+
+MOVE = {'type': 'zone', 'id': 'm', 'zone': 'a', 'direction': 'out'}
+RUNNING = {
+    'move': MOVE,
+    'state': 'running',
+    'finished_ms': None,
+    'late': False,
+    'reason': 'host h3, 2 calls in flight',
+}
+FINISHED = {**RUNNING, 'state': 'finished', 'finished_ms': 7, 'reason': 'done'}
+TAKEN_BACK = {**RUNNING, 'state': 'taken_back', 'reason': 'it fails'}
+VERSION = {
+    **RUNNING,
+    'move': {
+        'type': 'version',
+        'id': 'v',
+        'service': 's',
+        'from_version': 'v1',
+        'to_version': 'v2',
+    },
+    'late': True,
+}
+SAID_RUNNING = 'm: zone a out: running: host h3, 2 calls in flight'
+HOST = {
+    'host': 'h1',
+    'control_next': 3,
+    'zones_in_flight': {'a': 2, 'b': 1},
+    'unreachable_since_ms': None,
+}
+REFUSED = {
+    'error': 'move_rejected',
+    'outcome': 'not_run',
+    'detail': 'zone a is out already',
+    'advice': 'Read the current moves, then ask again.',
+}
+LOST = {**REFUSED, 'error': 'log_unavailable', 'outcome': 'unknown'}
+REFUSED_LINE = (
+    'move_rejected: zone a is out already. '
+    'Read the current moves, then ask again.\n'
+)
+
+
+def run(monkeypatch, line, answers):
+    """Run a command against answers: a report, a refusal or an exception."""
+    left = list(answers)
+    requests = []
+
+    def answer(method, url, **sent):
+        requests.append((method, url, sent['json'], sent['headers']))
+        told = left.pop(0) if len(left) > 1 else left[0]
+        if isinstance(told, Exception):
+            raise told
+        if isinstance(told, bytes):
+            return httpx.Response(200, content=told)
+        return httpx.Response(409 if 'error' in told else 200, json=told)
+
+    clock = iter(range(1000))
+    monkeypatch.setattr(_client.httpx, 'request', answer)
+    monkeypatch.setattr(_moves.time, 'sleep', lambda seconds: None)
+    monkeypatch.setattr(_moves.time, 'monotonic', lambda: next(clock))
+    return CliRunner().invoke(app, line.split(' ')), requests
+
+
+@pytest.mark.parametrize(
+    ('line', 'answers', 'exit_code', 'stdout', 'stderr'),
+    [
+        ('move zone-out a', [RUNNING], 0, f'{SAID_RUNNING}\n', ''),
+        (
+            'move zone-out a --json',
+            [RUNNING],
+            0,
+            json.dumps(RUNNING) + '\n',
+            '',
+        ),
+        ('move zone-out a', [REFUSED], 1, '', REFUSED_LINE),
+        ('move zone-back a', [LOST], 4, '', LOST['error'] + REFUSED_LINE[13:]),
+        (
+            'move zone-out a',
+            [httpx.ConnectError('no')],
+            3,
+            '',
+            "http://127.0.0.1:7070: ConnectError('no')\n",
+        ),
+        (
+            'move zone-out a',
+            [httpx.ReadTimeout('late')],
+            4,
+            '',
+            "http://127.0.0.1:7070: ReadTimeout('late')\n",
+        ),
+        (
+            'move report m',
+            [httpx.ReadTimeout('late')],
+            3,
+            '',
+            "http://127.0.0.1:7070: ReadTimeout('late')\n",
+        ),
+        (
+            'move report m',
+            [b'<html>'],
+            3,
+            '',
+            'http://127.0.0.1:7070: status 200, no known answer\n',
+        ),
+        (
+            'move report v',
+            [VERSION],
+            0,
+            'v: s v1 to v2: running, late: host h3, 2 calls in flight\n',
+            '',
+        ),
+        (
+            'move report m',
+            [FINISHED],
+            0,
+            'm: zone a out: finished at 7: done\n',
+            '',
+        ),
+        (
+            'move list',
+            [{'moves': [RUNNING]}],
+            0,
+            'id  move        state    late  reason\n'
+            'm   zone a out  running  no    host h3, 2 calls in flight\n',
+            '',
+        ),
+        (
+            'move watch m --json',
+            [RUNNING, RUNNING, httpx.ConnectError('no'), FINISHED],
+            0,
+            json.dumps(FINISHED) + '\n',
+            f'{SAID_RUNNING}\n'
+            "http://127.0.0.1:7070: ConnectError('no')\n"
+            'm: zone a out: finished at 7: done\n',
+        ),
+        (
+            'move watch m',
+            [TAKEN_BACK],
+            5,
+            'm: zone a out: taken_back: it fails\n',
+            'm: zone a out: taken_back: it fails\n',
+        ),
+        (
+            'move watch m --timeout 3',
+            [RUNNING],
+            6,
+            f'{SAID_RUNNING}\n',
+            f'{SAID_RUNNING}\n',
+        ),
+        ('move watch m', [REFUSED], 1, '', REFUSED_LINE),
+        (
+            'move watch m',
+            [httpx.ConnectError('no')],
+            3,
+            '',
+            "http://127.0.0.1:7070: ConnectError('no')\n",
+        ),
+        (
+            'hosts',
+            [{'hosts': [HOST]}],
+            0,
+            'host  control_next  in_flight  unreachable_since_ms\n'
+            'h1    3             3          -\n',
+            '',
+        ),
+        ('versions --json', [{'services': []}], 0, '{"services": []}\n', ''),
+        (
+            'move version s v1 v2 --finish-by +soon',
+            [VERSION],
+            2,
+            '',
+            "--finish-by +soon: could not convert string to float: '+soon'\n",
+        ),
+        (
+            'publish /nowhere/lists.json',
+            [{}],
+            2,
+            '',
+            '/nowhere/lists.json: No such file or directory\n',
+        ),
+        (
+            'show --admin http://:x',
+            [httpx.InvalidURL('bad')],
+            3,
+            '',
+            "http://:x: InvalidURL('bad')\n",
+        ),
+    ],
+    ids=lambda value: value if isinstance(value, str) else '',
+)
+def test_command(monkeypatch, line, answers, exit_code, stdout, stderr):
+    ended, _ = run(monkeypatch, line, answers)
+    assert (ended.exit_code, ended.stdout, ended.stderr) == (
+        exit_code,
+        stdout,
+        stderr,
+    )
+
+
+def test_request(monkeypatch):
+    line = 'move take-back m --reason why --id t --key é --admin http://h'
+    _, requests = run(monkeypatch, line, [TAKEN_BACK])
+    assert requests == [
+        (
+            'POST',
+            'http://h/v1/moves/m/take-back',
+            {'id': 't', 'reason': 'why'},
+            {b'authorization': 'Bearer é'.encode()},
+        )
+    ]
