Let a start without the log end once every peer was heard

Change: `settle_control` settles once each live peer was heard, or is silent for twice the silence that makes it unreachable; it needs one reachable peer. The tasks of the control stream start in composition/_control.py.

--- a/src/ebonystream/composition/_moves.py
+++ b/src/ebonystream/composition/_moves.py
@@ -14,7 +14,7 @@
 from ebonystream.backend import Attempt, BackendServer, Observe, Place
 from ebonystream.call import Call
 from ebonystream.composition._parts import Parts, convert_ms
-from ebonystream.configuration import Ask, make_asking, write_checkpoints
+from ebonystream.configuration import Ask, make_asking
 from ebonystream.errors import EbonystreamError
 from ebonystream.move import (
     CloseMove,
@@ -96,19 +96,6 @@
     )
 
 
-async def keep_checkpoints(parts: Parts) -> None:
-    """Write the state to the log again before it expires, for ever."""
-    settings = parts.settings.log
-    await write_checkpoints(
-        control=parts.control,
-        log=parts.log,
-        stream=settings.control_stream,
-        retention=convert_ms(settings.retention_ms),
-        timers=parts.timers,
-        random=Random(parts.incarnation),
-    )
-
-
 def watch_returns(parts: Parts) -> None:
     """Have zones that come back treated as cold, from the next change on."""
     parts.control.watch.subscribe(
--- a/src/ebonystream/composition/_root.py
+++ b/src/ebonystream/composition/_root.py
@@ -5,18 +5,13 @@
 
 from ebonystream._timers import MS_PER_SECOND
 from ebonystream.composition._admin import serve_admin_api
+from ebonystream.composition._control import keep_control
 from ebonystream.composition._listener import make_listener
-from ebonystream.composition._moves import (
-    finish_moves,
-    keep_checkpoints,
-    watch_returns,
-)
 from ebonystream.composition._parts import make_parts
 from ebonystream.composition._servers import refresh_sponsorship
 from ebonystream.composition._tasks import (
     close_idle,
     refresh_hosts,
-    tail_control,
     watch_signals,
 )
 from ebonystream.settings import Settings
@@ -36,10 +31,7 @@
         )
         async with trio.open_nursery() as background:
             background.start_soon(watch_signals, parts.stopping)
-            watch_returns(parts)
-            background.start_soon(tail_control, parts)
-            background.start_soon(finish_moves, parts)
-            background.start_soon(keep_checkpoints, parts)
+            background.start_soon(keep_control, parts)
             background.start_soon(refresh_hosts, parts)
             background.start_soon(close_idle, parts)
             background.start_soon(
--- a/src/ebonystream/configuration/__init__.py
+++ b/src/ebonystream/configuration/__init__.py
@@ -27,6 +27,7 @@
     ControlState,
     Publish,
 )
+from ebonystream.configuration._settling import settle_control
 from ebonystream.configuration._table import PlanTable, index_lists
 from ebonystream.configuration._tail import tail_pages, tail_stream
 
@@ -50,6 +51,7 @@
     'index_lists',
     'make_asking',
     'make_publishing',
+    'settle_control',
     'tail_pages',
     'tail_stream',
     'write_checkpoints',
--- a/tests/test_control_fold.py
+++ b/tests/test_control_fold.py
@@ -1,7 +1,9 @@
 """Each rule of the control stream, as a table of records and decisions."""
 
+import attrs
 import msgspec
 import pytest
+import trio
 from control_records import (
     FAULTY,
     LISTS,
@@ -17,8 +19,11 @@
     version,
 )
 
-from ebonystream.configuration import Control, Following
+from ebonystream._timers import start_timers
+from ebonystream.configuration import Control, Following, settle_control
+from ebonystream.configuration._settling import find_newest
 from ebonystream.configuration._state import dump_folded
+from ebonystream.move import Confirmation
 from ebonystream.platform import LogPage
 
 NESTED = b'{"type":"publish","request":"r","based_on":0,"lists":'
@@ -275,6 +280,40 @@
     assert host.progress.following is Following.LACKING
 
 
+def word(next_offset, silent_since=None):
+    return Confirmation('peer', 'i', next_offset, {}, silent_since)
+
+
+@pytest.mark.parametrize(
+    ('peers', 'newest', 'settled'),
+    [
+        ([], None, False),
+        ([word(3)], 3, True),
+        ([word(2), word(3)], 3, True),
+        ([word(2), word(4)], 4, False),
+        ([word(3), word(9, silent_since=101)], None, False),
+        ([word(3), word(9, silent_since=100)], 3, True),
+        ([word(3, silent_since=1)], None, False),
+        ([word(0)], 0, False),
+    ],
+)
+async def test_start_without_the_log(autojump_clock, peers, newest, settled):
+    assert find_newest(peers, oldest_ms=100) == newest
+    host = fold_all(Control(), HISTORY[:3])
+    with trio.move_on_after(0.0005):
+        await settle_control(
+            control=host,
+            own='self',
+            list_confirmations=lambda: [
+                attrs.evolve(word(99), host='self'),
+                *peers,
+            ],
+            patience=0,
+            timers=start_timers(wall_clock=lambda: 0.1),
+        )
+    assert host.progress.caught_up is settled
+
+
 def test_lists_survive_the_spelling():
     host = fold_all(Control(), [publish('p', 0)])
     spelled = host.folded.published.lists.model_dump(mode='json')
