--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -10,12 +10,14 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
 from ebonystream.backend import Directory
+from ebonystream.composition._peers import ListedPeers
 from ebonystream.composition._servers import (
     ServerRules,
     make_lone_view,
     make_server_rules,
 )
 from ebonystream.configuration import Control
+from ebonystream.move import ZonesInFlight
 from ebonystream.observation import Metrics
 from ebonystream.platform import (
     LogService,
@@ -36,6 +38,8 @@
     log: LogService
     read_hosts: ReadHosts
     control: Control
+    peers: ListedPeers
+    zones_in_flight: ZonesInFlight
     directory: Directory
     server_rules: ServerRules
     pool: ConnectionPool
@@ -58,12 +62,15 @@
         connect_timeout=convert_ms(settings.backends.connect_timeout_ms),
     )
     directory = Directory()
+    control = Control()
     return Parts(
         settings=settings,
         timers=timers,
         log=make_http_log(client=client, url=settings.log.url),
         read_hosts=make_host_reader(client=client, url=settings.host_list.url),
-        control=Control(),
+        control=control,
+        peers=ListedPeers(),
+        zones_in_flight=ZonesInFlight(control.is_out),
         directory=directory,
         server_rules=make_server_rules(
             directory=directory,
--- /dev/null
+++ b/tests/test_crash_rules.py
@@ -0,0 +1,224 @@
+"""Requests that end servers: who is suspected, cleared and refused."""
+
+import pytest
+import trio
+from server_fakes import TIMERS, make_attempt, make_call, make_listed
+
+from ebonystream._ids import ServerId
+from ebonystream.backend import CUT, Directory, ServerPhase
+from ebonystream.crash import (
+    CRASH_AGE,
+    MAX_CRASHES,
+    MAX_SUSPECTS,
+    CrashId,
+    CrashRules,
+    RunningCalls,
+    SuspectExchange,
+    SuspectTable,
+    check_isolation,
+    check_refused,
+    make_crash_begin,
+    make_crash_gate,
+    make_crash_observer,
+    make_fingerprint,
+)
+from ebonystream.errors import EbonystreamError
+
+NAMES = ('s', 't', 'u')
+CALLS = {name: make_call(name.encode()) for name in ('bad', 'x', 'y')}
+
+
+class Host:
+    """The rules of one host, driven by hand."""
+
+    def __init__(self, own=NAMES):
+        self.directory = Directory()
+        self.directory.replace([make_listed(name) for name in NAMES])
+        for server in self.directory.servers.values():
+            server.warmth.phase = ServerPhase.SERVING
+            server.warmth.note_boot('b0', 0)
+        self.suspects = SuspectTable(TIMERS)
+        self.exchange = SuspectExchange(self.suspects, TIMERS)
+        self.rules = CrashRules(
+            suspects=self.suspects,
+            running=RunningCalls(),
+            directory=self.directory,
+            is_sponsor=lambda server: server in own,
+            timers=TIMERS,
+            tell_peers=lambda: None,
+        )
+        self._begin = make_crash_begin(self.rules)
+        self._observe = make_crash_observer(self.rules)
+
+    def find(self, name):
+        """Give a server."""
+        return self.directory.servers[ServerId(name)]
+
+    def begin(self, name, server='s'):
+        """Send a call, where the rules let it be sent."""
+        return self._begin(CALLS[name], self.find(server))
+
+    def end(self, name, attempt, server='s'):
+        """End a call."""
+        self._observe(CALLS[name], self.find(server), attempt, 0.0)
+
+    def restart(self, server='s', boot='b1'):
+        """Learn of a new run."""
+        self.find(server).warmth.note_boot(boot, TIMERS.now())
+
+    def refuses(self, name):
+        """Tell whether a request is refused."""
+        try:
+            check_refused(self.rules, CALLS[name])
+        except EbonystreamError:
+            return True
+        return False
+
+
+OK = make_attempt()
+
+
+def crash(host, *names, server='s', boot='b1'):
+    for name in names:
+        host.begin(name, server)
+    for name in names:
+        host.end(name, CUT, server)
+    host.restart(server, boot)
+
+
+SCENES = {
+    'one crash refuses nobody': ([('crash', 's', 'bad', 'x')], set()),
+    'alone twice': ([('crash', 's', 'bad'), ('crash', 't', 'bad')], {'bad'}),
+    'beside an innocent call, then alone': (
+        [('crash', 's', 'bad', 'x'), ('crash', 't', 'bad')],
+        {'bad'},
+    ),
+    'answered in between': (
+        [('crash', 's', 'x'), ('answer', 't', 'x'), ('crash', 'u', 'x')],
+        set(),
+    ),
+    'one network fault cuts it at two servers': (
+        [('begin', 's', 'x'), ('begin', 't', 'x')]
+        + [('cut', 's', 'x'), ('cut', 't', 'x')],
+        set(),
+    ),
+    'the same run answers since': (
+        [('crash', 's', 'x'), ('begin', 't', 'x'), ('cut', 't', 'x')]
+        + [('wait', 0.1), ('answer', 't', 'y')],
+        set(),
+    ),
+}
+
+
+@pytest.mark.parametrize('scene', SCENES)
+async def test_who_is_refused(autojump_clock, scene):
+    steps, refused = SCENES[scene]
+    host = Host()
+    for step in steps:
+        match step:
+            case ('crash', server, *names):
+                crash(host, *names, server=server, boot=f'b{server}')
+            case ('begin', server, name):
+                assert host.begin(name, server)
+            case ('cut', server, name):
+                host.end(name, CUT, server)
+            case ('answer', server, name):
+                assert host.begin(name, server)
+                host.end(name, OK, server)
+            case ('wait', length):
+                await trio.sleep(length)
+    assert {name for name in CALLS if host.refuses(name)} == refused
+
+
+async def test_a_mass_failure_excuses(autojump_clock):
+    host = Host()
+    crash(host, 'x', server='s')
+    for number in range(3):
+        other = host.suspects.take(CrashId(ServerId('v'), f'{number}'), 0)
+        host.suspects.suspect(other, make_fingerprint(CALLS['y']))
+    crash(host, 'x', server='t')
+    assert not host.refuses('x')
+
+
+async def test_suspects_that_meet_again_are_told_apart(autojump_clock):
+    host, peer = Host(), Host()
+    for one, name in ((host, 'bad'), (peer, 'x')):
+        crash(one, name, server='s')
+    exchange(host, peer)
+    for one, name in ((host, 'bad'), (peer, 'x')):
+        crash(one, name, server='t')
+    exchange(host, peer)
+    assert not host.refuses('bad')
+    assert not host.refuses('x')
+    peer.begin('x', 'u')
+    peer.end('x', OK, 'u')
+    exchange(host, peer)
+    for one in (host, peer):
+        assert one.refuses('bad')
+        assert not one.refuses('x')
+
+
+def exchange(host, peer):
+    told = (host.exchange.list_notes(), peer.exchange.list_notes())
+    peer.exchange.take_notes(told[0])
+    host.exchange.take_notes(told[1])
+
+
+async def test_a_suspect_runs_alone(autojump_clock):
+    host = Host()
+    gate = make_crash_gate(host.rules)
+    crash(host, 'bad')
+    server = host.find('t')
+    assert gate(CALLS['bad'], server)
+    assert host.begin('bad', 't')
+    assert not gate(CALLS['x'], server)
+    assert not host.begin('x', 't')
+    host.end('bad', OK, 't')
+    assert gate(CALLS['x'], server)
+
+
+async def test_a_suspect_waits_for_an_empty_server(autojump_clock):
+    host = Host(own=('t',))
+    gate = make_crash_gate(host.rules)
+    crash(host, 'bad')
+    assert not gate(CALLS['bad'], host.find('u'))
+    host.begin('x', 't')
+    host.find('t').in_flight = 1
+    assert not gate(CALLS['bad'], host.find('t'))
+    assert not host.begin('bad', 't')
+
+
+async def test_a_breach_of_isolation_is_asserted(autojump_clock):
+    host = Host()
+    crash(host, 'bad')
+    host.begin('bad', 't')
+    host.rules.running.by_server['t'] *= 2
+    with pytest.raises(AssertionError, match='runs a suspect beside'):
+        check_isolation(host.rules, ServerId('t'))
+
+
+@pytest.mark.parametrize(
+    'note',
+    ['', '{}', '["s","b",-1,"f","first"]', '["s","b",9e9]', '["s","b",1,"f",3]']
+    + ['["s","b",4000,"f","first"]', '["s","b",1,"f","worst"]'],
+)
+async def test_malformed_notes_are_dropped(autojump_clock, note):
+    host = Host()
+    host.exchange.take_notes([note])
+    assert (host.exchange.dropped, host.suspects.crashes) == (1, {})
+
+
+async def test_what_is_remembered_is_bounded(autojump_clock):
+    host, peer = Host(), Host()
+    for number in range(MAX_CRASHES + 9):
+        crash_id = CrashId(ServerId('s'), str(number))
+        last = host.suspects.take(crash_id, TIMERS.now())
+    for number in range(MAX_SUSPECTS + 9):
+        host.suspects.suspect(last, str(number))
+    assert len(host.suspects.crashes) == MAX_CRASHES
+    assert len(last.suspicions) == MAX_SUSPECTS
+    for _ in range(3):
+        await trio.sleep(CRASH_AGE / 2)
+        exchange(host, peer)
+    assert not host.suspects.crashes
+    assert not peer.suspects.crashes
