--- a/src/ebonystream/backend/_standing.py
+++ b/src/ebonystream/backend/_standing.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Callable, Iterable
+from random import Random
 
 import attrs
 
@@ -17,8 +18,8 @@
 TELL_ALL = Seconds(1)
 """How long every server is told of after a peer has started."""
 
-ROTATED_SERVERS = 2
-"""Unchanged servers told in each heartbeat, in turn."""
+CHOSEN_SERVERS = 2
+"""Unchanged servers told in each heartbeat."""
 
 LARGEST_EPOCH = sys.maxsize // 2
 """An epoch above this is no epoch that was counted."""
@@ -48,14 +49,14 @@
     Attributes:
         directory: The servers that are known.
         timers: Tells the time.
-        turn: Whose turn it is to be told of unchanged.
+        random: Chooses who is told of unchanged.
         dropped: Standings from peers that made no sense.
         all_until: Until when every server is told of.
     """
 
     directory: Directory
     timers: Timers
-    turn: int = 0
+    random: Random
     dropped: int = 0
     all_until: Monotonic = Monotonic(0)
 
@@ -66,7 +67,7 @@
         if now < self.all_until:
             return tuple(map(_tell, servers))
         recent = [server for server in servers if _is_recent(server, now)]
-        told = {one.id: one for one in (*recent, *self._rotate(servers))}
+        told = {one.id: one for one in (*recent, *self._choose(servers))}
         return tuple(map(_tell, told.values()))
 
     def tell_all(self) -> None:
@@ -91,14 +92,13 @@
             standing.epoch, standing.phase, standing.boot, self.timers.now()
         )
 
-    def _rotate(
+    def _choose(
         self, servers: tuple[BackendServer, ...]
     ) -> tuple[BackendServer, ...]:
         if not servers:
             return ()
-        start = self.turn % len(servers)
-        self.turn = start + ROTATED_SERVERS
-        return (servers + servers)[start : start + ROTATED_SERVERS]
+        start = self.random.randrange(len(servers))
+        return (servers + servers)[start : start + CHOSEN_SERVERS]
 
 
 def _is_recent(server: BackendServer, now: Monotonic) -> bool:
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -2,6 +2,7 @@
 
 import time
 import uuid
+from random import Random
 
 import attrs
 import httpx
@@ -62,6 +63,7 @@
         connect_timeout=convert_ms(settings.backends.connect_timeout_ms),
     )
     directory = Directory()
+    incarnation = Incarnation(uuid.uuid4().hex)
     control = Control()
     return Parts(
         settings=settings,
@@ -77,10 +79,11 @@
             view=make_lone_view(),
             slots=settings.backends.slots,
             timers=timers,
+            random=Random(incarnation),
         ),
         pool=ConnectionPool(limits, timers),
         metrics=Metrics(),
-        incarnation=Incarnation(uuid.uuid4().hex),
+        incarnation=incarnation,
         stopping=trio.Event(),
     )
 
--- a/src/ebonystream/composition/_reports.py
+++ b/src/ebonystream/composition/_reports.py
@@ -86,6 +86,7 @@
         zone=server.zone,
         zone_out=parts.control.is_out(server.zone),
         leaving=server.leaving,
+        phase=server.warmth.phase.value,
         in_flight=server.in_flight,
     )
 
--- a/src/ebonystream/composition/_servers.py
+++ b/src/ebonystream/composition/_servers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from functools import partial
+from random import Random
 
 import attrs
 
@@ -89,7 +90,12 @@
 
 
 def make_server_rules(
-    *, directory: Directory, view: FleetView, slots: int, timers: Timers
+    *,
+    directory: Directory,
+    view: FleetView,
+    slots: int,
+    timers: Timers,
+    random: Random,
 ) -> ServerRules:
     """Make the rules that each call to a backend server passes.
 
@@ -98,6 +104,7 @@
         view: What is asked of the other entry hosts.
         slots: Calls that a server works on at the same time.
         timers: Tells the time.
+        random: The seeded source of random choices.
     """
     sponsorship = Sponsorship(view.is_sponsor, view.is_alone, timers)
     starting = StartingRules(
@@ -125,8 +132,8 @@
             make_starting_observer(starting),
         ),
         sponsorship=sponsorship,
-        standings=StandingExchange(directory, timers),
-        suspects=SuspectExchange(crash.suspects, timers),
+        standings=StandingExchange(directory, timers, random),
+        suspects=SuspectExchange(crash.suspects, timers, random),
         guard=partial(make_crash_guard, crash),
     )
 
--- a/src/ebonystream/crash/_notes.py
+++ b/src/ebonystream/crash/_notes.py
@@ -1,6 +1,7 @@
 """What entry hosts tell one another of crashes."""
 
 from collections.abc import Iterable, Iterator
+from random import Random
 
 import attrs
 import msgspec
@@ -14,9 +15,6 @@
 RECENT = Seconds(2)
 """How long a change is told in each heartbeat."""
 
-ROTATED_CRASHES = 1
-"""Unchanged crashes told in each heartbeat, in turn."""
-
 MAX_NOTES = 64
 """Notes that one heartbeat carries at most."""
 
@@ -49,14 +47,14 @@
     Attributes:
         suspects: The crashes that are known.
         timers: Tells the time.
+        random: Chooses who is told of unchanged.
         dropped: Notes from peers that made no sense.
-        turn: Whose turn it is to be told of unchanged.
     """
 
     suspects: SuspectTable
     timers: Timers
+    random: Random
     dropped: int = 0
-    turn: int = 0
 
     def list_notes(self) -> tuple[str, ...]:
         """Give what the next heartbeat tells."""
@@ -64,7 +62,7 @@
         now = self.timers.now()
         crashes = list(self.suspects.crashes.values())
         recent = [one for one in crashes if now - one.changed_at < RECENT]
-        told = {one.id: one for one in (*recent, *self._rotate(crashes))}
+        told = {one.id: one for one in (*recent, *self._choose(crashes))}
         notes = [note for one in told.values() for note in _tell(one, now)]
         return tuple(
             msgspec.json.encode(note).decode() for note in notes[:MAX_NOTES]
@@ -97,12 +95,8 @@
         else:
             self.suspects.suspect(crash, note.fingerprint, note.suspicion)
 
-    def _rotate(self, crashes: list[Crash]) -> list[Crash]:
-        if not crashes:
-            return []
-        start = self.turn % len(crashes)
-        self.turn = start + ROTATED_CRASHES
-        return crashes[start : start + ROTATED_CRASHES]
+    def _choose(self, crashes: list[Crash]) -> list[Crash]:
+        return [self.random.choice(crashes)] if crashes else []
 
 
 def _tell(crash: Crash, now: Monotonic) -> Iterator[SuspectNote]:
--- a/tests/server_fakes.py
+++ b/tests/server_fakes.py
@@ -204,7 +204,11 @@
         tell_peers=lambda: None,
     )
     rules = make_server_rules(
-        directory=directory, view=view, slots=SLOTS, timers=TIMERS
+        directory=directory,
+        view=view,
+        slots=SLOTS,
+        timers=TIMERS,
+        random=random,
     )
 
     async def send(call, server):
--- a/tests/test_crash_rules.py
+++ b/tests/test_crash_rules.py
@@ -1,5 +1,7 @@
 """Requests that end servers: who is suspected, cleared and refused."""
 
+from random import Random
+
 import pytest
 import trio
 from server_fakes import TIMERS, make_attempt, make_call, make_listed
@@ -38,7 +40,7 @@
             server.warmth.phase = ServerPhase.SERVING
             server.warmth.note_boot('b0', 0)
         self.suspects = SuspectTable(TIMERS)
-        self.exchange = SuspectExchange(self.suspects, TIMERS)
+        self.exchange = SuspectExchange(self.suspects, TIMERS, Random(1))
         self.rules = CrashRules(
             suspects=self.suspects,
             running=RunningCalls(),
