--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -59,14 +59,16 @@
 def _make_dispatch(parts: Parts) -> Dispatch:
     rules = parts.server_rules
     return make_dispatch(
-        place=guard_place(
-            make_placing(
-                directory=parts.directory,
-                is_out=parts.control.is_out,
-                random=Random(parts.incarnation),
-                may_take=rules.may_take,
-            ),
-            parts.zones_in_flight,
+        place=rules.guard(
+            guard_place(
+                make_placing(
+                    directory=parts.directory,
+                    is_out=parts.control.is_out,
+                    random=Random(parts.incarnation),
+                    may_take=rules.may_take,
+                ),
+                parts.zones_in_flight,
+            )
         ),
         send=make_sender(pool=parts.pool, timers=parts.timers),
         observers=(
--- a/tests/server_fakes.py
+++ b/tests/server_fakes.py
@@ -25,17 +25,16 @@
     LoadReport,
     ServerAddress,
     ServerState,
-    Sponsorship,
-    StandingExchange,
-    StartingRules,
     make_dispatch,
     make_placing,
-    make_starting_begin,
-    make_starting_gate,
-    make_starting_observer,
     release_place,
 )
 from ebonystream.call import Answer, Call, CallKind
+from ebonystream.composition._servers import (
+    FleetView,
+    ServerRules,
+    make_server_rules,
+)
 from ebonystream.errors import Outcome
 
 SERVICE = ServiceName('passes')
@@ -184,12 +183,11 @@
 
 @attrs.define
 class FakeHost:
-    """One entry host: the product's own parts on a shared set of servers."""
+    """One entry host: the product's own rules on a shared set of servers."""
 
     name: str
     directory: Directory
-    sponsorship: Sponsorship
-    standings: StandingExchange
+    rules: ServerRules
     dispatch: object
     heard: dict = attrs.field(factory=dict)
 
@@ -197,17 +195,20 @@
 def make_host(name, fakes, random, *, is_sponsor, is_alone):
     directory = Directory()
     heard = {}
-    sponsorship = Sponsorship(is_sponsor, is_alone, TIMERS)
-
-    def count_elsewhere(server):
-        return sum(loads.get(server, 0) for loads in heard.values())
-
-    rules = StartingRules(
+    view = FleetView(
+        is_sponsor=is_sponsor,
+        is_alone=is_alone,
+        count_elsewhere=lambda server: sum(
+            loads.get(server, 0) for loads in heard.values()
+        ),
+        tell_peers=lambda: None,
+    )
+    rules = make_server_rules(
         directory=directory,
-        is_held=sponsorship.is_held,
-        count_elsewhere=count_elsewhere,
+        view=view,
         slots=SLOTS,
         timers=TIMERS,
+        random=random,
     )
 
     async def send(call, server):
@@ -217,44 +218,40 @@
         directory=directory,
         is_out=lambda zone: False,
         random=random,
-        may_take=make_starting_gate(rules),
+        may_take=rules.may_take,
     )
     dispatch = make_dispatch(
-        place=place,
+        place=rules.guard(place),
         send=send,
-        observers=(release_place, make_starting_observer(rules)),
+        observers=(release_place, *rules.observers),
         timers=TIMERS,
-        begins=(make_starting_begin(rules),),
-    )
-    return FakeHost(
-        name=name,
-        directory=directory,
-        sponsorship=sponsorship,
-        standings=StandingExchange(directory, TIMERS),
-        dispatch=dispatch,
-        heard=heard,
+        begins=rules.begins,
     )
+    return FakeHost(name, directory, rules, dispatch, heard)
 
 
 async def gossip(hosts, random, *, period=0.25, delay=0.05):
-    """Carry standings and loads between all hosts for ever."""
+    """Carry standings, suspects and loads between all hosts for ever."""
 
-    async def carry(standings, loads, sender, receiver):
+    async def carry(told, sender, receiver):
+        standings, notes, loads = told
         await trio.sleep(random.uniform(0, delay))
-        receiver.standings.take_standings(standings)
+        receiver.rules.standings.take_standings(standings)
+        receiver.rules.suspects.take_notes(notes)
         receiver.heard[sender.name] = loads
 
     async with trio.open_nursery() as nursery:
         while True:
             for sender in hosts:
-                standings = sender.standings.list_standings()
-                loads = {
-                    server.id: server.in_flight
-                    for server in sender.directory.servers.values()
-                }
+                told = (
+                    sender.rules.standings.list_standings(),
+                    sender.rules.suspects.list_notes(),
+                    {
+                        server.id: server.in_flight
+                        for server in sender.directory.servers.values()
+                    },
+                )
                 for receiver in hosts:
                     if receiver is not sender:
-                        nursery.start_soon(
-                            carry, standings, loads, sender, receiver
-                        )
+                        nursery.start_soon(carry, told, sender, receiver)
             await trio.sleep(period)
