--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -20,6 +20,7 @@
 from ebonystream.configuration import Control
 from ebonystream.move import ZonesInFlight
 from ebonystream.observation import Metrics
+from ebonystream.ownership import Grants, Ledger
 from ebonystream.platform import (
     LogService,
     ReadHosts,
@@ -39,6 +40,8 @@
     log: LogService
     read_hosts: ReadHosts
     control: Control
+    grants: Grants
+    ledger: Ledger
     peers: ListedPeers
     zones_in_flight: ZonesInFlight
     directory: Directory
@@ -71,6 +74,8 @@
         log=make_http_log(client=client, url=settings.log.url),
         read_hosts=make_host_reader(client=client, url=settings.host_list.url),
         control=control,
+        grants=Grants(keep_ms=settings.ownership.window_ms),
+        ledger=Ledger(max_bytes=settings.ownership.max_bytes),
         peers=ListedPeers(),
         zones_in_flight=ZonesInFlight(control.is_out),
         directory=directory,
