Name the request where its outcome is unknown; chill zones that return

Cause: after exit code 4 an operator has to ask again under the same id, and an id that the command line had drawn itself was never shown. The advice for a log that is down spoke of publishes, for moves too. The hook for zones that return was empty. Ruled out: printing the id with each answer; a move's line has it already. Change: the error line ends with the id, the advice names the id, empty cells show a dash, and a returning zone's servers are chilled by the backend aggregate's own function.

--- a/src/ebonystream/cli/_client.py
+++ b/src/ebonystream/cli/_client.py
@@ -79,7 +79,7 @@
         try:
             return send(self, method, path, body)
         except AdminError as error:
-            typer.echo(str(error), err=True)
+            typer.echo(f'{error}{_name_request(error, body)}', err=True)
             raise typer.Exit(error.exit_code) from error
 
 
@@ -114,6 +114,12 @@
     return _read_answer(client, answer, body)
 
 
+def _name_request(error: AdminError, body: Json | None) -> str:
+    if body is None or error.exit_code is not ExitCode.UNKNOWN:
+        return ''
+    return f' (--id {body["id"]})'
+
+
 def _choose_failure(error: Exception, body: Json | None) -> ExitCode:
     if body is None or isinstance(error, BEFORE_SENDING):
         return ExitCode.UNREACHABLE
--- a/src/ebonystream/cli/_spelling.py
+++ b/src/ebonystream/cli/_spelling.py
@@ -6,6 +6,7 @@
 from ebonystream.cli._client import Json
 
 GAP = '  '
+NOTHING = '-'
 
 
 def spell_table(rows: Sequence[Sequence[object]]) -> str:
@@ -106,8 +107,8 @@
 
 
 def _spell_cell(cell: object) -> str:
-    if cell is None:
-        return '-'
+    if cell is None or cell in ([], {}):
+        return NOTHING
     if isinstance(cell, bool):
         return 'yes' if cell else 'no'
     if isinstance(cell, dict):
--- a/src/ebonystream/composition/_moves.py
+++ b/src/ebonystream/composition/_moves.py
@@ -9,9 +9,14 @@
     RequestId,
     Seconds,
     ServerId,
-    ZoneName,
 )
-from ebonystream.backend import Attempt, BackendServer, Observe, Place
+from ebonystream.backend import (
+    Attempt,
+    BackendServer,
+    Observe,
+    Place,
+    chill_zone,
+)
 from ebonystream.call import Call
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.configuration import Ask, make_asking
@@ -101,7 +106,9 @@
     parts.control.watch.subscribe(
         make_return_watch(
             get_moves=lambda: parts.control.folded.moves,
-            on_zone_back=_leave_as_it_is,
+            on_zone_back=lambda zone: chill_zone(
+                parts.directory, zone, parts.timers
+            ),
             timers=parts.timers,
         )
     )
@@ -140,7 +147,3 @@
 
 def _explain_nothing(move: VersionMove) -> str:
     return ''
-
-
-def _leave_as_it_is(zone: ZoneName) -> None:
-    """Take a zone's return for what its servers show of it."""
--- a/src/ebonystream/errors.py
+++ b/src/ebonystream/errors.py
@@ -191,7 +191,7 @@
         ErrorKind.LOG_UNAVAILABLE: ErrorAnswer(
             HTTPStatus.SERVICE_UNAVAILABLE,
             Outcome.UNKNOWN,
-            'Read the current version, then publish again if it is missing.',
+            'Ask again under the same id; repeating a request is harmless.',
         ),
         ErrorKind.PUBLISH_REJECTED: ErrorAnswer(
             HTTPStatus.CONFLICT,
