--- a/src/ebonystream/composition/_moves.py
+++ b/src/ebonystream/composition/_moves.py
@@ -1,5 +1,6 @@
 """Wires moves: what hosts confirm, verdicts, and zones that come back."""
 
+from functools import partial
 from random import Random
 
 import xxhash
@@ -106,9 +107,7 @@
     parts.control.watch.subscribe(
         make_return_watch(
             get_moves=lambda: parts.control.folded.moves,
-            on_zone_back=lambda zone: chill_zone(
-                parts.directory, zone, parts.timers
-            ),
+            on_zone_back=partial(chill_zone, parts.directory, parts.timers),
             timers=parts.timers,
         )
     )
--- a/src/ebonystream/composition/_servers.py
+++ b/src/ebonystream/composition/_servers.py
@@ -1,16 +1,20 @@
 """Wires what backend servers bear: cold starts, leaving, crashes, versions."""
 
 from collections.abc import Callable
+from functools import partial
+from random import Random
 
 import attrs
 
 from ebonystream._ids import Seconds, ServerId
 from ebonystream._timers import Timers
 from ebonystream.backend import (
+    BackendServer,
     Begin,
     Directory,
     MayTake,
     Observe,
+    Place,
     Sponsorship,
     StandingExchange,
     StartingRules,
@@ -18,6 +22,17 @@
     make_starting_gate,
     make_starting_observer,
 )
+from ebonystream.call import Call
+from ebonystream.crash import (
+    CrashRules,
+    RunningCalls,
+    SuspectExchange,
+    SuspectTable,
+    make_crash_begin,
+    make_crash_gate,
+    make_crash_guard,
+    make_crash_observer,
+)
 
 SPONSOR_CHECK_PERIOD = Seconds(0.5)
 
@@ -32,11 +47,13 @@
             still agree.
         is_alone: Tells whether no other entry host is listed.
         count_elsewhere: Tells the calls of other hosts at a server.
+        tell_peers: Wakes the heartbeats.
     """
 
     is_sponsor: Callable[[ServerId], bool]
     is_alone: Callable[[], bool]
     count_elsewhere: Callable[[ServerId], int]
+    tell_peers: Callable[[], None]
 
 
 def make_lone_view() -> FleetView:
@@ -45,6 +62,7 @@
         is_sponsor=lambda server: True,
         is_alone=lambda: True,
         count_elsewhere=lambda server: 0,
+        tell_peers=lambda: None,
     )
 
 
@@ -58,6 +76,8 @@
         observers: Learn from the end of each attempt.
         sponsorship: Which servers this host is the sponsor of.
         standings: Tells peers of servers, and learns from them.
+        suspects: Tells peers of crashes, and learns from them.
+        guard: Makes a placing that refuses requests which crash servers.
     """
 
     may_take: MayTake
@@ -65,10 +85,17 @@
     observers: tuple[Observe, ...]
     sponsorship: Sponsorship
     standings: StandingExchange
+    suspects: SuspectExchange
+    guard: Callable[[Place], Place]
 
 
 def make_server_rules(
-    *, directory: Directory, view: FleetView, slots: int, timers: Timers
+    *,
+    directory: Directory,
+    view: FleetView,
+    slots: int,
+    timers: Timers,
+    random: Random,
 ) -> ServerRules:
     """Make the rules that each call to a backend server passes.
 
@@ -77,6 +104,7 @@
         view: What is asked of the other entry hosts.
         slots: Calls that a server works on at the same time.
         timers: Tells the time.
+        random: The seeded source of random choices.
     """
     sponsorship = Sponsorship(view.is_sponsor, view.is_alone, timers)
     starting = StartingRules(
@@ -86,15 +114,43 @@
         slots=slots,
         timers=timers,
     )
+    crash = CrashRules(
+        suspects=SuspectTable(timers),
+        running=RunningCalls(),
+        directory=directory,
+        is_sponsor=view.is_sponsor,
+        timers=timers,
+        tell_peers=view.tell_peers,
+    )
     return ServerRules(
-        may_take=make_starting_gate(starting),
-        begins=(make_starting_begin(starting),),
-        observers=(make_starting_observer(starting),),
+        may_take=join_gates(
+            make_starting_gate(starting), make_crash_gate(crash)
+        ),
+        begins=(make_starting_begin(starting), make_crash_begin(crash)),
+        observers=(
+            make_crash_observer(crash),
+            make_starting_observer(starting),
+        ),
         sponsorship=sponsorship,
-        standings=StandingExchange(directory, timers),
+        standings=StandingExchange(directory, timers, random),
+        suspects=SuspectExchange(crash.suspects, timers, random),
+        guard=partial(make_crash_guard, crash),
     )
 
 
+def join_gates(*gates: MayTake) -> MayTake:
+    """Make the predicate that holds where all of several hold.
+
+    Args:
+        gates: The predicates.
+    """
+
+    def may_take(call: Call, server: BackendServer) -> bool:
+        return all(gate(call, server) for gate in gates)
+
+    return may_take
+
+
 async def refresh_sponsorship(
     rules: ServerRules, directory: Directory, timers: Timers
 ) -> None:
--- a/tests/server_mutations.py
+++ b/tests/server_mutations.py
@@ -21,6 +21,8 @@
 
 
 RUNS = 'tests/test_server_runs.py::test_cold_servers_get_one_call_at_a_time'
+CRASHES = 'tests/test_crash_rules.py'
+CRASH_RUNS = 'tests/test_crash_runs.py'
 RULES = 'tests/test_server_rules.py'
 
 SERVER_MUTATIONS = {
@@ -72,4 +74,43 @@
     'a lost connection tells nothing': Mutation(
         'backend/_learning.py', 'if attempt.kind in LOST:', 'if False:', RULES
     ),
+    'a suspect does not run alone': Mutation(
+        'crash/_running.py',
+        'return any(one.as_suspect',
+        'return None in (one.as_suspect',
+        CRASHES,
+    ),
+    'an answer clears nobody': Mutation(
+        'crash/_rules.py',
+        'rules.suspects.clear(make_fingerprint(ended.call))',
+        'return',
+        CRASHES,
+    ),
+    'innocent calls beside it are refused': Mutation(
+        'crash/_table.py',
+        'return _find_common(against) == {fingerprint}',
+        'return True',
+        CRASHES,
+    ),
+    'one fault at two servers is proof': Mutation(
+        'crash/_table.py', 'is not Suspicion.AGAIN:', 'is None:', CRASHES
+    ),
+    'a mass failure is proof': Mutation(
+        'crash/_table.py',
+        'return beside < MASS_CRASHES',
+        'return True',
+        CRASHES,
+    ),
+    'a run that answers has ended': Mutation(
+        'crash/_rules.py', 'crash.void(rules.timers.now())', 'return', CRASHES
+    ),
+    'nobody is refused': Mutation(
+        'crash/_table.py',
+        'if not any(self._is_proof(crash, fingerprint) for crash in against):',
+        'if against:',
+        CRASH_RUNS,
+    ),
+    'crashes are not told to peers': Mutation(
+        'crash/_notes.py', 'for sent in notes:', 'for sent in ():', CRASH_RUNS
+    ),
 }
--- /dev/null
+++ b/tests/test_crash_runs.py
@@ -0,0 +1,79 @@
+"""Randomised runs with a request that ends each server that runs it."""
+
+import os
+
+import pytest
+import trio
+from server_fakes import SPREAD, TIMERS, gossip, make_call
+from test_server_runs import HOSTS, World
+
+from ebonystream.errors import EbonystreamError, ErrorKind
+
+SEEDS = int(os.environ.get('SEEDS', '6'))
+SENDS = 12
+BAD = b'bad'
+
+
+class CrashWorld(World):
+    """Hosts whose callers send popular requests, one of them a bad one."""
+
+    def __init__(self, seed):
+        super().__init__(seed, announces=True)
+        for fake in self.fakes.values():
+            fake.crash_bodies.add(BAD)
+        self.refused = set()
+
+    async def send(self, host, body):
+        """Send one request and note whether it is refused as one that ends servers."""
+        call = make_call(body, now=TIMERS.now())
+        try:
+            await host.dispatch(call, set())
+        except EbonystreamError as error:
+            if error.kind is ErrorKind.CRASHES_BACKENDS:
+                self.refused.add(body)
+
+    async def _send_call(self, host):
+        body = f'body {self.random.randrange(8)}'.encode()
+        await self.send(host, body)
+
+    async def run_with(self, misbehave):
+        """Run until a bad caller has sent everything."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.refresh)
+            nursery.start_soon(gossip, self.hosts, self.random)
+            for host in self.hosts:
+                nursery.start_soon(self.send_calls, host)
+            await trio.sleep(8)
+            await misbehave(self)
+            await trio.sleep(2)
+            nursery.cancel_scope.cancel()
+        return sum(fake.crashes for fake in self.fakes.values())
+
+
+async def send_again(world):
+    """Send the bad request again and again, through any host."""
+    for _ in range(SENDS):
+        await world.send(world.random.choice(world.hosts), BAD)
+        await trio.sleep(SPREAD + world.random.uniform(0, 1))
+
+
+async def send_at_once(world):
+    """Send copies of the bad request through all hosts at the same time."""
+    async with trio.open_nursery() as nursery:
+        for _ in range(SENDS):
+            for host in world.hosts:
+                nursery.start_soon(world.send, host, BAD)
+            await trio.sleep(world.random.uniform(0, 0.1))
+
+
+@pytest.mark.parametrize('seed', range(SEEDS))
+@pytest.mark.parametrize(
+    ('misbehave', 'most'), [(send_again, 2), (send_at_once, 2 * HOSTS)]
+)
+async def test_crashes_are_few_and_innocents_served(
+    autojump_clock, seed, misbehave, most
+):
+    world = CrashWorld(seed)
+    crashes = await world.run_with(misbehave)
+    assert 1 <= crashes <= most
+    assert world.refused == {BAD}
