--- /dev/null
+++ b/tools/slopes/control.py
@@ -0,0 +1,77 @@
+"""What the configuration costs."""
+
+from functools import partial
+
+import msgspec
+
+from ebonystream._ids import EpochMs, Offset
+from ebonystream.configuration import Control, Publish
+from ebonystream.platform import LogRecord
+from slopes.fit import Line, fit_line
+from slopes.meter import time_work, weigh_state
+
+CUSTOMER_COUNTS = (250, 1000, 4000, 16_000)
+CUSTOMERS_A_PLAN = 100
+ROUTES_A_PLAN = 6
+RECORDS_A_RUN = 4
+
+
+def measure_control() -> list[Line]:
+    """Measure the fold of publishes, its state, record and snapshot."""
+    against = 'customers'
+    bodies = [_make_publish(count) for count in CUSTOMER_COUNTS]
+    weights = [weigh_state(partial(_fold, body)) for body in bodies]
+    times = [time_work(partial(_fold, body)) for body in bodies]
+    snapshots = [len(_fold(body).take_snapshot() or b'') for body in bodies]
+    sizes = [len(body) for body in bodies]
+    counts = CUSTOMER_COUNTS
+    return [
+        fit_line('fold of one publish', 'us', against, counts, times),
+        fit_line('configuration memory', 'bytes', against, counts, weights),
+        fit_line('publish record', 'bytes', against, counts, sizes),
+        fit_line('snapshot', 'bytes', against, counts, snapshots),
+    ]
+
+
+def _fold(body: bytes) -> Control:
+    control = Control()
+    control.fold(LogRecord(Offset(0), EpochMs(0), body))
+    return control
+
+
+def _make_publish(customers: int) -> bytes:
+    plans = max(1, customers // CUSTOMERS_A_PLAN)
+    lists = {
+        'customers': [
+            _make_customer(number, plans) for number in range(customers)
+        ],
+        'plans': [_make_plan(number) for number in range(plans)],
+    }
+    return msgspec.json.encode(Publish('request-1', 0, lists))
+
+
+def _make_plan(number: int) -> dict[str, object]:
+    return {
+        'plan': f'plan-{number}',
+        'plan_class': 'promised',
+        'calls_per_second': 100,
+        'burst_calls': 10,
+        'deadline_ms': 500,
+        'routes': [
+            {
+                'route': f'route-{route}',
+                'service': f'service-{number}',
+                'method': 'GET',
+                'path_prefix': f'/service-{number}/route-{route}/',
+                'once': False,
+            }
+            for route in range(ROUTES_A_PLAN)
+        ],
+    }
+
+
+def _make_customer(number: int, plans: int) -> dict[str, str]:
+    return {
+        'customer': f'customer-{number}',
+        'plan': f'plan-{number % plans}',
+    }
--- /dev/null
+++ b/tools/slopes/keys.py
@@ -0,0 +1,113 @@
+"""What ownership of keys costs."""
+
+from functools import partial
+from random import Random
+
+import msgspec
+
+from ebonystream._ids import EpochMs, Incarnation, Offset, SliceNumber
+from ebonystream.call import Answer
+from ebonystream.errors import Outcome
+from ebonystream.ownership import (
+    SLICES,
+    Claim,
+    Grants,
+    Ledger,
+    Span,
+    make_key,
+)
+from ebonystream.platform import LogRecord
+from slopes.fit import Line, fit_line
+from slopes.meter import time_work, weigh_state
+
+NOW = EpochMs(1_800_000_000_000)
+MINUTE_MS = 60_000
+KEEP_MS = 600_000
+ANSWER_BYTES = 200
+LEDGER_BYTES = 1_000_000_000
+KEY_COUNTS = (1000, 4000, 16_000, 64_000)
+RECORD_COUNTS = (250, 500, 1000, 2000)
+OWNER_COUNTS = (4, 8, 16, 32)
+
+
+def measure_keys() -> list[Line]:
+    """Measure the ledger and the fold of claims."""
+    against = 'keys remembered'
+    weights = [weigh_state(partial(_fill, count)) for count in KEY_COUNTS]
+    times = [time_work(partial(_fill, count)) for count in KEY_COUNTS]
+    return [
+        fit_line('ledger memory', 'bytes', against, KEY_COUNTS, weights),
+        fit_line('ledger time', 'us', 'keys run', KEY_COUNTS, times),
+        _measure_fold(),
+        _measure_claim(),
+    ]
+
+
+def _measure_fold() -> Line:
+    times = []
+    for count in RECORD_COUNTS:
+        records = _make_records(count)
+        times.append(time_work(partial(_fold, records)))
+    return fit_line(
+        'fold of claims of 4 slices',
+        'us',
+        'claim records',
+        RECORD_COUNTS,
+        times,
+    )
+
+
+def _measure_claim() -> Line:
+    sizes = [len(_spell_claim(SLICES // count)) for count in OWNER_COUNTS]
+    slices = [SLICES // count for count in OWNER_COUNTS]
+    return fit_line('claim record', 'bytes', 'slices claimed', slices, sizes)
+
+
+def _fill(count: int) -> Ledger:
+    ledger = Ledger(max_bytes=LEDGER_BYTES)
+    random = Random(count)
+    body = bytes(ANSWER_BYTES)
+    for _ in range(count):
+        entry = ledger.begin(make_key(NOW, random), b'digest')
+        answer = Answer(
+            outcome=Outcome.RAN, status=200, headers=(), body=bytes(body)
+        )
+        ledger.finish(entry, answer)
+    return ledger
+
+
+def _fold(records: list[LogRecord]) -> Grants:
+    grants = Grants(keep_ms=KEEP_MS)
+    for record in records:
+        grants.fold(record)
+    return grants
+
+
+def _make_records(count: int) -> list[LogRecord]:
+    """Make records of 16 owners with 4 slices each, as they claim ahead."""
+    owners = SLICES // 4
+    return [
+        LogRecord(
+            Offset(number),
+            EpochMs(NOW + number // owners * MINUTE_MS),
+            _make_claim(number % owners, number // owners),
+        )
+        for number in range(count)
+    ]
+
+
+def _make_claim(owner: int, minute: int) -> bytes:
+    start = EpochMs(NOW + minute * MINUTE_MS)
+    spans = tuple(
+        Span(SliceNumber(4 * owner + slice_), start, EpochMs(start + MINUTE_MS))
+        for slice_ in range(4)
+    )
+    return msgspec.json.encode(Claim(Incarnation(f'owner-{owner}'), spans))
+
+
+def _spell_claim(slices: int) -> bytes:
+    spans = tuple(
+        Span(SliceNumber(number), NOW, EpochMs(NOW + MINUTE_MS))
+        for number in range(slices)
+    )
+    return msgspec.json.encode(Claim(Incarnation('owner-of-slices'), spans))
