--- a/src/ebonystream/admin/_answers.py
+++ b/src/ebonystream/admin/_answers.py
@@ -17,6 +17,7 @@
     ZoneName,
 )
 from ebonystream.configuration import Following
+from ebonystream.membership import MemberState
 from ebonystream.move import MoveReport
 
 
@@ -57,6 +58,7 @@
 
     Attributes:
         host: The host.
+        state: How it stands.
         incarnation: Which run of it; None where it was never heard.
         control_next: The first offset of the control stream it lacked.
         zones_in_flight: Calls that it had in hand in each zone.
@@ -64,6 +66,7 @@
     """
 
     host: HostId
+    state: MemberState
     incarnation: Incarnation | None
     control_next: Offset
     zones_in_flight: dict[ZoneName, int]
@@ -154,6 +157,7 @@
         following: Whether it holds all that the log forgot.
         caught_up: Whether it knows the configuration and serves callers.
         leaving: Whether it is stopping.
+        hosts: The entry hosts, itself first.
         backends: Its backend servers.
     """
 
@@ -165,6 +169,7 @@
     following: Following
     caught_up: bool
     leaving: bool
+    hosts: tuple[HostStatus, ...]
     backends: tuple[BackendStatus, ...]
 
 
--- /dev/null
+++ b/src/ebonystream/composition/_members.py
@@ -0,0 +1,128 @@
+"""Wires the membership: its tasks, what it is told, and what it tells."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+import trio
+
+from ebonystream._ids import HostId
+from ebonystream.composition._parts import Parts
+from ebonystream.membership import (
+    FillHeartbeat,
+    HeartbeatContents,
+    Helpers,
+    Links,
+    ListedPeer,
+    SharedState,
+    catch_up,
+    make_fetch_answer,
+    watch_members,
+)
+from ebonystream.peer import AnswerCall, ForwardCall, Handlers, Heartbeat
+from ebonystream.platform import HostRole, HostState, ListedHost
+
+TakeHeartbeat = Callable[[Heartbeat], None]
+
+
+async def keep_peers(parts: Parts) -> None:
+    """Keep up with the other entry hosts, for ever."""
+    await run_peers(parts, answer_call=_decline, states=(share_control(parts),))
+
+
+async def run_peers(
+    parts: Parts, *, answer_call: AnswerCall, states: tuple[SharedState, ...]
+) -> None:
+    """Talk with the other entry hosts, for ever.
+
+    Args:
+        parts: The parts of this host.
+        answer_call: Answers calls that peers forward.
+        states: What is shared with peers by snapshots.
+    """
+    handlers = Handlers(
+        answer_call=answer_call,
+        answer_fetch=make_fetch_answer(states),
+        take_heartbeat=_make_take(parts),
+    )
+    helpers = Helpers(
+        table=parts.peers.membership.table,
+        ask=parts.peers.exchange.ask,
+        timers=parts.timers,
+        random=Random(parts.incarnation),
+        silence=parts.peers.membership.base_pace.silence,
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(parts.peers.exchange.run, handlers)
+        nursery.start_soon(
+            watch_members, parts.peers.membership, _make_links(parts)
+        )
+        nursery.start_soon(_announce_leaving, parts)
+        for state in states:
+            nursery.start_soon(catch_up, state, helpers)
+
+
+def share_control(parts: Parts) -> SharedState:
+    """Share the control state with peers."""
+    return SharedState(
+        stream=parts.settings.log.control_stream,
+        get_next=lambda: parts.control.next,
+        read_next=lambda heartbeat: heartbeat.control_next,
+        take=parts.control.take_snapshot,
+        restore=parts.control.restore,
+        settle=parts.control.progress.settle,
+    )
+
+
+def replace_listed(parts: Parts, listed: Iterable[ListedHost]) -> None:
+    """Take over a reading of the host list."""
+    entries = (host for host in listed if host.role is HostRole.ENTRY)
+    parts.peers.membership.replace_listed(
+        map(_convert_entry, entries), parts.timers.now()
+    )
+
+
+def _make_links(parts: Parts) -> Links:
+    return Links(
+        send=parts.peers.exchange.send_heartbeat,
+        connect=parts.peers.transport.connect,
+        disconnect=parts.peers.transport.disconnect,
+        fill=_make_fill(parts),
+        timers=parts.timers,
+        random=Random(parts.incarnation),
+    )
+
+
+def _make_fill(parts: Parts) -> FillHeartbeat:
+    def fill() -> HeartbeatContents:
+        return HeartbeatContents(
+            control_next=parts.control.next,
+            zones_in_flight=dict(parts.zones_in_flight.calls),
+        )
+
+    return fill
+
+
+def _make_take(parts: Parts) -> TakeHeartbeat:
+    def take(heartbeat: Heartbeat) -> None:
+        parts.peers.membership.take_heartbeat(heartbeat, parts.timers.now())
+
+    return take
+
+
+async def _decline(sender: HostId, call: ForwardCall) -> None:
+    """Give no answer: this host owns no keys."""
+
+
+async def _announce_leaving(parts: Parts) -> None:
+    await parts.stopping.wait()
+    parts.peers.membership.leave()
+
+
+def _convert_entry(host: ListedHost) -> ListedPeer:
+    return ListedPeer(
+        host=HostId(host.name),
+        address=host.address,
+        port=host.port,
+        zone=host.zone,
+        leaving=host.state is HostState.LEAVING,
+    )
--- a/src/ebonystream/composition/_moves.py
+++ b/src/ebonystream/composition/_moves.py
@@ -13,12 +13,12 @@
 )
 from ebonystream.backend import Attempt, BackendServer, Observe, Place
 from ebonystream.call import Call
+from ebonystream.composition._confirmations import list_confirmations
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.configuration import Ask, make_asking, write_checkpoints
 from ebonystream.errors import EbonystreamError
 from ebonystream.move import (
     CloseMove,
-    Confirmation,
     EndMove,
     MoveReport,
     VerdictKind,
@@ -57,17 +57,6 @@
     return end_move
 
 
-def list_confirmations(parts: Parts) -> tuple[Confirmation, ...]:
-    """Give the newest word of each live entry host, this one first."""
-    own = Confirmation(
-        host=parts.settings.host.id,
-        incarnation=parts.incarnation,
-        control_next=parts.control.next,
-        zones_in_flight=dict(parts.zones_in_flight.calls),
-    )
-    return own, *parts.peers.list_confirmations()
-
-
 def report_move(parts: Parts, move: MoveId) -> MoveReport:
     """Report on a move; raises `NOT_FOUND`."""
     moves = parts.control.folded.moves
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -1,7 +1,7 @@
 """The parts that one entry host is made of."""
 
+import secrets
 import time
-import uuid
 
 import attrs
 import httpx
@@ -10,7 +10,7 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
 from ebonystream.backend import Directory
-from ebonystream.composition._peers import ListedPeers
+from ebonystream.composition._peers import Peers, make_peers
 from ebonystream.composition._servers import (
     ServerRules,
     make_lone_view,
@@ -19,6 +19,7 @@
 from ebonystream.configuration import Control
 from ebonystream.move import ZonesInFlight
 from ebonystream.observation import Metrics
+from ebonystream.peer import Transport
 from ebonystream.platform import (
     LogService,
     ReadHosts,
@@ -28,6 +29,9 @@
 from ebonystream.settings import Settings
 from ebonystream.upstream import ConnectionPool, PoolLimits
 
+INCARNATION_BYTES = 9
+"""Short, since each heartbeat carries it twice, and still never drawn again."""
+
 
 @attrs.frozen(kw_only=True)
 class Parts:
@@ -38,7 +42,7 @@
     log: LogService
     read_hosts: ReadHosts
     control: Control
-    peers: ListedPeers
+    peers: Peers
     zones_in_flight: ZonesInFlight
     directory: Directory
     server_rules: ServerRules
@@ -48,14 +52,18 @@
     stopping: trio.Event
 
 
-def make_parts(settings: Settings, client: httpx.AsyncClient) -> Parts:
+def make_parts(
+    settings: Settings, client: httpx.AsyncClient, transport: Transport
+) -> Parts:
     """Make the parts of one entry host; nothing runs yet.
 
     Args:
         settings: The checked settings.
         client: The HTTP client for the platform's services.
+        transport: Carries bytes to the other entry hosts.
     """
     timers = start_timers(wall_clock=time.time)
+    incarnation = Incarnation(secrets.token_urlsafe(INCARNATION_BYTES))
     limits = PoolLimits(
         idle_connections=settings.backends.slots + settings.backends.queue,
         idle=convert_ms(settings.backends.idle_ms),
@@ -69,7 +77,7 @@
         log=make_http_log(client=client, url=settings.log.url),
         read_hosts=make_host_reader(client=client, url=settings.host_list.url),
         control=control,
-        peers=ListedPeers(),
+        peers=make_peers(settings, incarnation, transport),
         zones_in_flight=ZonesInFlight(control.is_out),
         directory=directory,
         server_rules=make_server_rules(
@@ -80,7 +88,7 @@
         ),
         pool=ConnectionPool(limits, timers),
         metrics=Metrics(),
-        incarnation=Incarnation(uuid.uuid4().hex),
+        incarnation=incarnation,
         stopping=trio.Event(),
     )
 
--- a/src/ebonystream/composition/_peers.py
+++ b/src/ebonystream/composition/_peers.py
@@ -1,41 +1,95 @@
-"""What other entry hosts said, for reports on moves."""
+"""Wires the ways to the other entry hosts; nothing runs yet."""
 
-from collections.abc import Iterable
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
 
 import attrs
 
-from ebonystream._ids import EpochMs, HostId, Offset
-from ebonystream.move import Confirmation
+from ebonystream._ids import Incarnation, Seconds
+from ebonystream._timers import MS_PER_SECOND
+from ebonystream.membership import Identity, Membership, MemberTable, Pace
+from ebonystream.peer import (
+    Exchange,
+    ExchangeLimits,
+    Questions,
+    Transport,
+    ZmqSettings,
+    open_zmq_transport,
+)
+from ebonystream.settings import PeerSettings, Settings
 
-NOTHING_FOLDED = Offset(0)
 
+@attrs.frozen(kw_only=True)
+class Peers:
+    """The other entry hosts and the ways to them.
 
-@attrs.define
-class ListedPeers:
-    """Entry hosts on the platform's list that were never heard.
+    Attributes:
+        transport: Carries bytes to them.
+        exchange: Asks them, and answers them.
+        membership: How they stand.
+    """
 
-    A move waits for each of them: a host that is listed may serve callers.
+    transport: Transport
+    exchange: Exchange
+    membership: Membership
 
-    Attributes:
-        since: When each was first seen on the list.
+
+@asynccontextmanager
+async def open_transport(settings: Settings) -> AsyncIterator[Transport]:
+    """Listen for peers for as long as the block runs.
+
+    Args:
+        settings: The checked settings.
     """
+    peers = settings.peers
+    zmq_settings = ZmqSettings(
+        address=str(settings.host.address),
+        port=peers.port,
+        public_key=peers.public_key.encode(),
+        secret_key=peers.secret_key.encode(),
+        max_message_bytes=peers.max_message_bytes,
+        silence=Seconds(peers.unreachable_after_ms / MS_PER_SECOND),
+    )
+    async with open_zmq_transport(zmq_settings) as transport:
+        yield transport.share()
+
+
+def make_peers(
+    settings: Settings, incarnation: Incarnation, transport: Transport
+) -> Peers:
+    """Make what this host knows of its peers.
+
+    Args:
+        settings: The checked settings.
+        incarnation: This run of the host.
+        transport: Carries bytes to them.
+    """
+    own = Identity(
+        host=settings.host.id, incarnation=incarnation, zone=settings.host.zone
+    )
+    return Peers(
+        transport=transport,
+        exchange=Exchange(
+            host=own.host,
+            incarnation=incarnation,
+            transport=transport,
+            limits=ExchangeLimits(
+                message_bytes=settings.peers.max_message_bytes,
+                requests=settings.peers.max_requests,
+            ),
+            questions=Questions(Random(incarnation)),
+        ),
+        membership=Membership(
+            table=MemberTable(own=own),
+            base_pace=_read_pace(settings.peers),
+            heartbeats_per_second=settings.peers.heartbeats_per_second,
+        ),
+    )
+
 
-    since: dict[HostId, EpochMs] = attrs.field(factory=dict)
-
-    def replace(self, names: Iterable[HostId], now_ms: EpochMs) -> None:
-        """Take over a reading of the host list.
-
-        Args:
-            names: Every entry host on the list but this one.
-            now_ms: The wall clock.
-        """
-        self.since = {
-            name: self.since.get(name, now_ms) for name in sorted(names)
-        }
-
-    def list_confirmations(self) -> tuple[Confirmation, ...]:
-        """Give one for each host; none of them confirmed anything."""
-        return tuple(
-            Confirmation(name, None, NOTHING_FOLDED, {}, silent_since=since)
-            for name, since in self.since.items()
-        )
+def _read_pace(peers: PeerSettings) -> Pace:
+    return Pace(
+        period=Seconds(peers.heartbeat_ms / MS_PER_SECOND),
+        silence=Seconds(peers.unreachable_after_ms / MS_PER_SECOND),
+    )
--- a/src/ebonystream/composition/_reports.py
+++ b/src/ebonystream/composition/_reports.py
@@ -14,8 +14,9 @@
     VersionStatuses,
 )
 from ebonystream.backend import BackendServer
-from ebonystream.composition._moves import list_confirmations
+from ebonystream.composition._confirmations import list_confirmations
 from ebonystream.composition._parts import Parts
+from ebonystream.membership import MemberState
 from ebonystream.move import Confirmation
 
 
@@ -39,13 +40,22 @@
         following=progress.following,
         caught_up=progress.caught_up,
         leaving=parts.stopping.is_set(),
+        hosts=report_hosts(parts).hosts,
         backends=report_backends(parts).backends,
     )
 
 
 def report_hosts(parts: Parts) -> HostStatuses:
     """Tell how all entry hosts stand."""
-    return HostStatuses(tuple(map(_describe_host, list_confirmations(parts))))
+    states = {
+        member.host: member.state
+        for member in parts.peers.membership.table.list_members()
+    }
+    states[parts.settings.host.id] = _find_own_state(parts)
+    words = list_confirmations(parts)
+    return HostStatuses(
+        tuple(_describe_host(word, states[word.host]) for word in words)
+    )
 
 
 def report_backends(parts: Parts) -> BackendStatuses:
@@ -68,9 +78,15 @@
     )
 
 
-def _describe_host(word: Confirmation) -> HostStatus:
+def _find_own_state(parts: Parts) -> MemberState:
+    leaving = parts.stopping.is_set()
+    return MemberState.LEAVING if leaving else MemberState.REACHABLE
+
+
+def _describe_host(word: Confirmation, state: MemberState) -> HostStatus:
     return HostStatus(
         host=word.host,
+        state=state,
         incarnation=word.incarnation,
         control_next=word.control_next,
         zones_in_flight=dict(word.zones_in_flight),
--- a/src/ebonystream/composition/_root.py
+++ b/src/ebonystream/composition/_root.py
@@ -6,12 +6,14 @@
 from ebonystream._timers import MS_PER_SECOND
 from ebonystream.composition._admin import serve_admin_api
 from ebonystream.composition._listener import make_listener
+from ebonystream.composition._members import keep_peers
 from ebonystream.composition._moves import (
     finish_moves,
     keep_checkpoints,
     watch_returns,
 )
-from ebonystream.composition._parts import make_parts
+from ebonystream.composition._parts import Parts, make_parts
+from ebonystream.composition._peers import open_transport
 from ebonystream.composition._servers import refresh_sponsorship
 from ebonystream.composition._tasks import (
     close_idle,
@@ -29,25 +31,33 @@
         settings: The checked settings of the host.
     """
     timeout = settings.log.timeout_ms + settings.log.poll_wait_ms
-    async with httpx.AsyncClient(timeout=timeout / MS_PER_SECOND) as client:
-        parts = make_parts(settings, client)
+    async with (
+        httpx.AsyncClient(timeout=timeout / MS_PER_SECOND) as client,
+        open_transport(settings) as transport,
+    ):
+        parts = make_parts(settings, client, transport)
         listeners = await trio.open_tcp_listeners(
             settings.callers.port, host=str(settings.callers.address)
         )
         async with trio.open_nursery() as background:
-            background.start_soon(watch_signals, parts.stopping)
-            watch_returns(parts)
-            background.start_soon(tail_control, parts)
-            background.start_soon(finish_moves, parts)
-            background.start_soon(keep_checkpoints, parts)
-            background.start_soon(refresh_hosts, parts)
-            background.start_soon(close_idle, parts)
-            background.start_soon(
-                refresh_sponsorship,
-                parts.server_rules,
-                parts.directory,
-                parts.timers,
-            )
-            background.start_soon(serve_admin_api, parts)
+            _start_tasks(background, parts)
             await make_listener(parts).run(listeners, parts.stopping)
             background.cancel_scope.cancel()
+
+
+def _start_tasks(background: trio.Nursery, parts: Parts) -> None:
+    background.start_soon(watch_signals, parts.stopping)
+    watch_returns(parts)
+    background.start_soon(tail_control, parts)
+    background.start_soon(finish_moves, parts)
+    background.start_soon(keep_checkpoints, parts)
+    background.start_soon(refresh_hosts, parts)
+    background.start_soon(close_idle, parts)
+    background.start_soon(keep_peers, parts)
+    background.start_soon(
+        refresh_sponsorship,
+        parts.server_rules,
+        parts.directory,
+        parts.timers,
+    )
+    background.start_soon(serve_admin_api, parts)
--- a/src/ebonystream/composition/_tasks.py
+++ b/src/ebonystream/composition/_tasks.py
@@ -1,12 +1,12 @@
 """The background tasks of one entry host."""
 
 import signal
-from collections.abc import Iterable
 
 import trio
 
-from ebonystream._ids import HostId, Seconds, ServerId
+from ebonystream._ids import Seconds, ServerId
 from ebonystream.backend import BackendServer, ServerAddress
+from ebonystream.composition._members import replace_listed
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.configuration import tail_pages
 from ebonystream.errors import EbonystreamError
@@ -48,15 +48,7 @@
             if host.role is HostRole.BACKEND
         ]
         parts.directory.replace(servers, parts.timers.now())
-        _refresh_peers(parts, listed)
-
-
-def _refresh_peers(parts: Parts, listed: Iterable[ListedHost]) -> None:
-    own = parts.settings.host.id
-    names = {
-        HostId(host.name) for host in listed if host.role is HostRole.ENTRY
-    }
-    parts.peers.replace(names - {own}, parts.timers.wall_ms())
+        replace_listed(parts, listed)
 
 
 def _convert_host(host: ListedHost) -> BackendServer:
--- a/src/ebonystream/membership/_snapshots.py
+++ b/src/ebonystream/membership/_snapshots.py
@@ -56,6 +56,8 @@
         read_next: Gives the same of a peer, from its heartbeat.
         take: Spells the state; None where there is none to give.
         restore: Takes over a spelled state; False where it was refused.
+        settle: Is told the furthest offset of all peers, once each was heard
+            or counts as unreachable.
     """
 
     stream: StreamName
@@ -63,6 +65,7 @@
     read_next: Callable[[Heartbeat], Offset]
     take: Callable[[], bytes | None]
     restore: Callable[[bytes], bool]
+    settle: Callable[[Offset], None]
 
 
 @attrs.frozen(kw_only=True)
@@ -74,12 +77,15 @@
         ask: Asks one of them.
         timers: Tells the time.
         random: Chooses among those that are ahead.
+        silence: How long a listed peer may stay unheard until it counts as
+            unreachable, in seconds.
     """
 
     table: MemberTable
     ask: AskSnapshot
     timers: Timers
     random: Random
+    silence: Seconds
 
 
 @attrs.define
@@ -124,6 +130,8 @@
         if lag.is_long(state.get_next(), newest, now) and ahead:
             host = helpers.random.choice(sorted(ahead))
             await _fetch(host, state, helpers)
+        if _is_each_known(helpers, now):
+            state.settle(_find_furthest(state, helpers.table))
 
 
 def make_fetch_answer(states: Sequence[SharedState]) -> AnswerFetch:
@@ -156,6 +164,27 @@
     return {host: next_ for host, next_ in reached.items() if next_ > own}
 
 
+def _is_each_known(helpers: Helpers, now: Monotonic) -> bool:
+    """Tell whether each peer was heard or counts as unreachable."""
+    return not any(
+        member.state is MemberState.LISTED
+        and member.silent_since is not None
+        and now - member.silent_since <= helpers.silence
+        for member in helpers.table.list_members()
+    )
+
+
+def _find_furthest(state: SharedState, table: MemberTable) -> Offset:
+    return max(
+        (
+            state.read_next(member.heartbeat)
+            for member in table.list_members()
+            if member.heartbeat is not None
+        ),
+        default=FIRST_OFFSET,
+    )
+
+
 async def _fetch(host: HostId, state: SharedState, helpers: Helpers) -> None:
     deadline = Monotonic(helpers.timers.now() + FETCH_PATIENCE)
     request = FetchSnapshot(UNPAIRED, state.stream)
--- a/src/ebonystream/settings/_settings.py
+++ b/src/ebonystream/settings/_settings.py
@@ -70,7 +70,10 @@
         heartbeat_ms: The time between two heartbeats to each peer.
         unreachable_after_ms: Silence after which a peer counts as
             unreachable from here.
+        heartbeats_per_second: The most heartbeats that are sent to all peers
+            together; among many peers each gets them less often.
         max_message_bytes: Longer messages are dropped.
+        max_requests: Requests of peers that are answered at the same time.
     """
 
     port: Port
@@ -78,9 +81,11 @@
     secret_key: Annotated[str, Field(min_length=40, max_length=40)]
     heartbeat_ms: Milliseconds = 250
     unreachable_after_ms: Milliseconds = 1500
+    heartbeats_per_second: Annotated[int, Field(ge=1, le=1000)] = 32
     max_message_bytes: Annotated[int, Field(ge=1024, le=1_073_741_824)] = (
         4_194_304
     )
+    max_requests: Annotated[int, Field(ge=1, le=65_536)] = 1024
 
     @model_validator(mode='after')
     def check_silence(self) -> Self:
--- /dev/null
+++ b/tests/test_peer_processes.py
@@ -0,0 +1,154 @@
+"""Entry hosts as processes see one another through signals and outages."""
+
+import signal
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+
+import httpx
+import msgspec
+import pytest
+import trio
+
+from ebonystream.settings import BackendSettings
+from standins.cluster import LOOPBACK, lay_out
+from standins.demoplan import make_lists
+from standins.operation import publish
+from standins.processes import start_program
+from standins.startup import _spell_entries, _spell_platform
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+A, B, C = (f'entry-{zone}' for zone in ZONES)
+MAX_POLLS = 600
+POLL_S = 0.05
+
+pytestmark = pytest.mark.processes
+
+
+class Hosts:
+    """Three entry hosts as processes.
+
+    Attributes:
+        cluster: Where they listen.
+        programs: How each is started.
+        running: The process of each.
+    """
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        spelled = _spell_entries(cluster)
+        self.programs = {program.name: program for program in spelled}
+        self.admins = {entry.name: entry.admin for entry in cluster.entries}
+        self.running = {}
+
+    async def start(self, name):
+        """Start a host; it may not serve yet."""
+        program = self.programs[name]
+        log = self.cluster.directory / f'{name}.log'
+        self.running[name] = await trio.lowlevel.open_process(
+            [sys.executable, '-m', program.module, *program.arguments],
+            stdout=log.open('ab'),
+            stderr=subprocess.STDOUT,
+        )
+
+    def stop(self):
+        """Kill every host that runs, a stopped one too."""
+        for process in self.running.values():
+            if process.returncode is None:
+                process.kill()
+
+    async def ask(self, name, path):
+        """Ask the administration API of a host; None where it is silent."""
+        try:
+            async with httpx.AsyncClient() as client:
+                answer = await client.get(f'{self.admins[name]}{path}')
+        except httpx.TransportError:
+            return None
+        return answer.json()
+
+    async def wait_for(self, name, path, is_reached):
+        """Poll until an answer is as wanted; the number of polls is bounded."""
+        told = None
+        for _ in range(MAX_POLLS):
+            told = await self.ask(name, path)
+            if told is not None and is_reached(told):
+                return told
+            await trio.sleep(POLL_S)
+        raise AssertionError(f'{name} told {told}')
+
+    async def wait_for_states(self, viewer, **states):
+        """Poll until a host sees the others in these states."""
+        wanted = {f'entry-zone-{zone}': state for zone, state in states.items()}
+
+        def is_reached(told):
+            seen = {one['host']: one['state'] for one in told['hosts']}
+            return all(seen.get(host) == wanted[host] for host in wanted)
+
+        told = await self.wait_for(viewer, '/v1/hosts', is_reached)
+        return {one['host']: one['incarnation'] for one in told['hosts']}
+
+
+@asynccontextmanager
+async def open_processes(directory):
+    cluster = lay_out(
+        directory, zones=ZONES, services=(), limits=BackendSettings()
+    )
+    async with trio.open_nursery() as nursery:
+        for program in _spell_platform(cluster):
+            await start_program(nursery, program, directory)
+        hosts = Hosts(cluster)
+        try:
+            for name in (A, B, C):
+                await hosts.start(name)
+            for name in (A, B, C):
+                everyone = {
+                    'a': 'reachable',
+                    'b': 'reachable',
+                    'c': 'reachable',
+                }
+                await hosts.wait_for_states(name, **everyone)
+            yield hosts
+        finally:
+            hosts.stop()
+        nursery.cancel_scope.cancel()
+
+
+async def test_signals(tmp_path):
+    """Paused, killed and started anew, and asked to stop."""
+    async with open_processes(tmp_path) as hosts:
+        first = await hosts.wait_for_states(A, b='reachable')
+        hosts.running[B].send_signal(signal.SIGSTOP)
+        await hosts.wait_for_states(A, b='unreachable', c='reachable')
+        hosts.running[B].send_signal(signal.SIGCONT)
+        second = await hosts.wait_for_states(A, b='reachable')
+        assert second == first
+        hosts.running[B].kill()
+        await hosts.wait_for_states(A, b='unreachable', c='reachable')
+        await hosts.start(B)
+        third = await hosts.wait_for_states(A, b='reachable')
+        assert third[B] != first[B]
+        assert third[C] == first[C]
+        hosts.running[B].terminate()
+        await hosts.wait_for(
+            A, '/v1/hosts', lambda told: B not in str(told['hosts'])
+        )
+        assert await hosts.running[B].wait() == 0
+
+
+async def test_start_while_the_log_is_down(tmp_path):
+    """A host that starts then takes the configuration from a peer."""
+    async with open_processes(tmp_path) as hosts:
+        await publish(hosts.cluster, make_lists())
+        await hosts.wait_for(B, '/v1/status', is_configured)
+        hosts.running[C].kill()
+        url = f'http://{LOOPBACK}:{hosts.cluster.log_port}/control'
+        async with httpx.AsyncClient() as client:
+            conduct = msgspec.json.encode({'outage': 'refuse'})
+            await client.post(url, content=conduct)
+        await hosts.start(C)
+        status = await hosts.wait_for(C, '/v1/status', is_configured)
+        assert status['caught_up']
+
+
+def is_configured(status):
+    return status['configuration_version'] == 1
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -28,6 +28,7 @@
     restored: int = 0
     broken: bool = False
     goes_back: bool = False
+    settled: list = attrs.field(factory=list)
 
     def take(self):
         """Spell the state, unless it is broken."""
@@ -57,6 +58,7 @@
             read_next=lambda heartbeat: heartbeat.control_next,
             take=self.take,
             restore=self.restore,
+            settle=self.settled.append,
         )
 
 
@@ -132,6 +134,28 @@
     await run_folds(folds, body)
 
 
+@pytest.mark.parametrize(
+    ('cuts', 'at_s', 'settled'),
+    [
+        ([], 0.6, 9),
+        ([('b', 'c')], 1.4, None),
+        ([('b', 'c')], 2.2, 7),
+        ([('a', 'c'), ('b', 'c')], 1.4, None),
+        ([('a', 'c'), ('b', 'c')], 2.2, 0),
+    ],
+)
+async def test_settling(autojump_clock, cuts, at_s, settled):
+    """A host that starts knows when it has heard of each peer."""
+    folds = [Fold(7), Fold(9, broken=True), Fold()]
+
+    async def body(running):
+        running.network.cuts.update(cuts)
+        await trio.sleep(at_s)
+
+    await run_folds(folds, body)
+    assert (folds[2].settled or [None])[-1] == settled
+
+
 @pytest.mark.parametrize('seed', range(4))
 async def test_never_back_under_faults(autojump_clock, seed):
     """One host reads the log; the others live on snapshots alone."""
--- a/tools/standins/members.py
+++ b/tools/standins/members.py
@@ -87,6 +87,7 @@
             ask=self.exchange.ask,
             timers=self.links.timers,
             random=self.links.random,
+            silence=PACE.silence,
         )
 
 
