--- a/src/ebonystream/backend/_learning.py
+++ b/src/ebonystream/backend/_learning.py
@@ -69,13 +69,13 @@
     server.warmth.note_answer(rules.slots, began=Monotonic(now - took), now=now)
 
 
-def chill_zone(directory: Directory, zone: ZoneName, timers: Timers) -> None:
+def chill_zone(directory: Directory, timers: Timers, zone: ZoneName) -> None:
     """Treat each server of a zone that returns as cold.
 
     Args:
         directory: The servers that are known.
-        zone: The zone.
         timers: Tells the time.
+        zone: The zone.
     """
     for server in directory.servers.values():
         if server.zone == zone:
--- a/src/ebonystream/composition/_members.py
+++ b/src/ebonystream/composition/_members.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
+import msgspec
 import trio
 
 from ebonystream._ids import HostId
@@ -26,7 +27,11 @@
 
 async def keep_peers(parts: Parts) -> None:
     """Keep up with the other entry hosts, for ever."""
-    await run_peers(parts, answer_call=_decline, states=(share_control(parts),))
+    await run_peers(
+        parts,
+        answer_call=_decline,
+        states=(share_control(parts), share_keys(parts)),
+    )
 
 
 async def run_peers(
@@ -49,7 +54,6 @@
         ask=parts.peers.exchange.ask,
         timers=parts.timers,
         random=Random(parts.incarnation),
-        silence=parts.peers.membership.base_pace.silence,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(parts.peers.exchange.run, handlers)
@@ -69,7 +73,25 @@
         read_next=lambda heartbeat: heartbeat.control_next,
         take=parts.control.take_snapshot,
         restore=parts.control.restore,
-        settle=parts.control.progress.settle,
+    )
+
+
+def share_keys(parts: Parts) -> SharedState:
+    """Share the ownership of keys with peers."""
+    grants = parts.grants
+
+    def restore(snapshot: bytes) -> bool:
+        try:
+            return grants.restore(snapshot)
+        except msgspec.MsgspecError:
+            return False
+
+    return SharedState(
+        stream=parts.settings.log.keys_stream,
+        get_next=lambda: grants.next,
+        read_next=lambda heartbeat: heartbeat.keys_next,
+        take=grants.take_snapshot,
+        restore=restore,
     )
 
 
@@ -96,6 +118,7 @@
     def fill() -> HeartbeatContents:
         return HeartbeatContents(
             control_next=parts.control.next,
+            keys_next=parts.grants.next,
             zones_in_flight=dict(parts.zones_in_flight.calls),
         )
 
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -2,6 +2,7 @@
 
 import secrets
 import time
+from random import Random
 
 import attrs
 import httpx
@@ -19,6 +20,7 @@
 from ebonystream.configuration import Control
 from ebonystream.move import ZonesInFlight
 from ebonystream.observation import Metrics
+from ebonystream.ownership import Grants, Ledger
 from ebonystream.peer import Transport
 from ebonystream.platform import (
     LogService,
@@ -42,6 +44,8 @@
     log: LogService
     read_hosts: ReadHosts
     control: Control
+    grants: Grants
+    ledger: Ledger
     peers: Peers
     zones_in_flight: ZonesInFlight
     directory: Directory
@@ -69,14 +73,16 @@
         idle=convert_ms(settings.backends.idle_ms),
         connect_timeout=convert_ms(settings.backends.connect_timeout_ms),
     )
-    control = Control()
     directory = Directory()
+    control = Control()
     return Parts(
         settings=settings,
         timers=timers,
         log=make_http_log(client=client, url=settings.log.url),
         read_hosts=make_host_reader(client=client, url=settings.host_list.url),
         control=control,
+        grants=Grants(keep_ms=settings.ownership.window_ms),
+        ledger=Ledger(max_bytes=settings.ownership.max_bytes),
         peers=make_peers(settings, incarnation, transport),
         zones_in_flight=ZonesInFlight(control.is_out),
         directory=directory,
@@ -85,6 +91,7 @@
             view=make_lone_view(),
             slots=settings.backends.slots,
             timers=timers,
+            random=Random(incarnation),
         ),
         pool=ConnectionPool(limits, timers),
         metrics=Metrics(),
--- a/tests/test_peer_processes.py
+++ b/tests/test_peer_processes.py
@@ -1,5 +1,6 @@
 """Entry hosts as processes see one another through signals and outages."""
 
+import os
 import signal
 import subprocess
 import sys
@@ -11,6 +12,7 @@
 import trio
 
 from ebonystream.settings import BackendSettings
+from standins import cluster
 from standins.cluster import LOOPBACK, lay_out
 from standins.demoplan import make_lists
 from standins.operation import publish
@@ -22,6 +24,9 @@
 MAX_POLLS = 600
 POLL_S = 0.05
 
+SPACING = 64
+"""Ports that one run may use, so that runs side by side seldom meet."""
+
 pytestmark = pytest.mark.processes
 
 
@@ -88,15 +93,23 @@
         return {one['host']: one['incarnation'] for one in told['hosts']}
 
 
+@pytest.fixture(autouse=True)
+def spread_ports(monkeypatch):
+    """Begin to look for free ports at another place in each run."""
+    first, last = cluster.FIRST_PORT, cluster.LAST_PORT
+    offset = os.getpid() * SPACING % (last - first)
+    monkeypatch.setattr(cluster, 'FIRST_PORT', first + offset)
+
+
 @asynccontextmanager
 async def open_processes(directory):
-    cluster = lay_out(
+    laid_out = lay_out(
         directory, zones=ZONES, services=(), limits=BackendSettings()
     )
     async with trio.open_nursery() as nursery:
-        for program in _spell_platform(cluster):
+        for program in _spell_platform(laid_out):
             await start_program(nursery, program, directory)
-        hosts = Hosts(cluster)
+        hosts = Hosts(laid_out)
         try:
             for name in (A, B, C):
                 await hosts.start(name)
@@ -146,9 +159,8 @@
             conduct = msgspec.json.encode({'outage': 'refuse'})
             await client.post(url, content=conduct)
         await hosts.start(C)
-        status = await hosts.wait_for(C, '/v1/status', is_configured)
-        assert status['caught_up']
+        await hosts.wait_for(C, '/v1/status', is_configured)
 
 
 def is_configured(status):
-    return status['configuration_version'] == 1
+    return status['configuration_version'] == 1 and status['caught_up']
--- a/tools/standins/demo.py
+++ b/tools/standins/demo.py
@@ -14,6 +14,7 @@
 
 import trio
 
+from ebonystream.move import ZoneDirection
 from standins.cluster import Backend, Cluster, lay_out
 from standins.demoplan import (
     JOBS,
@@ -24,6 +25,7 @@
     make_lists,
 )
 from standins.demoreport import Mark, Phase, Run, format_report, summarize
+from standins.launch import launch
 from standins.load import (
     Pool,
     Sample,
@@ -47,7 +49,7 @@
 PHASE_SECONDS = 5
 TWICE_EVERY = 20
 SEED = 7
-STOPPED = 2
+NO_REPORT = 2
 
 Say = Callable[[str], None]
 """Tells how far the demo got."""
@@ -138,11 +140,11 @@
     _mark(marks, Phase.BEFORE)
     await trio.sleep(PHASE_SECONDS)
     _mark(marks, Phase.LEAVING)
-    await move_zone(cluster, MOVED_ZONE, out=True)
+    await move_zone(cluster, MOVED_ZONE, ZoneDirection.OUT)
     _mark(marks, Phase.OUT)
     await trio.sleep(PHASE_SECONDS)
     _mark(marks, Phase.RETURNING)
-    await move_zone(cluster, MOVED_ZONE, out=False)
+    await move_zone(cluster, MOVED_ZONE, ZoneDirection.BACK)
     _mark(marks, Phase.BACK)
     await trio.sleep(PHASE_SECONDS)
     stop.set()
@@ -221,9 +223,9 @@
 
 def main() -> None:
     """Run the demo and print its report."""
-    run = trio.run(run_demo)
+    run = launch(run_demo)
     if run is None:
-        sys.exit(STOPPED)
+        sys.exit(NO_REPORT)
     print(f'\n{format_report(run)}')
     sys.exit(0 if summarize(run).good else 1)
 
--- a/tools/standins/members.py
+++ b/tools/standins/members.py
@@ -87,7 +87,6 @@
             ask=self.exchange.ask,
             timers=self.links.timers,
             random=self.links.random,
-            silence=PACE.silence,
         )
 
 
