--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -1,7 +1,7 @@
 """The parts that one entry host is made of."""
 
+import secrets
 import time
-import uuid
 from random import Random
 
 import attrs
@@ -11,7 +11,7 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
 from ebonystream.backend import Directory
-from ebonystream.composition._peers import ListedPeers
+from ebonystream.composition._peers import Peers, make_peers
 from ebonystream.composition._servers import (
     ServerRules,
     make_lone_view,
@@ -21,6 +21,7 @@
 from ebonystream.move import ZonesInFlight
 from ebonystream.observation import Metrics
 from ebonystream.ownership import Grants, Ledger
+from ebonystream.peer import Transport
 from ebonystream.platform import (
     LogService,
     ReadHosts,
@@ -30,6 +31,9 @@
 from ebonystream.settings import Settings
 from ebonystream.upstream import ConnectionPool, PoolLimits
 
+INCARNATION_BYTES = 9
+"""Short, since each heartbeat carries it twice, and still never drawn again."""
+
 
 @attrs.frozen(kw_only=True)
 class Parts:
@@ -42,7 +46,7 @@
     control: Control
     grants: Grants
     ledger: Ledger
-    peers: ListedPeers
+    peers: Peers
     zones_in_flight: ZonesInFlight
     directory: Directory
     server_rules: ServerRules
@@ -52,21 +56,24 @@
     stopping: trio.Event
 
 
-def make_parts(settings: Settings, client: httpx.AsyncClient) -> Parts:
+def make_parts(
+    settings: Settings, client: httpx.AsyncClient, transport: Transport
+) -> Parts:
     """Make the parts of one entry host; nothing runs yet.
 
     Args:
         settings: The checked settings.
         client: The HTTP client for the platform's services.
+        transport: Carries bytes to the other entry hosts.
     """
     timers = start_timers(wall_clock=time.time)
+    incarnation = Incarnation(secrets.token_urlsafe(INCARNATION_BYTES))
     limits = PoolLimits(
         idle_connections=settings.backends.slots + settings.backends.queue,
         idle=convert_ms(settings.backends.idle_ms),
         connect_timeout=convert_ms(settings.backends.connect_timeout_ms),
     )
     directory = Directory()
-    incarnation = Incarnation(uuid.uuid4().hex)
     control = Control()
     return Parts(
         settings=settings,
@@ -76,7 +83,7 @@
         control=control,
         grants=Grants(keep_ms=settings.ownership.window_ms),
         ledger=Ledger(max_bytes=settings.ownership.max_bytes),
-        peers=ListedPeers(),
+        peers=make_peers(settings, incarnation, transport),
         zones_in_flight=ZonesInFlight(control.is_out),
         directory=directory,
         server_rules=make_server_rules(
--- a/src/ebonystream/composition/_root.py
+++ b/src/ebonystream/composition/_root.py
@@ -7,7 +7,9 @@
 from ebonystream.composition._admin import serve_admin_api
 from ebonystream.composition._control import keep_control
 from ebonystream.composition._listener import make_listener
+from ebonystream.composition._members import keep_peers
 from ebonystream.composition._parts import make_parts
+from ebonystream.composition._peers import open_transport
 from ebonystream.composition._servers import refresh_sponsorship
 from ebonystream.composition._tasks import (
     close_idle,
@@ -24,14 +26,18 @@
         settings: The checked settings of the host.
     """
     timeout = settings.log.timeout_ms + settings.log.poll_wait_ms
-    async with httpx.AsyncClient(timeout=timeout / MS_PER_SECOND) as client:
-        parts = make_parts(settings, client)
+    async with (
+        httpx.AsyncClient(timeout=timeout / MS_PER_SECOND) as client,
+        open_transport(settings) as transport,
+    ):
+        parts = make_parts(settings, client, transport)
         listeners = await trio.open_tcp_listeners(
             settings.callers.port, host=str(settings.callers.address)
         )
         async with trio.open_nursery() as background:
             background.start_soon(watch_signals, parts.stopping)
             background.start_soon(keep_control, parts)
+            background.start_soon(keep_peers, parts)
             background.start_soon(refresh_hosts, parts)
             background.start_soon(close_idle, parts)
             background.start_soon(
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -1,5 +1,7 @@
 """The administration API: each operation, its refusals and its description."""
 
+from random import Random
+
 import attrs
 import httpx
 import msgspec
@@ -12,6 +14,7 @@
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.platform import LogPage, LogRecord, LogService
 from ebonystream.settings import Settings
+from standins.network import Network
 
 KEY = 'sixteen-letters-é'
 SETTINGS = Settings.model_validate(
@@ -40,7 +43,8 @@
 
 
 async def start():
-    parts = make_parts(SETTINGS, httpx.AsyncClient())
+    transport = Network(Random(0)).open_transport('h1')
+    parts = make_parts(SETTINGS, httpx.AsyncClient(), transport)
     control, down = parts.control, []
 
     async def append(stream, body):
