Join ownership and peers: the whole path runs with three hosts

Cause: the parts stood side by side. Ruled out: ending with the listener alone: forwarded calls would be cut.

--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -3,7 +3,7 @@
 from functools import partial
 from random import Random
 
-from ebonystream._ids import CustomerId, IdempotencyKey
+from ebonystream._ids import CustomerId
 from ebonystream.backend import (
     Dispatch,
     make_dispatch,
@@ -11,37 +11,37 @@
     make_placing,
     release_place,
 )
-from ebonystream.call import CallKind, make_admission, make_serving
+from ebonystream.call import (
+    CallKind,
+    Run,
+    Serve,
+    make_admission,
+    make_serving,
+)
 from ebonystream.caller import CallerLimits, CallerListener
 from ebonystream.composition._moves import guard_place, make_zone_observer
+from ebonystream.composition._ownership import Ownership
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.configuration import PlanClass
-from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.http1 import ReaderLimits
 from ebonystream.observation import log_attempt, observe_run, observe_serve
+from ebonystream.ownership import parse_key, serve_keys
 from ebonystream.upstream import make_sender
 
 
-def make_listener(parts: Parts) -> CallerListener:
-    """Make the listener for callers."""
+def make_listener(
+    parts: Parts, *, dispatch: Dispatch, ownership: Ownership
+) -> CallerListener:
+    """Make the listener for callers.
+
+    Args:
+        parts: What the tasks of this host share.
+        dispatch: Makes one attempt at a backend server.
+        ownership: Runs calls that must run once.
+    """
     callers = parts.settings.callers
-    run = make_idempotent_run(
-        dispatch=_make_dispatch(parts),
-        timers=parts.timers,
-        count_retries=lambda call: 0,
-    )
-    admit = make_admission(
-        get_plans=parts.control.get_plans, parse_key=_refuse_key
-    )
-    observed = observe_run(
-        run,
-        metrics=parts.metrics,
-        find_class=partial(_find_class, parts),
-        timers=parts.timers,
-    )
-    serve = make_serving(admit=admit, runs={CallKind.IDEMPOTENT: observed})
     return CallerListener(
-        serve=observe_serve(serve, metrics=parts.metrics),
+        serve=_make_serve(parts, dispatch, ownership),
         limits=CallerLimits(
             message=ReaderLimits(
                 head_bytes=callers.max_head_bytes,
@@ -56,7 +56,40 @@
     )
 
 
-def _make_dispatch(parts: Parts) -> Dispatch:
+def _make_serve(
+    parts: Parts, dispatch: Dispatch, ownership: Ownership
+) -> Serve:
+    runs = {
+        CallKind.IDEMPOTENT: make_idempotent_run(
+            dispatch=dispatch,
+            timers=parts.timers,
+            count_retries=lambda call: 0,
+        ),
+        CallKind.ONCE: ownership.run,
+    }
+    observed = {kind: _observe(parts, run) for kind, run in runs.items()}
+    admit = make_admission(
+        get_plans=parts.control.get_plans, parse_key=parse_key
+    )
+    serve = serve_keys(
+        serve=make_serving(admit=admit, runs=observed),
+        issue=ownership.issue,
+        owner=ownership.owner,
+    )
+    return observe_serve(serve, metrics=parts.metrics)
+
+
+def _observe(parts: Parts, run: Run) -> Run:
+    return observe_run(
+        run,
+        metrics=parts.metrics,
+        find_class=partial(_find_class, parts),
+        timers=parts.timers,
+    )
+
+
+def make_call_dispatch(parts: Parts) -> Dispatch:
+    """Make the function that makes one attempt of a call."""
     rules = parts.server_rules
     return make_dispatch(
         place=rules.guard(
@@ -87,7 +120,3 @@
     plans = parts.control.get_plans()
     plan = plans.find_plan(customer) if plans else None
     return plan.plan_class if plan else PlanClass.SPARE
-
-
-def _refuse_key(sent: bytes) -> IdempotencyKey:
-    raise EbonystreamError(ErrorKind.KEY_MALFORMED, sent.decode('latin-1'))
--- a/src/ebonystream/composition/_members.py
+++ b/src/ebonystream/composition/_members.py
@@ -19,17 +19,22 @@
     make_fetch_answer,
     watch_members,
 )
-from ebonystream.peer import AnswerCall, ForwardCall, Handlers, Heartbeat
+from ebonystream.peer import AnswerCall, Handlers, Heartbeat
 from ebonystream.platform import HostRole, HostState, ListedHost
 
 TakeHeartbeat = Callable[[Heartbeat], None]
 
 
-async def keep_peers(parts: Parts) -> None:
-    """Keep up with the other entry hosts, for ever."""
+async def keep_peers(parts: Parts, answer_call: AnswerCall) -> None:
+    """Keep up with the other entry hosts, for ever.
+
+    Args:
+        parts: The parts of this host.
+        answer_call: Answers calls that peers forward.
+    """
     await run_peers(
         parts,
-        answer_call=_decline,
+        answer_call=answer_call,
         states=(share_control(parts), share_keys(parts)),
     )
 
@@ -132,10 +137,6 @@
     return take
 
 
-async def _decline(sender: HostId, call: ForwardCall) -> None:
-    """Give no answer: this host owns no keys."""
-
-
 async def _announce_leaving(parts: Parts) -> None:
     await parts.stopping.wait()
     parts.peers.membership.leave()
--- a/src/ebonystream/composition/_ownership.py
+++ b/src/ebonystream/composition/_ownership.py
@@ -14,7 +14,6 @@
 from ebonystream.membership import MemberTable, choose_first
 from ebonystream.ownership import (
     SLICES,
-    AskOwner,
     IssueKey,
     Owner,
     keep_claims,
@@ -46,8 +45,6 @@
 def make_ownership(
     parts: Parts,
     *,
-    members: MemberTable,
-    ask: AskOwner,
     dispatch: Dispatch,
     running: trio.Nursery,
 ) -> Ownership:
@@ -55,8 +52,6 @@
 
     Args:
         parts: What the tasks of this host share.
-        members: The other entry hosts.
-        ask: Asks one of them.
         dispatch: Makes one attempt at a backend server.
         running: Where calls run to their end.
     """
@@ -70,7 +65,9 @@
     )
     run_owned = make_owned_run(owner)
     forward = make_forward(
-        ask=ask, find_host=members.find_host, timers=parts.timers
+        ask=parts.peers.exchange.ask,
+        find_host=parts.peers.membership.table.find_host,
+        timers=parts.timers,
     )
     return Ownership(
         owner=owner,
@@ -92,15 +89,13 @@
     )
 
 
-async def claim_slices(
-    parts: Parts, ownership: Ownership, members: MemberTable
-) -> None:
+async def claim_slices(parts: Parts, ownership: Ownership) -> None:
     """Keep this host's slices claimed ahead of time, for ever."""
     await keep_claims(
         owner=ownership.owner,
         log=parts.log,
         stream=parts.settings.log.keys_stream,
-        list_slices=partial(list_slices, members),
+        list_slices=partial(list_slices, parts.peers.membership.table),
         horizon_ms=parts.settings.ownership.horizon_ms,
         window_ms=parts.settings.ownership.window_ms,
     )
@@ -121,7 +116,11 @@
 
 
 async def leave_ownership(parts: Parts, ownership: Ownership) -> None:
-    """Give up this host's slices, and wait until its last labels are past."""
+    """Once a stop is asked for, give up this host's slices.
+
+    Returns when the last label that this host serves is past.
+    """
+    await parts.stopping.wait()
     await release_slices(
         owner=ownership.owner,
         log=parts.log,
--- a/tools/slopes/control.py
+++ b/tools/slopes/control.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from ebonystream._ids import EpochMs, Offset
+from ebonystream._ids import (
+    ConfigurationVersion,
+    EpochMs,
+    Offset,
+    RequestId,
+)
 from ebonystream.configuration import Control, Publish
 from ebonystream.platform import LogRecord
 from slopes.fit import Line, fit_line
@@ -47,7 +52,9 @@
         ],
         'plans': [_make_plan(number) for number in range(plans)],
     }
-    return msgspec.json.encode(Publish('request-1', 0, lists))
+    return msgspec.json.encode(
+        Publish(RequestId('request-1'), ConfigurationVersion(0), lists)
+    )
 
 
 def _make_plan(number: int) -> dict[str, object]:
