Measure the nesting of a record in one pass

Cause: of the 55 ms that a publish of 10,000 customers took to fold, counting the nesting took 24 ms: a pattern over each string and a loop over brackets. Ruled out: leaving it to the parser, whose limit hangs on the stack. Change: escapes are dropped first, then all but quotes and brackets, in C. A property test compares it with the values' own depth; with the two replacements swapped it went red.

--- a/src/ebonystream/configuration/_records.py
+++ b/src/ebonystream/configuration/_records.py
@@ -1,12 +1,12 @@
 """Records of the control stream, as JSON."""
 
-import re
 from typing import Annotated, Any
 
 import msgspec
 
 from ebonystream._ids import ConfigurationVersion, Offset, RequestId
 from ebonystream.configuration._decisions import Decision
+from ebonystream.configuration._depth import measure_depth
 from ebonystream.move import (
     AskVersionMove,
     AskZoneMove,
@@ -21,10 +21,6 @@
 MAX_DEPTH = 32
 MAX_REQUEST = 128
 
-_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
-_BRACKET = re.compile(rb'[\[\]{}]')
-_OPENING = frozenset((b'[', b'{'))
-
 
 class Publish(msgspec.Struct, tag='publish', frozen=True):
     """Both lists, published together.
@@ -113,17 +109,3 @@
         return _state_decoder.decode(body)
     except msgspec.MsgspecError:
         return None
-
-
-def measure_depth(body: bytes) -> int:
-    """Count how deep the values of a JSON text are nested.
-
-    Args:
-        body: The text; it need not be well formed.
-    """
-    depth = 0
-    deepest = 0
-    for bracket in _BRACKET.findall(_STRING.sub(b'', body)):
-        depth += 1 if bracket in _OPENING else -1
-        deepest = max(deepest, depth)
-    return deepest
--- a/tests/test_control_fold.py
+++ b/tests/test_control_fold.py
@@ -1,5 +1,7 @@
 """Each rule of the control stream, as a table of records and decisions."""
 
+import json
+
 import attrs
 import msgspec
 import pytest
@@ -18,9 +20,12 @@
     to_record,
     version,
 )
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from ebonystream._timers import start_timers
 from ebonystream.configuration import Control, Following, settle_control
+from ebonystream.configuration._depth import measure_depth
 from ebonystream.configuration._settling import find_newest
 from ebonystream.configuration._state import dump_folded
 from ebonystream.move import Confirmation
@@ -175,6 +180,26 @@
     assert (control.unreadable, control.version, control.next) == (1, 1, 2)
 
 
+json_values = st.recursive(
+    st.none() | st.text(alphabet='a"\\\\[]{}é\n'),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text('[{"\\\\'), inner),
+)
+
+
+@settings(derandomize=True, deadline=None, database=None)
+@given(json_values, st.booleans())
+def test_depth_is_that_of_the_values(value, ascii_only):
+    def measure(part):
+        if isinstance(part, dict):
+            part = list(part.values())
+        if not isinstance(part, list):
+            return 0
+        return 1 + max(map(measure, part), default=0)
+
+    spelled = json.dumps(value, ensure_ascii=ascii_only).encode()
+    assert measure_depth(spelled) == measure(value)
+
+
 def test_id_of_another_request_is_noticed():
     first = fold_all(Control(), [out('m'), out('m', 'b')])
     decision = first.folded.decisions.find('m')
