--- a/src/ebonystream/composition/_control.py
+++ b/src/ebonystream/composition/_control.py
@@ -4,11 +4,8 @@
 
 import trio
 
-from ebonystream.composition._moves import (
-    finish_moves,
-    list_confirmations,
-    watch_returns,
-)
+from ebonystream.composition._confirmations import list_confirmations
+from ebonystream.composition._moves import finish_moves, watch_returns
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.composition._tasks import tail_control
 from ebonystream.configuration import settle_control, write_checkpoints
