Measure what idle hosts and calls cost, as processes

Cause: the limits on control are on running hosts. Change: traffic and process figures in the metrics; make slopes measures 2 to 16 hosts and three kinds of call, prints lines with errors and draws them. Ruled out: counting by the operating system: it does not tell control apart.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 STAMP = $(VENV)/.installed
 
-.PHONY: soak install mutations run bench test check format lint types unit features
+.PHONY: slopes soak install mutations run bench test check format lint types unit features
 
 install: $(STAMP)
 
@@ -40,6 +40,9 @@
 unit: install
 	$(PY) -m pytest -m "not mutations"
 
+slopes: install
+	$(PY) -m slopes --plot docs/plots/slopes.png
+
 soak: install
 	SEEDS=$(SEEDS) $(PY) -m pytest -s tests/test_once_everywhere.py
 
--- /dev/null
+++ b/src/ebonystream/composition/_gauges.py
@@ -0,0 +1,55 @@
+"""Wires the figures that are read when the metrics are asked for."""
+
+import resource
+import time
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from ebonystream.composition._parts import Parts
+from ebonystream.observation import ReadGauge
+
+BYTES_PER_KB = 1024
+
+
+def add_gauges(parts: Parts) -> None:
+    """Add the figures of this host to its metrics."""
+    for name, read in _list_gauges(parts).items():
+        parts.metrics.add_gauge(name, DOCS[name], read)
+
+
+DOCS: Mapping[str, str] = MappingProxyType(
+    {
+        'ebonystream_processor_seconds': 'Processor time of this process.',
+        'ebonystream_memory_peak_bytes': 'The most memory it has held.',
+        'ebonystream_peer_sent_bytes': 'Bytes sent to peers.',
+        'ebonystream_peer_received_bytes': 'Bytes received from peers.',
+        'ebonystream_platform_sent_bytes': 'Bytes sent to the platform.',
+        'ebonystream_platform_received_bytes': 'Bytes got from the platform.',
+        'ebonystream_connections_opened': 'Connections opened to servers.',
+        'ebonystream_keys_remembered': 'Keys whose outcome is remembered.',
+        'ebonystream_keys_bytes': 'Memory of remembered outcomes.',
+        'ebonystream_configuration_version': 'The version in force.',
+    }
+)
+
+
+def _list_gauges(parts: Parts) -> Mapping[str, ReadGauge]:
+    peers = parts.peer_traffic
+    platform = parts.platform_traffic
+    return {
+        'ebonystream_processor_seconds': time.process_time,
+        'ebonystream_memory_peak_bytes': _read_memory,
+        'ebonystream_peer_sent_bytes': lambda: peers.sent,
+        'ebonystream_peer_received_bytes': lambda: peers.received,
+        'ebonystream_platform_sent_bytes': lambda: platform.sent,
+        'ebonystream_platform_received_bytes': lambda: platform.received,
+        'ebonystream_connections_opened': lambda: parts.pool.opened,
+        'ebonystream_keys_remembered': lambda: len(parts.ledger.entries),
+        'ebonystream_keys_bytes': lambda: parts.ledger.used_bytes,
+        'ebonystream_configuration_version': lambda: parts.control.version,
+    }
+
+
+def _read_memory() -> float:
+    peak_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    return peak_kb * BYTES_PER_KB
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -19,7 +19,7 @@
 )
 from ebonystream.configuration import Control
 from ebonystream.move import ZonesInFlight
-from ebonystream.observation import Metrics
+from ebonystream.observation import Metrics, Traffic, count_transport
 from ebonystream.ownership import Grants, Ledger
 from ebonystream.peer import Transport
 from ebonystream.platform import (
@@ -52,12 +52,18 @@
     server_rules: ServerRules
     pool: ConnectionPool
     metrics: Metrics
+    peer_traffic: Traffic
+    platform_traffic: Traffic
     incarnation: Incarnation
     stopping: trio.Event
 
 
 def make_parts(
-    settings: Settings, client: httpx.AsyncClient, transport: Transport
+    settings: Settings,
+    *,
+    client: httpx.AsyncClient,
+    transport: Transport,
+    platform_traffic: Traffic,
 ) -> Parts:
     """Make the parts of one entry host; nothing runs yet.
 
@@ -65,8 +71,10 @@
         settings: The checked settings.
         client: The HTTP client for the platform's services.
         transport: Carries bytes to the other entry hosts.
+        platform_traffic: Counts the bytes of that client.
     """
     timers = start_timers(wall_clock=time.time)
+    peer_traffic = Traffic()
     incarnation = Incarnation(secrets.token_urlsafe(INCARNATION_BYTES))
     limits = PoolLimits(
         idle_connections=settings.backends.slots + settings.backends.queue,
@@ -83,7 +91,9 @@
         control=control,
         grants=Grants(keep_ms=settings.ownership.window_ms),
         ledger=Ledger(max_bytes=settings.ownership.max_bytes),
-        peers=make_peers(settings, incarnation, transport),
+        peers=make_peers(
+            settings, incarnation, count_transport(transport, peer_traffic)
+        ),
         zones_in_flight=ZonesInFlight(control.is_out),
         directory=directory,
         server_rules=make_server_rules(
@@ -95,6 +105,8 @@
         ),
         pool=ConnectionPool(limits, timers),
         metrics=Metrics(),
+        peer_traffic=peer_traffic,
+        platform_traffic=platform_traffic,
         incarnation=incarnation,
         stopping=trio.Event(),
     )
--- a/src/ebonystream/composition/_root.py
+++ b/src/ebonystream/composition/_root.py
@@ -7,6 +7,7 @@
 from ebonystream._timers import MS_PER_SECOND
 from ebonystream.composition._admin import serve_admin_api
 from ebonystream.composition._control import keep_control
+from ebonystream.composition._gauges import add_gauges
 from ebonystream.composition._listener import (
     make_call_dispatch,
     make_listener,
@@ -27,6 +28,7 @@
     refresh_hosts,
     watch_signals,
 )
+from ebonystream.observation import Traffic, make_traffic_hooks
 from ebonystream.ownership import make_owner_answer
 from ebonystream.settings import Settings
 
@@ -41,11 +43,21 @@
         settings: The checked settings of the host.
     """
     timeout = settings.log.timeout_ms + settings.log.poll_wait_ms
+    traffic = Traffic()
     async with (
-        httpx.AsyncClient(timeout=timeout / MS_PER_SECOND) as client,
+        httpx.AsyncClient(
+            timeout=timeout / MS_PER_SECOND,
+            event_hooks=make_traffic_hooks(traffic),
+        ) as client,
         open_transport(settings) as transport,
     ):
-        parts = make_parts(settings, client, transport)
+        parts = make_parts(
+            settings,
+            client=client,
+            transport=transport,
+            platform_traffic=traffic,
+        )
+        add_gauges(parts)
         listeners = await trio.open_tcp_listeners(
             settings.callers.port, host=str(settings.callers.address)
         )
--- a/src/ebonystream/observation/__init__.py
+++ b/src/ebonystream/observation/__init__.py
@@ -6,11 +6,20 @@
     observe_serve,
 )
 from ebonystream.observation._logs import start_logs
-from ebonystream.observation._metrics import Metrics, render_metrics
+from ebonystream.observation._metrics import Metrics, ReadGauge, render_metrics
+from ebonystream.observation._traffic import (
+    Traffic,
+    count_transport,
+    make_traffic_hooks,
+)
 
 __all__ = (
     'Metrics',
+    'ReadGauge',
+    'Traffic',
+    'count_transport',
     'log_attempt',
+    'make_traffic_hooks',
     'observe_run',
     'observe_serve',
     'render_metrics',
