Read the memory that a host holds now, not an inherited peak

Cause: the peak that the operating system keeps for a process is inherited from the process that started it: every host read 191 MB, the launcher's own. Change: the gauge reads resident memory. Ruled out: the peak of the control group, which is shared.

--- a/src/ebonystream/composition/_gauges.py
+++ b/src/ebonystream/composition/_gauges.py
@@ -3,12 +3,14 @@
 import resource
 import time
 from collections.abc import Mapping
+from pathlib import Path
 from types import MappingProxyType
 
 from ebonystream.composition._parts import Parts
 from ebonystream.observation import ReadGauge
 
-BYTES_PER_KB = 1024
+STATM = Path('/proc/self/statm')
+RESIDENT_FIELD = 1
 
 
 def add_gauges(parts: Parts) -> None:
@@ -20,7 +22,7 @@
 DOCS: Mapping[str, str] = MappingProxyType(
     {
         'ebonystream_processor_seconds': 'Processor time of this process.',
-        'ebonystream_memory_peak_bytes': 'The most memory it has held.',
+        'ebonystream_memory_bytes': 'Resident memory of this process.',
         'ebonystream_peer_sent_bytes': 'Bytes sent to peers.',
         'ebonystream_peer_received_bytes': 'Bytes received from peers.',
         'ebonystream_platform_sent_bytes': 'Bytes sent to the platform.',
@@ -38,7 +40,7 @@
     platform = parts.platform_traffic
     return {
         'ebonystream_processor_seconds': time.process_time,
-        'ebonystream_memory_peak_bytes': _read_memory,
+        'ebonystream_memory_bytes': _read_memory,
         'ebonystream_peer_sent_bytes': lambda: peers.sent,
         'ebonystream_peer_received_bytes': lambda: peers.received,
         'ebonystream_platform_sent_bytes': lambda: platform.sent,
@@ -51,5 +53,7 @@
 
 
 def _read_memory() -> float:
-    peak_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    return peak_kb * BYTES_PER_KB
+    # The peak that the operating system keeps is inherited from whatever
+    # started this process, so the present figure is read.
+    pages = STATM.read_text().split()[RESIDENT_FIELD]
+    return int(pages) * resource.getpagesize()
--- a/tools/slopes/idle.py
+++ b/tools/slopes/idle.py
@@ -23,7 +23,7 @@
 SERVICES = (Service(name='inspections', per_zone=2, built=UPSTREAM),)
 
 CPU = 'ebonystream_processor_seconds'
-MEMORY = 'ebonystream_memory_peak_bytes'
+MEMORY = 'ebonystream_memory_bytes'
 PEER_BYTES = (
     'ebonystream_peer_sent_bytes',
     'ebonystream_peer_received_bytes',
@@ -42,7 +42,7 @@
         cpu: Processor time, in microseconds for each second.
         peers: Bytes a second to and from peers.
         platform: Bytes a second to and from the platform.
-        memory: The most memory that the process has held, in bytes.
+        memory: Resident memory of the process, in bytes.
     """
 
     cpu: float
@@ -58,7 +58,7 @@
         ('processor time', 'us a second'): [one.cpu for one in spent],
         ('peer traffic', 'bytes a second'): [one.peers for one in spent],
         ('platform traffic', 'bytes a second'): [one.platform for one in spent],
-        ('peak memory', 'bytes'): [one.memory for one in spent],
+        ('resident memory', 'bytes'): [one.memory for one in spent],
     }
     return [
         fit_line(f'idle host: {name}', unit, 'entry hosts', HOST_COUNTS, points)
