Show how busy the entry host is in the bench

Cause: with eight callers the direct and the routed rate lie close together, so the client could have been the limit and not the entry host. Change: the bench reads the entry host's processor time over the busy part. Ruled out: more client processes; the entry host is the limit already.

--- a/tools/standins/bench.py
+++ b/tools/standins/bench.py
@@ -13,6 +13,7 @@
 
 import attrs
 import msgspec
+import psutil
 import trio
 
 from ebonystream._ids import CustomerId, PlanName, RouteName, ServiceName
@@ -29,7 +30,7 @@
 from standins.cluster import LOOPBACK, Cluster, Service, lay_out
 from standins.launch import launch
 from standins.operation import await_configuration, publish
-from standins.startup import start_cluster
+from standins.startup import ENTRY_MODULE, start_cluster
 from standins.statistic import find_percentile, format_table
 
 MS_PER_SECOND = 1000
@@ -62,6 +63,11 @@
         busy_routed_p99_ms: Routed, many calls at a time.
         busy_direct_p50_ms: Direct, many calls at a time.
         busy_direct_p99_ms: Direct, many calls at a time.
+        entry_busy_share: Processor time of the entry host by wall time, many
+            calls at a time; well below 1, the client or the backend server
+            is the limit, and the entry host could carry more.
+        entry_cpu_ms_per_call: Processor time of the entry host for one call,
+            many calls at a time.
         calls: How many calls were measured.
         failed: How many of them were not answered with status 200.
     """
@@ -78,6 +84,8 @@
     busy_routed_p99_ms: float
     busy_direct_p50_ms: float
     busy_direct_p99_ms: float
+    entry_busy_share: float
+    entry_cpu_ms_per_call: float
     calls: int
     failed: int
 
@@ -90,11 +98,13 @@
         took_ms: How long each call took.
         failed: How many were not answered with status 200.
         seconds: How long it took altogether.
+        cpu_seconds: Processor time that the entry host took meanwhile.
     """
 
     took_ms: list[float] = attrs.field(factory=list)
     failed: int = 0
     seconds: float = 0
+    cpu_seconds: float = 0
 
     @property
     def p50(self) -> float:
@@ -111,6 +121,11 @@
         """Calls per second."""
         return len(self.took_ms) / self.seconds
 
+    @property
+    def cpu_per_call_ms(self) -> float:
+        """Processor time of the entry host for one call, in milliseconds."""
+        return self.cpu_seconds * MS_PER_SECOND / len(self.took_ms)
+
 
 async def measure_single(direct: Client, routed: Client) -> tuple[Tally, Tally]:
     """Measure both paths in turns, one call at a time.
@@ -139,15 +154,25 @@
         await _send_calls(client, Tally(), 1)
     tally = Tally()
     begun = trio.current_time()
+    used = _read_cpu()
     async with trio.open_nursery() as callers:
         for client in clients:
             callers.start_soon(_send_calls, client, tally, CALLS_OF_CALLER)
     tally.seconds = trio.current_time() - begun
+    tally.cpu_seconds = _read_cpu() - used
     for client in clients:
         await client.stream.aclose()
     return tally
 
 
+def _read_cpu() -> float:
+    """Read the processor time of the entry host, in seconds."""
+    children = psutil.Process().children()
+    entry = next(one for one in children if ENTRY_MODULE in one.cmdline())
+    used = entry.cpu_times()
+    return float(used.user + used.system)
+
+
 async def _send_calls(client: Client, tally: Tally, number: int) -> None:
     for _ in range(number):
         begun = trio.current_time()
@@ -217,6 +242,8 @@
         busy_routed_p99_ms=busy_routed.p99,
         busy_direct_p50_ms=busy_direct.p50,
         busy_direct_p99_ms=busy_direct.p99,
+        entry_busy_share=busy_routed.cpu_seconds / busy_routed.seconds,
+        entry_cpu_ms_per_call=busy_routed.cpu_per_call_ms,
         calls=sum(len(tally.took_ms) for tally in tallies),
         failed=sum(tally.failed for tally in tallies),
     )
@@ -273,6 +300,10 @@
     if figures is None:
         sys.exit(NO_REPORT)
     print(format_table(list(_list_rows(figures))))
+    print(
+        f'entry host busy {figures.entry_busy_share:.0%}, '
+        f'{figures.entry_cpu_ms_per_call:.3f} ms of processor time a call',
+    )
     print(msgspec.json.encode(figures).decode())
     sys.exit(1 if figures.failed else 0)
 
