Give no verdict before the host list names this host

Cause: right after its start a host knows no peers, and a zone move that waited for every live host found only itself and could be called finished. Ruled out: waiting for a fixed time; the list may lag for longer.

--- a/src/ebonystream/composition/_members.py
+++ b/src/ebonystream/composition/_members.py
@@ -97,7 +97,9 @@
 
 def replace_listed(parts: Parts, listed: Iterable[ListedHost]) -> None:
     """Take over a reading of the host list."""
-    entries = (host for host in listed if host.role is HostRole.ENTRY)
+    entries = tuple(host for host in listed if host.role is HostRole.ENTRY)
+    if any(host.name == parts.settings.host.id for host in entries):
+        parts.listed.set()
     parts.peers.membership.replace_listed(
         map(_convert_entry, entries), parts.timers.now()
     )
--- a/src/ebonystream/composition/_moves.py
+++ b/src/ebonystream/composition/_moves.py
@@ -3,6 +3,7 @@
 from functools import partial
 from random import Random
 
+import attrs
 import xxhash
 
 from ebonystream._ids import (
@@ -19,12 +20,16 @@
     chill_zone,
 )
 from ebonystream.call import Call
-from ebonystream.composition._confirmations import list_confirmations
+from ebonystream.composition._confirmations import (
+    NOTHING_FOLDED,
+    list_confirmations,
+)
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.configuration import Ask, make_asking
 from ebonystream.errors import EbonystreamError
 from ebonystream.move import (
     CloseMove,
+    Confirmation,
     EndMove,
     MoveReport,
     VerdictKind,
@@ -63,12 +68,24 @@
     return end_move
 
 
+def list_words(parts: Parts) -> tuple[Confirmation, ...]:
+    """Give the newest word of each live entry host, for verdicts.
+
+    A host list that does not name this host yet may lack others too: until it
+    does, this host counts as not having confirmed anything.
+    """
+    own, *others = list_confirmations(parts)
+    if not parts.listed.is_set():
+        own = attrs.evolve(own, control_next=NOTHING_FOLDED)
+    return own, *others
+
+
 def report_move(parts: Parts, move: MoveId) -> MoveReport:
     """Report on a move; raises `NOT_FOUND`."""
     moves = parts.control.folded.moves
     return make_report(
         moves.table.find(move),
-        list_confirmations(parts),
+        list_words(parts),
         now_ms=parts.timers.wall_ms(),
         explain=_explain_nothing,
     )
@@ -84,7 +101,7 @@
     """Ask for the verdict on zone moves that are done, for ever."""
     await finish_zone_moves(
         get_moves=lambda: parts.control.folded.moves,
-        list_confirmations=lambda: list_confirmations(parts),
+        list_confirmations=lambda: list_words(parts),
         end_move=make_end_move(parts),
         timers=parts.timers,
         random=Random(parts.incarnation),
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -53,6 +53,7 @@
     pool: ConnectionPool
     metrics: Metrics
     incarnation: Incarnation
+    listed: trio.Event
     stopping: trio.Event
 
 
@@ -96,6 +97,7 @@
         pool=ConnectionPool(limits, timers),
         metrics=Metrics(),
         incarnation=incarnation,
+        listed=trio.Event(),
         stopping=trio.Event(),
     )
 
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -42,7 +42,7 @@
 }
 
 
-async def start():
+async def start(*, listed=True):
     transport = Network(Random(0)).open_transport('h1')
     parts = make_parts(SETTINGS, httpx.AsyncClient(), transport)
     control, down = parts.control, []
@@ -57,6 +57,8 @@
         return offset
 
     parts = attrs.evolve(parts, log=LogService(append, None))
+    if listed:
+        parts.listed.set()
     app = make_admin_app(make_verbs(parts), key=KEY)
     return app, down
 
@@ -224,6 +226,14 @@
     assert (code, msgspec.json.decode(answer)['outcome']) == (503, 'unknown')
 
 
+async def test_host_that_is_not_listed_confirms_nothing(autojump_clock):
+    app, _ = await start(listed=False)
+    code, answer = await send(app, *ASK_OUT)
+    told = msgspec.json.decode(answer)
+    assert (code, told['state']) == (200, 'asked')
+    assert told['reason'] == 'host h1, not confirmed'
+
+
 async def test_description_holds_each_route(autojump_clock):
     app, _ = await start()
     code, answer = await send(app, 'GET /v1/openapi.json')
--- a/tools/slopes/control.py
+++ b/tools/slopes/control.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from ebonystream._ids import EpochMs, Offset
+from ebonystream._ids import ConfigurationVersion, EpochMs, Offset, RequestId
 from ebonystream.configuration import Control, Publish
-from ebonystream.platform import LogRecord
+from ebonystream.platform import LogPage, LogRecord
 from slopes.fit import Line, fit_line
 from slopes.meter import time_work, weigh_state
 
@@ -35,7 +35,8 @@
 
 def _fold(body: bytes) -> Control:
     control = Control()
-    control.fold(LogRecord(Offset(0), EpochMs(0), body))
+    record = LogRecord(Offset(0), EpochMs(0), body)
+    control.take_page(LogPage(Offset(0), Offset(1), (record,)))
     return control
 
 
@@ -47,7 +48,8 @@
         ],
         'plans': [_make_plan(number) for number in range(plans)],
     }
-    return msgspec.json.encode(Publish('request-1', 0, lists))
+    publish = Publish(RequestId('request-1'), ConfigurationVersion(0), lists)
+    return msgspec.json.encode(publish)
 
 
 def _make_plan(number: int) -> dict[str, object]:
