--- a/tools/slopes/control.py
+++ b/tools/slopes/control.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from ebonystream._ids import ConfigurationVersion, EpochMs, Offset, RequestId
+from ebonystream._ids import (
+    ConfigurationVersion,
+    EpochMs,
+    Offset,
+    RequestId,
+)
 from ebonystream.configuration import Control, Publish
 from ebonystream.platform import LogPage, LogRecord
 from slopes.fit import Line, fit_line
@@ -48,8 +53,9 @@
         ],
         'plans': [_make_plan(number) for number in range(plans)],
     }
-    publish = Publish(RequestId('request-1'), ConfigurationVersion(0), lists)
-    return msgspec.json.encode(publish)
+    return msgspec.json.encode(
+        Publish(RequestId('request-1'), ConfigurationVersion(0), lists)
+    )
 
 
 def _make_plan(number: int) -> dict[str, object]:
