--- a/tools/slopes/control.py
+++ b/tools/slopes/control.py
@@ -11,7 +11,7 @@
     RequestId,
 )
 from ebonystream.configuration import Control, Publish
-from ebonystream.platform import LogRecord
+from ebonystream.platform import LogPage, LogRecord
 from slopes.fit import Line, fit_line
 from slopes.meter import time_work, weigh_state
 
@@ -40,7 +40,8 @@
 
 def _fold(body: bytes) -> Control:
     control = Control()
-    control.fold(LogRecord(Offset(0), EpochMs(0), body))
+    record = LogRecord(Offset(0), EpochMs(0), body)
+    control.take_page(LogPage(Offset(0), Offset(1), (record,)))
     return control
 
 
