Move traffic between versions by evidence for each route

Cause: a version move was a record without effect: every listed version got its part of all calls at once, and nobody looked at how it did.

Change: a new aggregate `version`. Traffic of a service stays with the version that it stands at; a move gives the new one 2 to 100 % of each route in eight stages, each with its time and its evidence. Each attempt of the new version is compared with up to 9 of the old one on the same route, host and load at about the same time; bets at fair odds on "fails more" and "is slower" begin again from 1 where they fall below it. 1e6 stops the version on this host at once, heartbeats carry brakes and evidence, the log gets the verdict; 100 makes the share 10 % at most until it is settled; at the end 1e3 suffices.

Bets that are never restarted: 1000 good groups hide a late fault (mutation 'a good past hides a late fault').

Whole moves on 3 hosts in test_version_runs; 9 mutations go red.

--- a/src/ebonystream/composition/_control.py
+++ b/src/ebonystream/composition/_control.py
@@ -6,6 +6,7 @@
 
 from ebonystream.composition._moves import (
     finish_moves,
+    judge_moves,
     list_confirmations,
     watch_returns,
 )
@@ -24,6 +25,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(tail_control, parts)
         nursery.start_soon(finish_moves, parts)
+        nursery.start_soon(judge_moves, parts)
         nursery.start_soon(keep_checkpoints, parts)
         nursery.start_soon(settle_start, parts)
 
--- a/src/ebonystream/composition/_moves.py
+++ b/src/ebonystream/composition/_moves.py
@@ -34,6 +34,7 @@
     make_report,
     make_return_watch,
 )
+from ebonystream.version import judge_version_moves
 
 
 def make_ask(parts: Parts) -> Ask:
@@ -81,7 +82,7 @@
         moves.table.find(move),
         list_confirmations(parts),
         now_ms=parts.timers.wall_ms(),
-        explain=_explain_nothing,
+        explain=partial(_explain_version, parts),
     )
 
 
@@ -144,5 +145,16 @@
     return observe
 
 
-def _explain_nothing(move: VersionMove) -> str:
-    return ''
+def _explain_version(parts: Parts, move: VersionMove) -> str:
+    progress = parts.server_rules.traffic.find_progress(move.service)
+    return '' if progress is None else progress.explain()
+
+
+async def judge_moves(parts: Parts) -> None:
+    """Let version moves grow and ask for their verdicts, for ever."""
+    await judge_version_moves(
+        traffic=parts.server_rules.traffic,
+        end_move=make_end_move(parts),
+        timers=parts.timers,
+        random=Random(parts.incarnation),
+    )
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -15,6 +15,7 @@
 from ebonystream.composition._servers import (
     ServerRules,
     make_lone_view,
+    make_moves_view,
     make_server_rules,
 )
 from ebonystream.configuration import Control
@@ -82,6 +83,7 @@
         server_rules=make_server_rules(
             directory=directory,
             view=make_lone_view(),
+            moves=make_moves_view(control),
             slots=settings.backends.slots,
             timers=timers,
             random=Random(incarnation),
--- a/src/ebonystream/composition/_servers.py
+++ b/src/ebonystream/composition/_servers.py
@@ -23,6 +23,7 @@
     make_starting_observer,
 )
 from ebonystream.call import Call
+from ebonystream.configuration import Control
 from ebonystream.crash import (
     CrashRules,
     RunningCalls,
@@ -33,6 +34,16 @@
     make_crash_guard,
     make_crash_observer,
 )
+from ebonystream.move import Moves
+from ebonystream.version import (
+    EvidenceExchange,
+    MovesView,
+    VersionRules,
+    VersionTraffic,
+    make_version_begin,
+    make_version_gate,
+    make_version_observer,
+)
 
 SPONSOR_CHECK_PERIOD = Seconds(0.5)
 
@@ -66,6 +77,25 @@
     )
 
 
+def make_moves_view(control: Control) -> MovesView:
+    """Make the view of what the control stream says of versions.
+
+    Args:
+        control: The state that this host folds from the control stream.
+    """
+
+    def get_moves() -> Moves:
+        return control.folded.moves
+
+    return MovesView(
+        list_moves=lambda: get_moves().table.list_version_moves(),
+        find_settled=lambda service: get_moves().versions.settled.get(service),
+        is_taken_back=lambda service, version: (
+            get_moves().versions.is_taken_back(service, version)
+        ),
+    )
+
+
 @attrs.frozen(kw_only=True)
 class ServerRules:
     """The rules that each call to a backend server passes.
@@ -78,6 +108,8 @@
         standings: Tells peers of servers, and learns from them.
         suspects: Tells peers of crashes, and learns from them.
         guard: Makes a placing that refuses requests which crash servers.
+        traffic: The version moves of this host.
+        evidence: Tells peers of version moves, and learns from them.
     """
 
     may_take: MayTake
@@ -87,12 +119,15 @@
     standings: StandingExchange
     suspects: SuspectExchange
     guard: Callable[[Place], Place]
+    traffic: VersionTraffic
+    evidence: EvidenceExchange
 
 
 def make_server_rules(
     *,
     directory: Directory,
     view: FleetView,
+    moves: MovesView,
     slots: int,
     timers: Timers,
     random: Random,
@@ -102,6 +137,7 @@
     Args:
         directory: The servers that are known.
         view: What is asked of the other entry hosts.
+        moves: What the control stream says of versions.
         slots: Calls that a server works on at the same time.
         timers: Tells the time.
         random: The seeded source of random choices.
@@ -122,22 +158,47 @@
         timers=timers,
         tell_peers=view.tell_peers,
     )
+    versions = VersionRules(
+        traffic=VersionTraffic(view=moves, directory=directory),
+        has_room=_make_room_gate(starting),
+        timers=timers,
+        tell_peers=view.tell_peers,
+    )
     return ServerRules(
         may_take=join_gates(
-            make_starting_gate(starting), make_crash_gate(crash)
+            make_starting_gate(starting),
+            make_version_gate(versions),
+            make_crash_gate(crash),
+        ),
+        begins=(
+            make_starting_begin(starting),
+            make_version_begin(versions),
+            make_crash_begin(crash),
         ),
-        begins=(make_starting_begin(starting), make_crash_begin(crash)),
         observers=(
             make_crash_observer(crash),
             make_starting_observer(starting),
+            make_version_observer(versions),
         ),
         sponsorship=sponsorship,
         standings=StandingExchange(directory, timers, random),
         suspects=SuspectExchange(crash.suspects, timers, random),
         guard=partial(make_crash_guard, crash),
+        traffic=versions.traffic,
+        evidence=EvidenceExchange(versions.traffic),
     )
 
 
+def _make_room_gate(starting: StartingRules) -> MayTake:
+    may_start = make_starting_gate(starting)
+
+    def has_room(call: Call, server: BackendServer) -> bool:
+        in_hand = server.in_flight + starting.count_elsewhere(server.id)
+        return in_hand < starting.slots and may_start(call, server)
+
+    return has_room
+
+
 def join_gates(*gates: MayTake) -> MayTake:
     """Make the predicate that holds where all of several hold.
 
--- a/src/ebonystream/membership/_contents.py
+++ b/src/ebonystream/membership/_contents.py
@@ -5,7 +5,12 @@
 import msgspec
 
 from ebonystream._ids import Offset, ZoneName
-from ebonystream.peer import ServerLoad, VersionBrake
+from ebonystream.peer import (
+    ServerLoad,
+    ServerStanding,
+    VersionBrake,
+    VersionEvidence,
+)
 
 
 class HeartbeatContents(msgspec.Struct, frozen=True, kw_only=True):
@@ -20,6 +25,8 @@
         zones_in_flight: Calls that it has in hand in each zone.
         brakes: Versions that it stopped.
         suspects: Fingerprints of requests that it saw end a server.
+        standings: How far it would use backend servers, some of them.
+        evidence: What it has seen of version moves.
     """
 
     control_next: Offset = Offset(0)
@@ -28,6 +35,8 @@
     zones_in_flight: dict[ZoneName, int] = msgspec.field(default_factory=dict)
     brakes: tuple[VersionBrake, ...] = ()
     suspects: tuple[str, ...] = ()
+    standings: tuple[ServerStanding, ...] = ()
+    evidence: tuple[VersionEvidence, ...] = ()
 
 
 FillHeartbeat = Callable[[], HeartbeatContents]
--- a/src/ebonystream/membership/_membership.py
+++ b/src/ebonystream/membership/_membership.py
@@ -111,6 +111,8 @@
             zones_in_flight=contents.zones_in_flight,
             brakes=contents.brakes,
             suspects=contents.suspects,
+            standings=contents.standings,
+            evidence=contents.evidence,
         )
 
     def take_heartbeat(self, heartbeat: Heartbeat, now: Monotonic) -> None:
--- a/src/ebonystream/peer/__init__.py
+++ b/src/ebonystream/peer/__init__.py
@@ -22,8 +22,10 @@
     PeerAnswer,
     PeerRequest,
     ServerLoad,
+    ServerStanding,
     Snapshot,
     VersionBrake,
+    VersionEvidence,
 )
 from ebonystream.peer._questions import Questions
 from ebonystream.peer._transport import Transport
@@ -50,10 +52,12 @@
     'PeerRequest',
     'Questions',
     'ServerLoad',
+    'ServerStanding',
     'Snapshot',
     'TakeHeartbeat',
     'Transport',
     'VersionBrake',
+    'VersionEvidence',
     'ZmqSettings',
     'ZmqTransport',
     'decode_frame',
--- a/src/ebonystream/peer/_messages.py
+++ b/src/ebonystream/peer/_messages.py
@@ -13,6 +13,7 @@
     Incarnation,
     MoveId,
     Offset,
+    RouteName,
     ServerId,
     StreamName,
     VersionName,
@@ -48,6 +49,40 @@
     reason: str
 
 
+class ServerStanding(msgspec.Struct, frozen=True, array_like=True):
+    """How far one host would use a backend server.
+
+    Attributes:
+        server: The backend server.
+        epoch: Counts the cold starts of the server.
+        phase: Its phase in that epoch.
+        boot: The run of the server that the epoch is about, if known.
+    """
+
+    server: ServerId
+    epoch: int
+    phase: str
+    boot: BootId | None = None
+
+
+class VersionEvidence(msgspec.Struct, frozen=True, array_like=True):
+    """What one host has seen of one route of a version move, all of it.
+
+    Attributes:
+        move: The move.
+        route: The route.
+        groups: How many attempts of the new version were compared.
+        failures: For each bet what it gained on "fails more often".
+        latency: For each bet what it gained on "is slower".
+    """
+
+    move: MoveId
+    route: RouteName
+    groups: int
+    failures: tuple[float, ...]
+    latency: tuple[float, ...]
+
+
 class Heartbeat(msgspec.Struct, tag='h', frozen=True, array_like=True):
     """What each host tells each peer, again and again.
 
@@ -65,6 +100,8 @@
         zones_in_flight: Calls that it has in hand in each zone.
         brakes: Versions that it stopped.
         suspects: Fingerprints of requests that it saw end a server.
+        standings: How far it would use backend servers, some of them.
+        evidence: What it has seen of version moves.
     """
 
     host: HostId
@@ -80,6 +117,8 @@
     zones_in_flight: dict[ZoneName, int] = msgspec.field(default_factory=dict)
     brakes: tuple[VersionBrake, ...] = ()
     suspects: tuple[str, ...] = ()
+    standings: tuple[ServerStanding, ...] = ()
+    evidence: tuple[VersionEvidence, ...] = ()
 
 
 class ForwardCall(msgspec.Struct, tag='call', frozen=True, array_like=True):
--- a/tests/server_fakes.py
+++ b/tests/server_fakes.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import attrs
+import msgspec
 import trio
 
 from ebonystream._ids import (
@@ -35,7 +36,13 @@
     ServerRules,
     make_server_rules,
 )
+from ebonystream.composition._serverwords import (
+    fill_server_words,
+    take_server_words,
+)
 from ebonystream.errors import Outcome
+from ebonystream.peer import Heartbeat
+from ebonystream.version import MovesView
 
 SERVICE = ServiceName('passes')
 SLOTS = 2
@@ -77,7 +84,9 @@
     )
 
 
-def make_attempt(state=ServerState.SERVING, boot='b0', *, refused=False):
+def make_attempt(
+    state=ServerState.SERVING, boot='b0', *, refused=False, status=200
+):
     report = LoadReport(
         state=state,
         boot=None if boot is None else BootId(boot),
@@ -85,7 +94,7 @@
     )
     if refused:
         return Attempt(AttemptKind.REFUSED, report=report)
-    answer = Answer(outcome=Outcome.RAN, status=200, headers=(), body=b'')
+    answer = Answer(outcome=Outcome.RAN, status=status, headers=(), body=b'')
     return Attempt(AttemptKind.ANSWERED, answer=answer, report=report)
 
 
@@ -109,11 +118,15 @@
     latest_in_drain: float = 0
     crash_bodies: set[bytes] = attrs.field(factory=set)
     crashes: int = 0
+    error_rate: float = 0.001
+    pace: float = 1
+    runs: list[float] = attrs.field(factory=list)
 
     async def run(self, call):
         """Run one call to its end, or until the server is restarted."""
         boot = f'{self.name}-{self.boots}'
         began = trio.current_time()
+        self.runs.append(began)
         self.in_hand.append(began)
         self._measure(began)
         crashed = self.crashed
@@ -167,7 +180,7 @@
 
     def _draw(self, call):
         slow = self.slow if self.state is ServerState.COLD else 1
-        return slow * self.random.uniform(0.5, 1.5) * self.mean
+        return self.pace * slow * self.random.uniform(0.5, 1.5) * self.mean
 
     def _answer(self, boot):
         shown = self.state
@@ -178,7 +191,8 @@
                 self.state = ServerState.SERVING
             if not self.announces:
                 shown = ServerState.SERVING
-        return make_attempt(shown, boot)
+        status = 500 if self.random.random() < self.error_rate else 200
+        return make_attempt(shown, boot, status=status)
 
 
 @attrs.define
@@ -192,7 +206,14 @@
     heard: dict = attrs.field(factory=dict)
 
 
-def make_host(name, fakes, random, *, is_sponsor, is_alone):
+NO_MOVES = MovesView(
+    list_moves=lambda: (),
+    find_settled=lambda service: None,
+    is_taken_back=lambda service, version: False,
+)
+
+
+def make_host(name, fakes, random, *, is_sponsor, is_alone, moves=NO_MOVES):
     directory = Directory()
     heard = {}
     view = FleetView(
@@ -206,6 +227,7 @@
     rules = make_server_rules(
         directory=directory,
         view=view,
+        moves=moves,
         slots=SLOTS,
         timers=TIMERS,
         random=random,
@@ -231,27 +253,31 @@
 
 
 async def gossip(hosts, random, *, period=0.25, delay=0.05):
-    """Carry standings, suspects and loads between all hosts for ever."""
+    """Carry heartbeats, as they are spelled, between all hosts for ever."""
 
-    async def carry(told, sender, receiver):
-        standings, notes, loads = told
+    async def carry(sent, loads, sender, receiver):
         await trio.sleep(random.uniform(0, delay))
-        receiver.rules.standings.take_standings(standings)
-        receiver.rules.suspects.take_notes(notes)
+        heartbeat = msgspec.msgpack.decode(sent, type=Heartbeat)
+        take_server_words(receiver.rules, heartbeat)
         receiver.heard[sender.name] = loads
 
     async with trio.open_nursery() as nursery:
         while True:
             for sender in hosts:
-                told = (
-                    sender.rules.standings.list_standings(),
-                    sender.rules.suspects.list_notes(),
-                    {
-                        server.id: server.in_flight
-                        for server in sender.directory.servers.values()
-                    },
+                words = fill_server_words(sender.rules)
+                heartbeat = Heartbeat(
+                    host=sender.name,
+                    incarnation=sender.name,
+                    zone='a',
+                    sequence=1,
+                    **msgspec.structs.asdict(words),
                 )
+                sent = msgspec.msgpack.encode(heartbeat)
+                loads = {
+                    server.id: server.in_flight
+                    for server in sender.directory.servers.values()
+                }
                 for receiver in hosts:
                     if receiver is not sender:
-                        nursery.start_soon(carry, told, sender, receiver)
+                        nursery.start_soon(carry, sent, loads, sender, receiver)
             await trio.sleep(period)
--- a/tests/server_mutations.py
+++ b/tests/server_mutations.py
@@ -23,6 +23,7 @@
 RUNS = 'tests/test_server_runs.py::test_cold_servers_get_one_call_at_a_time'
 CRASHES = 'tests/test_crash_rules.py'
 CRASH_RUNS = 'tests/test_crash_runs.py'
+VERSIONS = 'tests/test_version_rules.py'
 RULES = 'tests/test_server_rules.py'
 
 SERVER_MUTATIONS = {
@@ -113,4 +114,55 @@
     'crashes are not told to peers': Mutation(
         'crash/_notes.py', 'for sent in notes:', 'for sent in ():', CRASH_RUNS
     ),
+    'a brake does not keep calls away': Mutation(
+        'version/_rules.py',
+        'if progress.brake is not None:\n        return False\n    if _is_meant',
+        'if _is_meant',
+        VERSIONS,
+    ),
+    'a version that was taken back returns': Mutation(
+        'version/_rules.py',
+        'if traffic.view.is_taken_back(server.service, server.version):\n            return False',
+        'if None:\n            return False',
+        VERSIONS,
+    ),
+    'a new version needs no move': Mutation(
+        'version/_rules.py',
+        'if standing is None or server.version == standing:',
+        'if True:',
+        VERSIONS,
+    ),
+    'brakes are not heard': Mutation(
+        'version/_evidence.py',
+        'for brake in brakes:',
+        'for brake in ():',
+        VERSIONS,
+    ),
+    'evidence of peers does not count': Mutation(
+        'version/_evidence.py',
+        'elif progress is not None and len(',
+        'elif len(()) and len(',
+        VERSIONS,
+    ),
+    'a good past hides a late fault': Mutation(
+        'version/_sequential.py', 'max(0, stake)', 'stake', VERSIONS
+    ),
+    'the share grows with time alone': Mutation(
+        'version/_stages.py',
+        'if self.groups >= GROUPS_PER_STAGE:',
+        'if True:',
+        VERSIONS,
+    ),
+    'the odds are unfair': Mutation(
+        'version/_sequential.py',
+        'bet * odds if hit',
+        '2 * bet * odds if hit',
+        VERSIONS,
+    ),
+    'one route of a move is enough': Mutation(
+        'version/_progress.py',
+        'return all(route.stage.is_last for',
+        'return any(route.stage.is_last for',
+        VERSIONS,
+    ),
 }
--- /dev/null
+++ b/tests/test_version_rules.py
@@ -0,0 +1,382 @@
+"""The rules of version moves, one case a line."""
+
+import math
+from random import Random
+
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+from server_fakes import (
+    SERVICE,
+    TIMERS,
+    make_attempt,
+    make_call,
+    make_listed,
+)
+
+from ebonystream._ids import ServerId
+from ebonystream.backend import (
+    ABANDONED,
+    CUT,
+    NOT_SENT,
+    WITHDRAWN,
+    Directory,
+    ServerPhase,
+    ServerState,
+)
+from ebonystream.move import VerdictKind, VersionMove
+from ebonystream.version import (
+    ALARM_GROUPS,
+    BETS,
+    GROUPS_PER_STAGE,
+    NO_GAINS,
+    STAGES,
+    Brake,
+    EvidenceExchange,
+    MoveProgress,
+    MovesView,
+    RouteEvidence,
+    RouteStage,
+    Sample,
+    SequentialTest,
+    Tally,
+    VersionRules,
+    VersionTraffic,
+    check_version,
+    compare,
+    gain_bets,
+    judge_version_moves,
+    make_version_begin,
+    make_version_gate,
+    make_version_observer,
+)
+
+MOVE = VersionMove('m', SERVICE, 'v1', 'v2', 100_000, 0, 0)
+FAST, SLOW = Sample(failed=False, took=0.01), Sample(failed=False, took=0.1)
+FAILS = Sample(failed=True, took=None)
+
+
+@given(st.integers(1, 10), st.integers(1, 10))
+def test_bets_are_fair(failed, size):
+    chance = min(failed, size) / (size + 1)
+    hits = gain_bets(chance, hit=True)
+    misses = gain_bets(chance, hit=False)
+    for hit, miss in zip(hits, misses, strict=True):
+        fair = chance * math.exp(hit) + (1 - chance) * math.exp(miss)
+        assert fair == pytest.approx(1)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'failures', 'latency'),
+    [
+        ([FAST] * 9, FAILS, 1, 0),
+        ([FAST] * 9, FAST, 0, -1),
+        ([FAST] * 9, SLOW, 0, 1),
+        ([SLOW] * 9, FAST, 0, -1),
+        ([FAILS] + [FAST] * 8, FAST, -1, -1),
+        ([FAILS] * 9, FAILS, 0, 0),
+        ([FAILS], FAST, -1, 0),
+        ([FAST], Sample(failed=False, took=None), 0, 0),
+    ],
+)
+def test_what_a_group_says(old, new, failures, latency):
+    tally = compare(old, new)
+    signs = [
+        (gains[0] > 0) - (gains[0] < 0)
+        for gains in (tally.failures, tally.latency)
+    ]
+    assert (signs, tally.groups) == ([failures, latency], 1)
+
+
+@pytest.mark.parametrize(
+    ('good', 'group', 'new', 'most'),
+    [
+        (0, [FAST] * 9, FAILS, 8),
+        (1000, [FAST] * 9, FAILS, 8),
+        (0, [FAST] * 9, SLOW, 8),
+        (1000, [FAST] * 9, SLOW, 8),
+        (1000, [FAST], FAILS, 30),
+    ],
+)
+def test_a_late_fault_is_seen_as_soon(good, group, new, most):
+    tests = (SequentialTest(), SequentialTest())
+    needed = 0
+    for _ in range(good):
+        add_to(tests, compare(group, FAST))
+    while not any(test.is_alarm for test in tests):
+        add_to(tests, compare(group, new))
+        needed += 1
+    assert needed <= most
+
+
+def add_to(tests, tally):
+    for test, gains in zip(tests, (tally.failures, tally.latency), strict=True):
+        test.add(gains)
+
+
+@pytest.mark.parametrize(
+    ('elapsed', 'groups', 'calls', 'stage'),
+    [
+        (0.05, 999, 999, 0),
+        (0.1, GROUPS_PER_STAGE, 999, 1),
+        (0.1, GROUPS_PER_STAGE - 1, 999, 0),
+        (0.16, 10, 999, 1),
+        (0.16, 8, 999, 0),
+        (0.16, 0, 10, 1),
+        (9, 999, 999, 1),
+    ],
+)
+def test_stages_need_time_and_evidence(elapsed, groups, calls, stage):
+    route = RouteStage(calls=calls, groups=groups)
+    route.advance(elapsed)
+    assert route.stage == stage
+
+
+class Host:
+    """The rules of versions of one host, driven by hand."""
+
+    def __init__(self, *, taken_back=(), settled=None, moves=(MOVE,)):
+        self.directory = Directory()
+        self.directory.replace(
+            make_listed(f'{version}-{number}', version=version)
+            for version in ('v1', 'v2')
+            for number in range(2)
+        )
+        for server in self.directory.servers.values():
+            server.warmth.phase = ServerPhase.SERVING
+        self.moves = list(moves)
+        self.woken = 0
+        self.traffic = VersionTraffic(
+            view=MovesView(
+                list_moves=lambda: tuple(self.moves),
+                find_settled=lambda service: settled,
+                is_taken_back=lambda service, version: version in taken_back,
+            ),
+            directory=self.directory,
+        )
+        self.rules = VersionRules(
+            traffic=self.traffic,
+            has_room=lambda call, server: server.in_flight < 2,
+            timers=TIMERS,
+            tell_peers=self._wake,
+        )
+        self.exchange = EvidenceExchange(self.traffic)
+        self.gate = make_version_gate(self.rules)
+        self.begin = make_version_begin(self.rules)
+        self.observe = make_version_observer(self.rules)
+        self.traffic.refresh(0)
+
+    def _wake(self):
+        self.woken += 1
+
+    @property
+    def progress(self):
+        """How far the move has come."""
+        return self.traffic.progress[MOVE.id]
+
+    def list_versions(self, call):
+        """Give the versions that a call may go to."""
+        servers = self.directory.servers.values()
+        return {one.version for one in servers if self.gate(call, one)}
+
+    def count_new(self):
+        """Tell how many of many calls may go to the new version."""
+        calls = [make_call(now=number / 7) for number in range(1000)]
+        return sum('v2' in self.list_versions(call) for call in calls)
+
+
+CALL = make_call()
+
+
+@pytest.mark.parametrize(
+    ('options', 'versions'),
+    [
+        ({'moves': ()}, {'v1'}),
+        ({'moves': (), 'settled': 'v2'}, {'v2'}),
+        ({'moves': (), 'settled': 'v9'}, {'v1', 'v2'}),
+        ({'moves': (), 'settled': 'v9', 'taken_back': ('v2',)}, {'v1'}),
+        ({'taken_back': ('v2',)}, {'v1'}),
+    ],
+)
+def test_versions_without_a_move(options, versions):
+    assert Host(**options).list_versions(CALL) == versions
+
+
+@pytest.mark.parametrize(
+    ('stage', 'least', 'most'),
+    [(0, 10, 35), (3, 160, 240), (5, 450, 550), (7, 1000, 1000)],
+)
+def test_the_share_of_the_new_version(stage, least, most):
+    host = Host()
+    host.progress.add_old('check', 0, FAST)
+    host.progress.routes['check'].stage.stage = stage
+    assert least <= host.count_new() <= most
+
+
+def test_a_full_new_version_leaves_calls_to_the_old_one():
+    host = Host()
+    host.progress.add_old('check', 0, FAST)
+    host.progress.routes['check'].stage.stage = len(STAGES) - 1
+    assert host.list_versions(CALL) == {'v2'}
+    for server in host.directory.servers.values():
+        server.in_flight = 2
+    assert host.list_versions(CALL) == {'v1', 'v2'}
+
+
+OK = make_attempt()
+SHEDS = make_attempt(refused=True)
+DRAINS = make_attempt(ServerState.DRAINING, refused=True)
+
+
+@pytest.mark.parametrize(
+    ('attempt', 'failed'),
+    [
+        (OK, False),
+        (CUT, True),
+        (NOT_SENT, True),
+        (SHEDS, True),
+        (DRAINS, None),
+        (WITHDRAWN, None),
+        (ABANDONED, None),
+    ],
+)
+async def test_what_an_attempt_says(autojump_clock, attempt, failed):
+    host = Host()
+    server = host.directory.servers[ServerId('v1-0')]
+    host.observe(make_call(), server, attempt, 0.01)
+    route = host.progress.routes.get('check')
+    waiting = [] if route is None else list(route.pools[0].waiting)
+    assert [one.failed for one in waiting] == (
+        [] if failed is None else [failed]
+    )
+
+
+async def test_a_brake_takes_effect_at_once(autojump_clock):
+    host = Host()
+    old = host.directory.servers[ServerId('v1-0')]
+    new = host.directory.servers[ServerId('v2-0')]
+    assert host.begin(CALL, new)
+    for _ in range(8):
+        for _ in range(9):
+            host.observe(make_call(), old, OK, 0.01)
+        host.observe(make_call(), new, CUT, 0.01)
+    assert 'fails more often' in host.progress.brake
+    assert host.woken == 1
+    assert host.count_new() == 0
+    assert not host.begin(CALL, new)
+    assert host.begin(CALL, old)
+    with pytest.raises(AssertionError, match='after the version was stopped'):
+        check_version(host.rules, new)
+
+
+async def test_a_stopped_version_is_no_way_out(autojump_clock):
+    host = Host()
+    host.progress.stop('it fails')
+    for server in host.directory.servers.values():
+        server.leaving = server.version == 'v1'
+    assert host.list_versions(CALL) == {'v1'}
+
+
+async def test_each_route_has_to_move(autojump_clock):
+    progress = MoveProgress(move='m', asked_ms=0, finish_by_ms=100)
+    for route in ('check', 'sell'):
+        progress.add_old(route, 0, FAST)
+    progress.advance(90)
+    assert not progress.has_moved
+    progress.routes['check'].stage.stage = len(STAGES) - 1
+    progress.routes['sell'].stage.calls = 999
+    progress.advance(90)
+    assert not progress.has_moved
+    progress.routes['sell'].stage.stage = len(STAGES) - 1
+    assert progress.has_moved
+
+
+async def test_a_brake_spreads(autojump_clock):
+    host, peer, late = Host(), Host(), Host(moves=())
+    host.progress.stop('it fails')
+    for other in (peer, late):
+        other.exchange.take_brakes(host.exchange.list_brakes())
+    assert peer.count_new() == 0
+    late.moves.append(MOVE)
+    late.traffic.refresh(0)
+    assert late.count_new() == 0
+
+
+async def test_evidence_of_peers_counts_once(autojump_clock):
+    host = Host()
+    tally = compare([FAST] * 9, FAILS)
+    own = tally.plus(tally).plus(tally)
+    route = RouteEvidence(move=MOVE.id, route='check', tally=own)
+    for peer in ('p', 'p', 'p', 'q', 'q'):
+        host.exchange.take_evidence(peer, [route])
+    assert host.progress.routes['check'].stage.groups == 2 * own.groups
+    assert host.progress.brake is None
+    host.exchange.take_evidence('r', [route])
+    assert 'fails more often' in host.progress.brake
+
+
+@pytest.mark.parametrize(
+    'tally',
+    [
+        Tally(-1),
+        Tally(1, (math.inf,) * len(BETS)),
+        Tally(1, NO_GAINS, (math.nan,) * len(BETS)),
+        Tally(1, (1.0,)),
+        Tally(1, (1e300,) * len(BETS)),
+    ],
+)
+async def test_malformed_evidence_is_dropped(autojump_clock, tally):
+    host = Host()
+    sent = RouteEvidence(move=MOVE.id, route='check', tally=tally)
+    host.exchange.take_evidence('peer', [sent])
+    assert (host.exchange.dropped, host.progress.routes) == (1, {})
+    host.exchange.take_brakes([Brake(move='x', version='v', reason='')] * 99)
+
+
+@pytest.mark.parametrize(
+    ('weight', 'at_ms', 'verdict'),
+    [
+        (0, 50_000, None),
+        (0, 86_000, VerdictKind.FINISHED),
+        (math.log(200), 86_000, None),
+        (math.log(200), 96_000, VerdictKind.FINISHED),
+        (math.log(2000), 96_000, None),
+        (math.log(2000), 101_000, VerdictKind.TAKEN_BACK),
+        (math.log(ALARM_GROUPS * len(BETS)), 1000, VerdictKind.TAKEN_BACK),
+    ],
+)
+async def test_verdicts(autojump_clock, weight, at_ms, verdict):
+    host = Host()
+    gains = (weight,) * len(BETS)
+    for number in range(len(STAGES)):
+        sent = RouteEvidence(
+            move=MOVE.id,
+            route='check',
+            tally=Tally(GROUPS_PER_STAGE * number, gains),
+        )
+        host.exchange.take_evidence('peer', [sent])
+        host.traffic.refresh(at_ms)
+    asked = []
+
+    async def end_move(move, kind, reason):
+        asked.append(kind)
+        host.moves.clear()
+
+    timers = type(TIMERS)(epoch_at_zero=at_ms / 1000 - trio.current_time())
+    with trio.move_on_after(1):
+        await judge_version_moves(
+            traffic=host.traffic,
+            end_move=end_move,
+            timers=timers,
+            random=Random(1),
+        )
+    assert asked == ([] if verdict is None else [verdict])
+
+
+def test_a_move_explains_itself():
+    progress = MoveProgress(move='m', asked_ms=0, finish_by_ms=1)
+    progress.add_old('check', 0, FAST)
+    assert progress.explain() == 'waits for evidence on check'
+    progress.stop('why')
+    assert progress.explain() == 'stopped: why'
--- /dev/null
+++ b/tests/test_version_runs.py
@@ -0,0 +1,184 @@
+"""Whole version moves on several hosts: who is finished, who taken back."""
+
+import os
+from functools import partial
+from random import Random
+
+import pytest
+import trio
+from server_fakes import (
+    SERVICE,
+    SPREAD,
+    TIMERS,
+    FakeServer,
+    fix_schedule,
+    gossip,
+    make_call,
+    make_host,
+    make_listed,
+)
+
+from ebonystream._ids import ServerId
+from ebonystream.errors import EbonystreamError
+from ebonystream.move import VerdictKind, VersionMove
+from ebonystream.version import MovesView, judge_version_moves
+
+HOSTS = 3
+SERVERS = 4
+WARM_S = 10
+LENGTH_S = 30
+CALL_PAUSE = 0.02
+SEEDS = int(os.environ.get('SEEDS', '2'))
+ROUTES = ('check', 'check', 'check', 'sell')
+
+
+class MoveWorld:
+    """Several entry hosts and one version move."""
+
+    def __init__(self, seed):
+        fix_schedule(seed)
+        self.random = Random(seed)
+        self.verdict = None
+        self.brakes = []
+        self.move = VersionMove(
+            'm',
+            SERVICE,
+            'v1',
+            'v2',
+            (WARM_S + LENGTH_S) * 1000,
+            0,
+            WARM_S * 1000,
+        )
+        self.fakes = {
+            ServerId(f'{version}-{number}'): FakeServer(
+                version, Random(f'{seed}{version}{number}')
+            )
+            for version in ('v1', 'v2')
+            for number in range(SERVERS)
+        }
+        view = MovesView(
+            list_moves=self._list_moves,
+            find_settled=lambda service: 'v1',
+            is_taken_back=lambda service, version: (
+                self.verdict is VerdictKind.TAKEN_BACK and version == 'v2'
+            ),
+        )
+        self.hosts = [
+            make_host(
+                f'h{index}',
+                self.fakes,
+                Random(f'{seed}{index}'),
+                is_sponsor=partial(self._is_sponsor, index),
+                is_alone=lambda: False,
+                moves=view,
+            )
+            for index in range(HOSTS)
+        ]
+        for host in self.hosts:
+            host.directory.replace(
+                make_listed(name, version=name.partition('-')[0])
+                for name in self.fakes
+            )
+
+    def _is_sponsor(self, index, server):
+        return list(self.fakes).index(server) % HOSTS == index
+
+    def _list_moves(self):
+        begun = trio.current_time() >= WARM_S
+        return (self.move,) if begun and self.verdict is None else ()
+
+    async def _end_move(self, move, kind, reason):
+        await trio.sleep(0.1)
+        self.verdict = self.verdict or kind
+        self.ended_at = trio.current_time()
+
+    def list_new(self):
+        """Give the servers of the new version."""
+        return [one for one in self.fakes.values() if one.name == 'v2']
+
+    async def _send_calls(self, host):
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self.random.expovariate(1 / CALL_PAUSE))
+                nursery.start_soon(self._send_call, host)
+
+    async def _send_call(self, host):
+        route = self.random.choice(ROUTES)
+        call = make_call(now=TIMERS.now(), route=route)
+        try:
+            await host.dispatch(call, set())
+        except EbonystreamError:
+            return
+        for progress in host.rules.traffic.progress.values():
+            if progress.brake is not None:
+                self.brakes.append(trio.current_time())
+
+    async def run(self, break_version):
+        """Run a move to a little after its end."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(gossip, self.hosts, self.random)
+            for host in self.hosts:
+                nursery.start_soon(self._send_calls, host)
+                nursery.start_soon(
+                    partial(
+                        judge_version_moves,
+                        traffic=host.rules.traffic,
+                        end_move=self._end_move,
+                        timers=TIMERS,
+                        random=self.random,
+                    )
+                )
+            nursery.start_soon(break_version, self)
+            await trio.sleep(WARM_S + LENGTH_S + 2)
+            nursery.cancel_scope.cancel()
+
+
+async def keep_good(world):
+    """Leave the new version as good as the old one."""
+
+
+async def fail_at_once(world):
+    for fake in world.list_new():
+        fake.error_rate = 0.5
+
+
+async def slow_at_once(world):
+    for fake in world.list_new():
+        fake.pace = 4
+
+
+async def fail_late(world):
+    await trio.sleep(WARM_S + LENGTH_S * 0.5)
+    await fail_at_once(world)
+
+
+async def slow_late(world):
+    await trio.sleep(WARM_S + LENGTH_S * 0.5)
+    await slow_at_once(world)
+
+
+FINISHED, TAKEN_BACK = VerdictKind.FINISHED, VerdictKind.TAKEN_BACK
+
+
+@pytest.mark.parametrize('seed', range(SEEDS))
+@pytest.mark.parametrize(
+    ('break_version', 'verdict'),
+    [
+        (keep_good, FINISHED),
+        (fail_at_once, TAKEN_BACK),
+        (slow_at_once, TAKEN_BACK),
+        (fail_late, TAKEN_BACK),
+        (slow_late, TAKEN_BACK),
+    ],
+)
+async def test_moves_end_as_they_should(
+    autojump_clock, seed, break_version, verdict
+):
+    world = MoveWorld(seed)
+    await world.run(break_version)
+    assert world.verdict is verdict
+    assert world.ended_at <= WARM_S + LENGTH_S
+    runs = [begun for fake in world.list_new() for begun in fake.runs]
+    assert min(runs) >= WARM_S
+    if verdict is TAKEN_BACK:
+        assert max(runs) <= min(world.brakes) + SPREAD
