Hold each slot of a backend server at one entry host at a time

Cause: routing knew only its own calls in flight. Ruled out: gossip of counts in heartbeats (250 ms old against calls of 20 ms); quotas for each host (2 slots can't be divided among 17 hosts); one broker for each service (one more hop on every call, and a single place to lose); asking home for each call (a round trip on every call). Change: a slot is held where it was used last, and moves when a peer has a call waiting, so a call normally finds its slot without a message. Each server has a home that makes lost slots again after a silence longer than any lease. Own answers rest slow servers. Calls wait at the entry host.

--- a/src/ebonystream/_ids.py
+++ b/src/ebonystream/_ids.py
@@ -21,6 +21,9 @@
 ServerId = NewType('ServerId', str)
 """Names one backend server."""
 
+SlotNumber = NewType('SlotNumber', int)
+"""One of the calls that a backend server works on at a time, from 0."""
+
 BootId = NewType('BootId', str)
 """Names one run of a backend server; a restart brings a new one."""
 
--- a/src/ebonystream/backend/__init__.py
+++ b/src/ebonystream/backend/__init__.py
@@ -14,6 +14,12 @@
     MAY_HAVE_RUN,
     make_idempotent_run,
 )
+from ebonystream.backend._choice import (
+    Choice,
+    ChoiceReason,
+    MayTake,
+    make_choosing,
+)
 from ebonystream.backend._directory import Directory
 from ebonystream.backend._dispatch import (
     Dispatch,
@@ -22,28 +28,53 @@
     Send,
     make_dispatch,
 )
-from ebonystream.backend._routing import make_placing, release_place
+from ebonystream.backend._evidence import Evidence, UsualTimes
+from ebonystream.backend._exchange import SlotExchange
+from ebonystream.backend._peers import SlotPeer
+from ebonystream.backend._registry import SlotRegistry
+from ebonystream.backend._routing import (
+    abandon,
+    join,
+    make_learning,
+    make_placing,
+)
 from ebonystream.backend._server import BackendServer, ServerAddress
+from ebonystream.backend._slots import HeldSlots, Slot
+from ebonystream.backend._waiting import Waiting
 
 __all__ = (
     'ABANDONED',
-    'CUT',
-    'FAILURES',
-    'MAY_HAVE_RUN',
-    'NOT_SENT',
     'Attempt',
     'AttemptKind',
     'BackendServer',
+    'CUT',
+    'Choice',
+    'ChoiceReason',
     'Directory',
     'Dispatch',
+    'Evidence',
+    'FAILURES',
+    'HeldSlots',
     'LoadReport',
+    'MAY_HAVE_RUN',
+    'MayTake',
+    'NOT_SENT',
     'Observe',
     'Place',
     'Send',
     'ServerAddress',
     'ServerState',
+    'Slot',
+    'SlotExchange',
+    'SlotPeer',
+    'SlotRegistry',
+    'UsualTimes',
+    'Waiting',
+    'abandon',
+    'join',
+    'make_choosing',
     'make_dispatch',
     'make_idempotent_run',
+    'make_learning',
     'make_placing',
-    'release_place',
 )
--- /dev/null
+++ b/src/ebonystream/backend/_choice.py
@@ -0,0 +1,98 @@
+"""The choice of a slot for a call, with its reason."""
+
+import enum
+from collections.abc import Callable, Iterable, Sequence
+from random import Random
+
+import attrs
+
+from ebonystream._ids import ZoneName
+from ebonystream.backend._server import BackendServer
+from ebonystream.backend._slots import Slot
+from ebonystream.backend._waiting import Waiting
+from ebonystream.call import Call
+
+MayTake = Callable[[Call, BackendServer], bool]
+"""Tells whether a server may have a call, besides having room for it."""
+
+
+class ChoiceReason(enum.Enum):
+    """Why a call went where it went."""
+
+    OWN_ZONE = 'own_zone'
+    SPILLED = 'spilled'
+    TRIAL = 'trial'
+    """A server that was slow gets one call to show that it recovered."""
+
+
+@attrs.frozen
+class Choice:
+    """A slot for a call.
+
+    Attributes:
+        slot: The slot.
+        reason: Why this one.
+    """
+
+    slot: Slot
+    reason: ChoiceReason
+
+
+Choose = Callable[[Sequence[Slot], Waiting], Choice | None]
+"""Picks one of the free slots for a call, if it may use any."""
+
+
+def make_choosing(
+    *, zone: ZoneName, may_take: MayTake, random: Random
+) -> Choose:
+    """Make the function that picks a slot.
+
+    Args:
+        zone: Where this host stands.
+        may_take: Tells whether a server may have a call.
+        random: Breaks ties.
+    """
+
+    def weigh(slot: Slot) -> tuple[bool, bool, float]:
+        server = slot.server
+        slow = server.evidence.is_slow()
+        return slow, server.zone != zone, random.random()
+
+    def choose(free: Sequence[Slot], waiting: Waiting) -> Choice | None:
+        fit = [
+            slot
+            for slot in free
+            if slot.server.id not in waiting.tried
+            and may_take(waiting.call, slot.server)
+        ]
+        if not fit:
+            return None
+        slot = min(fit, key=weigh)
+        return Choice(slot, _explain(slot, zone))
+
+    return choose
+
+
+def choose_gift(
+    free: Iterable[Slot], asker: ZoneName, own: ZoneName
+) -> Slot | None:
+    """Pick a free slot for a peer: one of its zone, else one of no use here.
+
+    Args:
+        free: Slots that may take a call.
+        asker: Where the peer stands.
+        own: Where this host stands.
+    """
+    return min(
+        (slot for slot in free if not slot.server.evidence.is_slow()),
+        key=lambda slot: (slot.server.zone != asker, slot.server.zone == own),
+        default=None,
+    )
+
+
+def _explain(slot: Slot, zone: ZoneName) -> ChoiceReason:
+    if slot.server.evidence.is_slow():
+        return ChoiceReason.TRIAL
+    if slot.server.zone == zone:
+        return ChoiceReason.OWN_ZONE
+    return ChoiceReason.SPILLED
--- /dev/null
+++ b/src/ebonystream/backend/_registry.py
@@ -0,0 +1,202 @@
+"""The registry of slots: each slot exists once, and none is lost for good.
+
+Each backend server has one entry host that is home to its slots. Home makes
+the slots that nobody holds: at the start, and where a holder or a grant was
+lost. The others tell in their heartbeats which slots they hold.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from ebonystream._ids import (
+    HostId,
+    Monotonic,
+    Seconds,
+    ServerId,
+    ServiceName,
+    SlotNumber,
+)
+from ebonystream.backend._directory import Directory
+from ebonystream.backend._exchange import SlotExchange
+from ebonystream.backend._server import BackendServer
+from ebonystream.backend._service import LONGEST_LEASE
+from ebonystream.backend._slots import Slot, SlotKey
+from ebonystream.peer import ServerLoad, SlotClaim
+
+NO_HOST = HostId('')
+"""Orders before each host: what is known of a slot is no claim to it."""
+
+GENERATION = 1_000_000
+"""How far a slot that is made again is ahead of its lost copy."""
+
+
+@attrs.define
+class Sighting:
+    """When a slot was last known to be held.
+
+    Attributes:
+        at: When that was, or when this host became home to it.
+        sequence: How often it had changed hands.
+    """
+
+    at: Monotonic
+    sequence: int = -1
+
+
+@attrs.define(kw_only=True)
+class SlotRegistry:
+    """What this host knows of slots that it is home to.
+
+    Attributes:
+        exchange: The slots of this host.
+        directory: The servers that are known.
+        slots: How many slots each server has.
+        is_home: Tells whether this host is home to a server.
+        get_confirmed: Gives when the newest heartbeat was sent that the home
+            of a server has confirmed to this host.
+        get_silence: Gives how long a slot must be unheard of before it is
+            made again, in seconds.
+        sightings: The newest sighting of each slot.
+        made: Slots made so far.
+        dropped: Slots dropped because another host holds them too.
+    """
+
+    exchange: SlotExchange
+    directory: Directory
+    slots: int
+    is_home: Callable[[ServerId], bool]
+    get_confirmed: Callable[[ServerId], Monotonic]
+    get_silence: Callable[[], Seconds]
+    sightings: dict[SlotKey, Sighting] = attrs.field(factory=dict)
+    made: int = 0
+    dropped: int = 0
+
+    def check(self) -> None:
+        """Make what is missing and drop what is out of date."""
+        for service in list(self.exchange.by_service):
+            self._drop_unlisted(service)
+            self._renew(service)
+        for server in self.directory.servers.values():
+            if self.is_home(server.id):
+                self._make_missing(server)
+            else:
+                self._forget(server.id)
+
+    def report(self) -> tuple[ServerLoad, ...]:
+        """Give the slots that this host holds or is home to, to all peers."""
+        claims: dict[ServerId, list[SlotClaim]] = defaultdict(list)
+        for service in self.exchange.by_service.values():
+            for slot in service.held.slots.values():
+                claim = SlotClaim(slot.number, slot.sequence)
+                claims[slot.server.id].append(claim)
+        known: dict[ServerId, list[SlotClaim]] = defaultdict(list)
+        for key, sighting in self.sightings.items():
+            if self.is_home(key[0]):
+                known[key[0]].append(SlotClaim(key[1], sighting.sequence))
+        return tuple(
+            ServerLoad(
+                server=server.id,
+                in_flight=server.in_flight,
+                held=tuple(claims[server.id]),
+                known=tuple(known[server.id]),
+            )
+            for server in _list_servers(
+                self.directory, claims.keys() | known.keys()
+            )
+        )
+
+    def take_report(self, host: HostId, loads: Iterable[ServerLoad]) -> None:
+        """Take what a peer holds.
+
+        Args:
+            host: The peer.
+            loads: What its heartbeat says.
+        """
+        now = self.exchange.timers.now()
+        for load in loads:
+            for claim in load.held:
+                key = (load.server, claim.number)
+                self._see(key, claim.sequence, now)
+                self._yield_to(key, (claim.sequence, host))
+            for claim in load.known:
+                key = (load.server, claim.number)
+                self._yield_to(key, (claim.sequence, NO_HOST))
+
+    def _see(self, key: SlotKey, sequence: int, now: Monotonic) -> None:
+        sighting = self.sightings.setdefault(key, Sighting(now))
+        sighting.at = now
+        sighting.sequence = max(sighting.sequence, sequence)
+
+    def _yield_to(self, key: SlotKey, claim: tuple[int, HostId]) -> None:
+        server = self.directory.servers.get(key[0])
+        if server is None:
+            return
+        held = self.exchange.get_service(server.service).held
+        slot = held.slots.get(key)
+        held.learn(key, claim[0])
+        if slot is None:
+            return
+        if claim > (slot.sequence, self.exchange.me.host):
+            held.remove(slot)
+            self.dropped += 1
+
+    def _make_missing(self, server: BackendServer) -> None:
+        now = self.exchange.timers.now()
+        held = self.exchange.get_service(server.service).held
+        for number in range(self.slots):
+            key = (server.id, SlotNumber(number))
+            slot = held.slots.get(key)
+            if slot is not None:
+                slot.until = Monotonic(now + LONGEST_LEASE)
+                self._see(key, slot.sequence, now)
+                continue
+            sighting = self.sightings.setdefault(key, Sighting(now))
+            if now - sighting.at >= self.get_silence():
+                self._make(server, key, sighting)
+
+    def _make(
+        self, server: BackendServer, key: SlotKey, sighting: Sighting
+    ) -> None:
+        self.made += 1
+        held = self.exchange.get_service(server.service).held
+        newest = max(sighting.sequence, held.newest.get(key, 0))
+        sighting.sequence = newest + GENERATION
+        now = self.exchange.timers.now()
+        sighting.at = now
+        slot = Slot(
+            server=server,
+            number=key[1],
+            sequence=sighting.sequence,
+            since=now,
+            until=Monotonic(now + LONGEST_LEASE),
+        )
+        held.add(slot)
+        self.exchange.settle(server.service)
+
+    def _renew(self, service: ServiceName) -> None:
+        held = self.exchange.by_service[service].held
+        for slot in held.slots.values():
+            confirmed = self.get_confirmed(slot.server.id)
+            if confirmed >= slot.since:
+                renewed = Monotonic(confirmed + LONGEST_LEASE)
+                slot.until = max(slot.until, renewed)
+
+    def _forget(self, server: ServerId) -> None:
+        for number in range(self.slots):
+            self.sightings.pop((server, SlotNumber(number)), None)
+
+    def _drop_unlisted(self, service: ServiceName) -> None:
+        held = self.exchange.by_service[service].held
+        for slot in list(held.slots.values()):
+            listed = self.directory.servers.get(slot.server.id)
+            if listed is not slot.server:
+                held.remove(slot)
+
+
+def _list_servers(
+    directory: Directory, names: Iterable[ServerId]
+) -> list[BackendServer]:
+    servers = directory.servers
+    return [servers[name] for name in sorted(names) if name in servers]
--- a/src/ebonystream/backend/_routing.py
+++ b/src/ebonystream/backend/_routing.py
@@ -1,57 +1,152 @@
-"""Routing: which backend server a call is sent to next."""
+"""Routing: a call waits at the entry host until a server has room for it."""
 
 from collections.abc import Callable
-from random import Random
+from http import HTTPStatus
 
-from ebonystream._ids import Seconds, ServerId, ZoneName
-from ebonystream.backend._attempt import Attempt
+import trio
+
+from ebonystream._ids import Seconds, ServerId
+from ebonystream._timers import Timers
+from ebonystream.backend._attempt import Attempt, AttemptKind
+from ebonystream.backend._choice import MayTake
 from ebonystream.backend._directory import Directory
-from ebonystream.backend._dispatch import Place
+from ebonystream.backend._dispatch import Observe, Place
+from ebonystream.backend._evidence import FAILURE_RATIO, UsualTimes
+from ebonystream.backend._exchange import SlotExchange
 from ebonystream.backend._server import BackendServer
+from ebonystream.backend._waiting import Waiting
 from ebonystream.call import Call
 from ebonystream.errors import EbonystreamError, ErrorKind
 
-CHOICES = 2
+Rank = Callable[[Call], int]
+"""Gives a call's place by plan; 0 goes first."""
 
 
 def make_placing(
     *,
+    exchange: SlotExchange,
     directory: Directory,
-    is_out: Callable[[ZoneName], bool],
-    random: Random,
+    may_take: MayTake,
+    rank: Rank,
+    timers: Timers,
 ) -> Place:
     """Make the function that finds a server for a call.
 
+    A call that is cancelled while it waits, or just after it got a slot,
+    holds nothing afterwards.
+
     Args:
+        exchange: The slots of this host.
         directory: The servers that are known.
-        is_out: Tells whether operators took a zone out.
-        random: The seeded source of random choices.
+        may_take: Tells whether a server may have a call.
+        rank: Gives a call's place by plan.
+        timers: Tells the time.
     """
 
     async def place(call: Call, tried: set[ServerId]) -> BackendServer:
-        fit = [
-            server
-            for server in directory.list_service(call.service)
-            if server.id not in tried
-            and not server.leaving
-            and not is_out(server.zone)
-        ]
-        if not fit:
-            raise EbonystreamError(ErrorKind.NO_BACKEND, call.service)
-        drawn = random.sample(fit, min(CHOICES, len(fit)))
-        server = min(drawn, key=_count_in_flight)
-        server.in_flight += 1
-        return server
+        event = trio.Event()
+        waiting = Waiting(
+            call=call,
+            tried=frozenset(tried),
+            rank=rank(call),
+            since=timers.now(),
+            wake=event.set,
+        )
+        join(exchange, waiting, directory, may_take)
+        placed = None
+        try:
+            placed = await _wait(exchange, waiting, event)
+        finally:
+            if placed is None:
+                abandon(exchange, waiting)
+        return placed
 
     return place
 
 
-def release_place(
-    call: Call, server: BackendServer, attempt: Attempt, took: Seconds
+def join(
+    exchange: SlotExchange,
+    waiting: Waiting,
+    directory: Directory,
+    may_take: MayTake,
 ) -> None:
-    """Give the place of an ended attempt back; the first of the observers."""
-    server.in_flight -= 1
+    """Let a call wait; it may have its slot at once.
+
+    Args:
+        exchange: The slots of this host.
+        waiting: The call.
+        directory: The servers that are known.
+        may_take: Tells whether a server may have a call.
+
+    Raises:
+        EbonystreamError: No server may have the call, or it would wait longer
+            than its deadline.
+    """
+    service = waiting.call.service
+    if not any(
+        server.id not in waiting.tried
+        and not server.leaving
+        and may_take(waiting.call, server)
+        for server in directory.list_service(service)
+    ):
+        raise EbonystreamError(ErrorKind.NO_BACKEND, service)
+    exchange.get_service(service).line.join(waiting)
+    exchange.settle(service)
+    if waiting.slot is None:
+        exchange.ask(service)
+
+
+def abandon(exchange: SlotExchange, waiting: Waiting) -> None:
+    """Give back whatever a call has that ends its wait for another reason."""
+    if waiting.slot is None:
+        exchange.get_service(waiting.call.service).line.leave(waiting)
+    else:
+        exchange.end(waiting.slot.server)
+
+
+async def _wait(
+    exchange: SlotExchange, waiting: Waiting, event: trio.Event
+) -> BackendServer:
+    service = waiting.call.service
+    with trio.move_on_at(waiting.call.deadline):
+        while not event.is_set():
+            with trio.move_on_after(exchange.get_pause(service)):
+                await event.wait()
+            exchange.settle(service)
+            exchange.ask(service)
+    if waiting.slot is not None:
+        return waiting.slot.server
+    raise waiting.error or EbonystreamError(ErrorKind.DEADLINE_EXPIRED)
+
+
+def make_learning(
+    *, exchange: SlotExchange, usual: UsualTimes, timers: Timers
+) -> Observe:
+    """Make the observer that learns from an attempt and frees its slot.
+
+    Args:
+        exchange: The slots of this host.
+        usual: How long calls usually take.
+        timers: Tells the time.
+    """
+
+    def learn(
+        call: Call, server: BackendServer, attempt: Attempt, took: Seconds
+    ) -> None:
+        ratio = FAILURE_RATIO
+        if attempt.kind is AttemptKind.ABANDONED:
+            # It says nothing of the server unless it took unusually long.
+            ratio = max(1, usual.measure(call.route, took))
+        elif _is_good(attempt):
+            ratio = usual.compare(call.route, took)
+        server.evidence.record(ratio, timers.now())
+        exchange.end(server)
+
+    return learn
 
 
-def _count_in_flight(server: BackendServer) -> int:
-    return server.in_flight
+def _is_good(attempt: Attempt) -> bool:
+    answer = attempt.answer
+    return (
+        answer is not None and answer.status < HTTPStatus.INTERNAL_SERVER_ERROR
+    )
--- a/src/ebonystream/backend/_server.py
+++ b/src/ebonystream/backend/_server.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ebonystream._ids import ServerId, ServiceName, VersionName, ZoneName
+from ebonystream.backend._evidence import Evidence
 
 
 @attrs.frozen
@@ -30,6 +31,7 @@
         zone: The availability zone it stands in.
         leaving: Whether the host list says that it leaves.
         in_flight: Calls of this entry host that it has in hand.
+        evidence: What this host's own calls there showed.
     """
 
     id: ServerId
@@ -39,3 +41,4 @@
     zone: ZoneName
     leaving: bool = False
     in_flight: int = 0
+    evidence: Evidence = attrs.field(factory=Evidence)
--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -1,15 +1,12 @@
 """Wires the path of a call, from the caller's connection to a back end."""
 
 from functools import partial
-from random import Random
 
-from ebonystream._ids import CustomerId, IdempotencyKey, ZoneName
+from ebonystream._ids import CustomerId, IdempotencyKey
 from ebonystream.backend import (
     Dispatch,
     make_dispatch,
     make_idempotent_run,
-    make_placing,
-    release_place,
 )
 from ebonystream.call import CallKind, make_admission, make_serving
 from ebonystream.caller import CallerLimits, CallerListener
@@ -54,14 +51,10 @@
 
 def _make_dispatch(parts: Parts) -> Dispatch:
     return make_dispatch(
-        place=make_placing(
-            directory=parts.directory,
-            is_out=_is_never_out,
-            random=Random(parts.incarnation),
-        ),
+        place=parts.policy.place,
         send=make_sender(pool=parts.pool, timers=parts.timers),
         observers=(
-            release_place,
+            parts.policy.learn,
             parts.metrics.count_attempt,
             log_attempt,
         ),
@@ -77,7 +70,3 @@
 
 def _refuse_key(sent: bytes) -> IdempotencyKey:
     raise EbonystreamError(ErrorKind.KEY_MALFORMED, sent.decode('latin-1'))
-
-
-def _is_never_out(zone: ZoneName) -> bool:
-    return not zone
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -10,6 +10,7 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
 from ebonystream.backend import Directory
+from ebonystream.composition._policy import Policy, make_policy
 from ebonystream.configuration import Control
 from ebonystream.observation import Metrics
 from ebonystream.platform import (
@@ -34,6 +35,7 @@
     directory: Directory
     pool: ConnectionPool
     metrics: Metrics
+    policy: Policy
     incarnation: Incarnation
     stopping: trio.Event
 
@@ -51,16 +53,24 @@
         idle=convert_ms(settings.backends.idle_ms),
         connect_timeout=convert_ms(settings.backends.connect_timeout_ms),
     )
+    directory = Directory()
+    incarnation = Incarnation(uuid.uuid4().hex)
     return Parts(
         settings=settings,
         timers=timers,
         log=make_http_log(client=client, url=settings.log.url),
         read_hosts=make_host_reader(client=client, url=settings.host_list.url),
         control=Control(),
-        directory=Directory(),
+        directory=directory,
         pool=ConnectionPool(limits, timers),
         metrics=Metrics(),
-        incarnation=Incarnation(uuid.uuid4().hex),
+        policy=make_policy(
+            settings,
+            timers=timers,
+            directory=directory,
+            incarnation=incarnation,
+        ),
+        incarnation=incarnation,
         stopping=trio.Event(),
     )
 
--- a/src/ebonystream/peer/__init__.py
+++ b/src/ebonystream/peer/__init__.py
@@ -12,14 +12,18 @@
     decode_message,
     encode_message,
 )
+from ebonystream.peer._slots import AskSlots, GrantSlot, SlotClaim
 
 __all__ = (
+    'AskSlots',
     'FetchSnapshot',
     'ForwardAnswer',
     'ForwardCall',
+    'GrantSlot',
     'Heartbeat',
     'PeerMessage',
     'ServerLoad',
+    'SlotClaim',
     'Snapshot',
     'VersionBrake',
     'decode_message',
--- a/src/ebonystream/peer/_messages.py
+++ b/src/ebonystream/peer/_messages.py
@@ -18,6 +18,7 @@
     VersionName,
     ZoneName,
 )
+from ebonystream.peer._slots import AskSlots, GrantSlot, SlotClaim
 
 PROTOCOL_VERSION = 1
 
@@ -29,11 +30,16 @@
         server: The backend server.
         in_flight: Calls of the host that the server has in hand.
         boot: The run of the server that answered last, if known.
+        held: The slots of the server that the host holds.
+        known: The slots as the home of the server last knew them, from there
+            only.
     """
 
     server: ServerId
     in_flight: int
     boot: BootId | None = None
+    held: tuple[SlotClaim, ...] = ()
+    known: tuple[SlotClaim, ...] = ()
 
 
 class VersionBrake(msgspec.Struct, frozen=True, array_like=True):
@@ -158,7 +164,15 @@
     state: bytes
 
 
-PeerMessage = Heartbeat | ForwardCall | ForwardAnswer | FetchSnapshot | Snapshot
+PeerMessage = (
+    Heartbeat
+    | ForwardCall
+    | ForwardAnswer
+    | FetchSnapshot
+    | Snapshot
+    | AskSlots
+    | GrantSlot
+)
 """The closed list of messages between entry hosts."""
 
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,283 @@
+"""Slots of backend servers: bounded over all hosts, and none is lost."""
+
+from random import Random
+
+import pytest
+import trio
+
+from ebonystream._ids import Seconds
+from ebonystream._timers import Timers
+from ebonystream.backend import (
+    CUT,
+    Attempt,
+    AttemptKind,
+    BackendServer,
+    Directory,
+    ServerAddress,
+    SlotExchange,
+    SlotPeer,
+    SlotRegistry,
+    UsualTimes,
+    make_choosing,
+    make_learning,
+    make_placing,
+)
+from ebonystream.call import Answer, Call, CallKind
+from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
+from ebonystream.peer import AskSlots
+
+SLOTS = 2
+ZONES = ('a', 'b', 'c')
+ANSWERED = Attempt(
+    AttemptKind.ANSWERED,
+    answer=Answer(outcome=Outcome.RAN, status=200, headers=(), body=b''),
+)
+
+
+def make_call(deadline=1e9):
+    return Call(
+        customer='c',
+        route='r',
+        service='s',
+        kind=CallKind.IDEMPOTENT,
+        method='GET',
+        target='/',
+        headers=(),
+        body=b'',
+        deadline=deadline,
+    )
+
+
+def list_servers(count):
+    return [
+        BackendServer(
+            id=f's{number}',
+            at=ServerAddress('127.0.0.1', number),
+            service='s',
+            version='v1',
+            zone=ZONES[number % 3],
+        )
+        for number in range(count)
+    ]
+
+
+class World:
+    """Entry hosts in one process, and the calls in hand at each server."""
+
+    def __init__(self, nursery, *, hosts, servers, seed, loss=0.0):
+        self.nursery = nursery
+        self.random = Random(seed)
+        self.loss = loss
+        self.delay = 0.001
+        self.timers = Timers(epoch_at_zero=0)
+        self.in_hand = dict.fromkeys((f's{i}' for i in range(servers)), 0)
+        self.silence = Seconds(3)
+        self.count = hosts
+        self.confirmed = {}
+        self.homes = {}
+        self.frozen = set()
+        self.hosts = {
+            f'h{i}': self.make_host(i, hosts, servers) for i in range(hosts)
+        }
+
+    def make_host(self, number, hosts, servers):
+        """Make an entry host with all of its own parts."""
+        me = SlotPeer(f'h{number}', ZONES[number % 3])
+        peers = [
+            SlotPeer(f'h{i}', ZONES[i % 3]) for i in range(hosts) if i != number
+        ]
+        directory = Directory()
+        directory.replace(list_servers(servers))
+        random = Random(self.random.random())
+        exchange = SlotExchange(
+            me=me,
+            timers=self.timers,
+            choose=make_choosing(
+                zone=me.zone, may_take=lambda *_: True, random=random
+            ),
+            send=self.send,
+            list_peers=lambda: peers,
+            find_server=directory.servers.get,
+            random=random,
+        )
+        registry = SlotRegistry(
+            exchange=exchange,
+            directory=directory,
+            slots=SLOTS,
+            is_home=lambda server: self.find_home(server) == me.host,
+            get_confirmed=lambda server: self.confirmed.get(
+                (me.host, self.find_home(server)), 0
+            ),
+            get_silence=lambda: self.silence,
+        )
+        place = make_placing(
+            exchange=exchange,
+            directory=directory,
+            may_take=lambda *_: True,
+            rank=lambda call: 0,
+            timers=self.timers,
+        )
+        learn = make_learning(
+            exchange=exchange, usual=UsualTimes(), timers=self.timers
+        )
+        return exchange, registry, place, learn
+
+    def find_home(self, server):
+        """Give the host that makes the slots of a server."""
+        home = f'h{int(server[1:]) % self.count}'
+        return self.homes.get(home, home)
+
+    def send(self, to, message):
+        """Lose, double and delay messages."""
+        copies = self.random.choice((1, 1, 1, 2))
+        for _ in range(copies):
+            if self.random.random() >= self.loss:
+                self.nursery.start_soon(self.deliver, to, message)
+
+    async def deliver(self, to, message):
+        """Bring a message after its delay."""
+        await trio.sleep(self.random.expovariate(1 / self.delay))
+        exchange = self.hosts[to][0]
+        if isinstance(message, AskSlots):
+            exchange.take_ask(message)
+        else:
+            exchange.take_grant(message)
+
+    async def gossip(self):
+        """Tell each peer what is held; a peer that hears it confirms it."""
+        heard = {}
+        async for now in self.timers.subscribe(period=Seconds(0.25)):
+            for name in sorted(self.hosts.keys() - self.frozen):
+                registry = self.hosts[name][1]
+                registry.check()
+                for other in sorted(self.hosts.keys() - self.frozen - {name}):
+                    if self.random.random() < self.loss:
+                        continue
+                    self.hosts[other][1].take_report(name, registry.report())
+                    heard[other, name] = now
+                    if (name, other) in heard:
+                        self.confirmed[other, name] = heard[name, other]
+
+    async def call(self, name, took, patience=1e9):
+        """Run one call; the server itself counts what it has in hand."""
+        _, _, place, learn = self.hosts[name]
+        call = make_call(trio.current_time() + patience)
+        server = await place(call, set())
+        assert trio.current_time() <= call.deadline
+        self.in_hand[server.id] += 1
+        assert self.in_hand[server.id] <= SLOTS
+        attempt = CUT
+        try:
+            await trio.sleep(took)
+            attempt = ANSWERED
+        finally:
+            self.in_hand[server.id] -= 1
+            learn(call, server, attempt, Seconds(took))
+
+    def count_slots(self):
+        """Count the slots that all hosts hold."""
+        return sum(
+            len(exchange.get_service('s').held.slots)
+            for exchange, *_ in self.hosts.values()
+        )
+
+
+@pytest.mark.parametrize('seed', range(6))
+@pytest.mark.parametrize(
+    ('hosts', 'servers', 'loss', 'least'),
+    [(1, 2, 0.0, 220), (3, 4, 0.0, 220), (7, 6, 0.2, 150), (17, 6, 0.5, 50)],
+)
+async def test_bound_and_no_leak(
+    autojump_clock, seed, hosts, servers, loss, least
+):
+    """In flight never above the slots; all slots are there at the end."""
+    random = Random(seed)
+    ends = []
+    async with trio.open_nursery() as nursery:
+        world = World(
+            nursery, hosts=hosts, servers=servers, seed=seed, loss=loss
+        )
+        nursery.start_soon(world.gossip)
+        await trio.sleep(4)
+
+        async def one():
+            await trio.sleep(random.expovariate(1 / 4))
+            cancelled = random.random() < 0.3
+            limit = random.uniform(0, 0.1) if cancelled else 60
+            with trio.move_on_after(limit) as scope:
+                name = random.choice(list(world.hosts))
+                try:
+                    await world.call(
+                        name, random.expovariate(20), random.uniform(0, 2)
+                    )
+                except EbonystreamError as error:
+                    ends.append(error.kind)
+                    return
+            ends.append(scope.cancelled_caught)
+
+        async with trio.open_nursery() as calls:
+            for _ in range(400):
+                calls.start_soon(one)
+        await trio.sleep(10)
+        assert len(ends) == 400
+        assert ends.count(False) > least
+        assert set(ends) <= {True, False, ErrorKind.DEADLINE_EXPIRED}
+        assert world.count_slots() == SLOTS * servers
+        assert not any(world.in_hand.values())
+        for exchange, *_ in world.hosts.values():
+            assert not exchange.get_service('s').line.waiting
+        nursery.cancel_scope.cancel()
+
+
+async def test_slots_of_a_lost_host_are_made_again(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        world = World(nursery, hosts=3, servers=3, seed=1)
+        nursery.start_soon(world.gossip)
+        await trio.sleep(4)
+        world.hosts['h0'][0].get_service('s').held.slots.clear()
+        world.frozen.add('h0')
+        world.homes['h0'] = 'h1'
+        await trio.sleep(2.5)
+        assert world.count_slots() == 4
+        await trio.sleep(1)
+        assert world.count_slots() == 6
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_holder_that_home_does_not_hear_stops(autojump_clock):
+    """Its lease has ended before home makes the slots again."""
+    async with trio.open_nursery() as nursery:
+        world = World(nursery, hosts=2, servers=1, seed=1)
+        nursery.start_soon(world.gossip)
+        await trio.sleep(4)
+        one = world.hosts['h1'][0].get_service('s').held
+        while not one.slots:
+            with trio.move_on_after(0.1):
+                await world.call('h1', 0.01)
+        lost = len(one.slots)
+        world.frozen.add('h1')
+        await trio.sleep(2.2)
+        assert not one.list_free(world.timers.now())
+        assert world.hosts['h0'][1].made == SLOTS
+        await trio.sleep(1.5)
+        assert world.hosts['h0'][1].made == SLOTS + lost
+        world.frozen.clear()
+        await trio.sleep(1)
+        assert world.count_slots() == SLOTS
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ('servers', 'tried', 'kind'),
+    [
+        (0, (), ErrorKind.NO_BACKEND),
+        (1, ('s0',), ErrorKind.NO_BACKEND),
+        (1, (), ErrorKind.DEADLINE_EXPIRED),
+    ],
+)
+async def test_refusals(autojump_clock, servers, tried, kind):
+    async with trio.open_nursery() as nursery:
+        world = World(nursery, hosts=1, servers=servers, seed=1)
+        with pytest.raises(EbonystreamError) as caught:
+            await world.hosts['h0'][2](make_call(0.5), set(tried))
+        assert caught.value.kind is kind
--- /dev/null
+++ b/tools/measure/hosts.py
@@ -0,0 +1,75 @@
+"""Entry hosts that run the product's own functions, on the measured world."""
+
+from collections.abc import Callable
+from random import Random
+
+import attrs
+
+from ebonystream._ids import HostId, ServiceName, ZoneName
+from ebonystream.backend import (
+    BackendServer,
+    Directory,
+    Observe,
+    SlotExchange,
+    SlotPeer,
+    UsualTimes,
+    make_choosing,
+    make_learning,
+)
+from ebonystream.peer import AskSlots, GrantSlot
+from measure.loop import Loop, make_timers
+from measure.world import ZONES, Load, Server, make_view, name_host
+
+SERVICE = ServiceName('service')
+
+Carry = Callable[[ZoneName, HostId, AskSlots | GrantSlot], None]
+"""Brings a message from a zone to a host."""
+
+
+@attrs.define(eq=False)
+class Host:
+    """One entry host.
+
+    Attributes:
+        directory: The servers.
+        exchange: Its slots.
+        learn: Learns from the end of an attempt.
+        ticking: Whether a look at the waiting calls is due.
+    """
+
+    directory: Directory
+    exchange: SlotExchange
+    learn: Observe
+    ticking: bool = False
+
+
+def may_take(call: object, server: BackendServer) -> bool:
+    """Let each server have each call."""
+    return True
+
+
+def make_host(
+    number: int, load: Load, loop: Loop, *, servers: list[Server], send: Carry
+) -> Host:
+    """Make an entry host that holds no slots."""
+    random = Random(f'{load.seed} host {number}')
+    timers = make_timers(loop)
+    directory = Directory()
+    directory.replace(make_view(server) for server in servers)
+    zone = ZONES[number % 3]
+    peers = [
+        SlotPeer(name_host(other), ZONES[other % 3])
+        for other in range(load.hosts)
+        if other != number
+    ]
+    exchange = SlotExchange(
+        me=SlotPeer(name_host(number), zone),
+        timers=timers,
+        choose=make_choosing(zone=zone, may_take=may_take, random=random),
+        send=lambda to, message: send(zone, to, message),
+        list_peers=lambda: peers,
+        find_server=directory.servers.get,
+        random=random,
+    )
+    learn = make_learning(exchange=exchange, usual=UsualTimes(), timers=timers)
+    return Host(directory, exchange, learn)
--- /dev/null
+++ b/tools/measure/product.py
@@ -0,0 +1,170 @@
+"""The product's own routing, on the measured world."""
+
+from collections.abc import Callable
+
+import attrs
+
+from ebonystream._ids import (
+    HostId,
+    Monotonic,
+    Seconds,
+    SlotNumber,
+    ZoneName,
+)
+from ebonystream.backend import (
+    ABANDONED,
+    Attempt,
+    AttemptKind,
+    Slot,
+    Waiting,
+    abandon,
+    join,
+)
+from ebonystream.call import Answer
+from ebonystream.errors import EbonystreamError, Outcome
+from ebonystream.peer import AskSlots, GrantSlot
+from measure.hosts import SERVICE, Host, make_host, may_take
+from measure.loop import Loop
+from measure.wire import Finish, Wire
+from measure.world import (
+    DEADLINE,
+    SLOTS,
+    ZONES,
+    Arrival,
+    Load,
+    Server,
+    hop,
+    make_call,
+)
+
+GOOD = Attempt(
+    AttemptKind.ANSWERED,
+    answer=Answer(outcome=Outcome.RAN, status=200, headers=(), body=b''),
+)
+
+
+def _rank(arrival: Arrival) -> int:
+    return 0
+
+
+@attrs.define(eq=False)
+class Product:
+    """The product's routing on all entry hosts.
+
+    Attributes:
+        load: What is sent.
+        loop: Runs what takes time.
+        servers: The servers.
+        wire: Sends calls to them.
+        finish: Notes the end of a call.
+        rank: Gives a call's place by plan.
+        hosts: The entry hosts.
+        messages: Messages between hosts so far.
+    """
+
+    load: Load
+    loop: Loop
+    servers: list[Server]
+    wire: Wire
+    finish: Finish
+    rank: Callable[[Arrival], int] = _rank
+    hosts: list[Host] = attrs.field(factory=list)
+    messages: int = 0
+
+    def build(self) -> None:
+        """Make the hosts and give each its first slots."""
+        self.hosts = [
+            make_host(
+                number,
+                self.load,
+                self.loop,
+                servers=self.servers,
+                send=self._send,
+            )
+            for number in range(self.load.hosts)
+        ]
+        for number, server in enumerate(self.servers):
+            near = self.hosts[number % 3 :: 3]
+            for slot in range(SLOTS):
+                host = near[(number // 3 * SLOTS + slot) % len(near)]
+                view = host.directory.servers[server.id]
+                held = host.exchange.get_service(SERVICE).held
+                held.add(Slot(server=view, number=SlotNumber(slot)))
+
+    def submit(self, arrival: Arrival) -> None:
+        """Bring a call to its host."""
+        host = self.hosts[arrival.host]
+        deadline = arrival.at + DEADLINE
+        waiting = Waiting(
+            call=make_call(arrival, deadline),
+            tried=frozenset(),
+            rank=self.rank(arrival),
+            since=Monotonic(self.loop.now),
+            wake=lambda: self._wake(arrival, host, waiting),
+        )
+        try:
+            join(host.exchange, waiting, host.directory, may_take)
+        except EbonystreamError as error:
+            self.finish(arrival, error.kind.value)
+            return
+        if waiting.slot is None and waiting.error is None:
+            self.loop.call_after(
+                max(0, deadline - self.loop.now),
+                lambda: self._expire(arrival, host, waiting),
+            )
+            self._tick(host)
+
+    def _wake(self, arrival: Arrival, host: Host, waiting: Waiting) -> None:
+        if waiting.slot is None:
+            kind = waiting.error.kind.value if waiting.error else 'late'
+            self.finish(arrival, kind)
+            return
+        self._dispatch(arrival, host, waiting)
+
+    def _expire(self, arrival: Arrival, host: Host, waiting: Waiting) -> None:
+        if waiting.slot is None and waiting.error is None:
+            abandon(host.exchange, waiting)
+            self.finish(arrival, 'late')
+
+    def _dispatch(self, arrival: Arrival, host: Host, waiting: Waiting) -> None:
+        assert waiting.slot is not None
+        view = waiting.slot.server
+        server = next(one for one in self.servers if one.id == view.id)
+        began = self.loop.now
+
+        def ended(whole: bool) -> None:
+            attempt = GOOD if whole else ABANDONED
+            took = Seconds(self.loop.now - began)
+            host.learn(waiting.call, view, attempt, took)
+            self.finish(arrival, 'ran' if whole else 'late')
+
+        self.wire.send(arrival, server, ended)
+
+    def _tick(self, host: Host) -> None:
+        if host.ticking:
+            return
+        host.ticking = True
+
+        def tick() -> None:
+            host.ticking = False
+            host.exchange.settle(SERVICE)
+            host.exchange.ask(SERVICE)
+            if host.exchange.get_service(SERVICE).line.waiting:
+                self._tick(host)
+
+        self.loop.call_after(host.exchange.get_pause(SERVICE), tick)
+
+    def _send(
+        self, zone: ZoneName, to: HostId, message: AskSlots | GrantSlot
+    ) -> None:
+        self.messages += 1
+        number = int(to.removeprefix('h'))
+        exchange = self.hosts[number].exchange
+
+        def deliver() -> None:
+            if isinstance(message, AskSlots):
+                exchange.take_ask(message)
+            else:
+                exchange.take_grant(message)
+
+        self.loop.call_after(hop(zone, ZONES[number % 3]), deliver)
