Let one call wait at a busy server once it has waited at its entry host

Cause: with in-flight calls bounded by the slots alone, a slot stands idle while an answer and the next call travel (0.2 to 1 ms against calls of 10 and 20 ms) and while it moves between hosts, which is the last 5 % of capacity. Change: one place beyond the slots, its own kind of slot, for calls that waited 3 ms. A peer's call goes first if it waited 50 ms longer, before 100.

--- a/src/ebonystream/backend/_asks.py
+++ b/src/ebonystream/backend/_asks.py
@@ -10,7 +10,7 @@
 ASK_LIFE = 0.05
 """How long an unanswered request of a peer is remembered, in seconds."""
 
-HOLD_MARGIN = 0.1
+HOLD_MARGIN = 0.05
 """How much longer a peer's call of the same rank must wait, in seconds."""
 
 
--- a/src/ebonystream/backend/_choice.py
+++ b/src/ebonystream/backend/_choice.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ebonystream._ids import ZoneName
+from ebonystream._ids import Monotonic, ZoneName
 from ebonystream.backend._server import BackendServer
 from ebonystream.backend._slots import Slot
 from ebonystream.backend._waiting import Waiting
@@ -16,11 +16,18 @@
 """Tells whether a server may have a call, besides having room for it."""
 
 
+OVERLAP_AFTER = 0.003
+"""How long a call waits for a slot before it may overlap, in seconds."""
+
+
 class ChoiceReason(enum.Enum):
     """Why a call went where it went."""
 
     OWN_ZONE = 'own_zone'
     SPILLED = 'spilled'
+    OVERLAP = 'overlap'
+    """All slots are busy: the call fills the gap between two others."""
+
     TRIAL = 'trial'
     """A server that was slow gets one call to show that it recovered."""
 
@@ -38,8 +45,8 @@
     reason: ChoiceReason
 
 
-Choose = Callable[[Sequence[Slot], Waiting], Choice | None]
-"""Picks one of the free slots for a call, if it may use any."""
+Choose = Callable[[Sequence[Slot], Waiting, Monotonic], Choice | None]
+"""Picks one of the free slots for a call, if it may use any now."""
 
 
 def make_choosing(
@@ -53,16 +60,20 @@
         random: Breaks ties.
     """
 
-    def weigh(slot: Slot) -> tuple[bool, bool, float]:
+    def weigh(slot: Slot) -> tuple[bool, bool, bool, float]:
         server = slot.server
         slow = server.evidence.is_slow()
-        return slow, server.zone != zone, random.random()
+        return slow, slot.overlap, server.zone != zone, random.random()
 
-    def choose(free: Sequence[Slot], waiting: Waiting) -> Choice | None:
+    def choose(
+        free: Sequence[Slot], waiting: Waiting, now: Monotonic
+    ) -> Choice | None:
+        patient = now - waiting.since < OVERLAP_AFTER
         fit = [
             slot
             for slot in free
-            if slot.server.id not in waiting.tried
+            if not (slot.overlap and patient)
+            and slot.server.id not in waiting.tried
             and may_take(waiting.call, slot.server)
         ]
         if not fit:
@@ -85,7 +96,11 @@
     """
     return min(
         (slot for slot in free if not slot.server.evidence.is_slow()),
-        key=lambda slot: (slot.server.zone != asker, slot.server.zone == own),
+        key=lambda slot: (
+            slot.overlap,
+            slot.server.zone != asker,
+            slot.server.zone == own,
+        ),
         default=None,
     )
 
@@ -93,6 +108,8 @@
 def _explain(slot: Slot, zone: ZoneName) -> ChoiceReason:
     if slot.server.evidence.is_slow():
         return ChoiceReason.TRIAL
+    if slot.overlap:
+        return ChoiceReason.OVERLAP
     if slot.server.zone == zone:
         return ChoiceReason.OWN_ZONE
     return ChoiceReason.SPILLED
--- a/src/ebonystream/backend/_exchange.py
+++ b/src/ebonystream/backend/_exchange.py
@@ -142,6 +142,7 @@
             server=server,
             number=grant.number,
             sequence=grant.sequence,
+            overlap=grant.overlap,
             since=now,
             until=Monotonic(asked + grant.lease_ms / MS_PER_SECOND),
         )
@@ -167,7 +168,7 @@
             slots.line.leave(waiting)
             waiting.refuse(EbonystreamError(ErrorKind.DEADLINE_EXPIRED))
             return True
-        choice = self.choose(free, waiting)
+        choice = self.choose(free, waiting, self.timers.now())
         if choice is None:
             return False
         slots.admit(waiting, choice.slot)
--- a/src/ebonystream/backend/_registry.py
+++ b/src/ebonystream/backend/_registry.py
@@ -52,7 +52,8 @@
     Attributes:
         exchange: The slots of this host.
         directory: The servers that are known.
-        slots: How many slots each server has.
+        slots: How many calls each server works on at a time.
+        overlap: How many more may wait there.
         is_home: Tells whether this host is home to a server.
         get_confirmed: Gives when the newest heartbeat was sent that the home
             of a server has confirmed to this host.
@@ -66,6 +67,7 @@
     exchange: SlotExchange
     directory: Directory
     slots: int
+    overlap: int
     is_home: Callable[[ServerId], bool]
     get_confirmed: Callable[[ServerId], Monotonic]
     get_silence: Callable[[], Seconds]
@@ -145,7 +147,7 @@
     def _make_missing(self, server: BackendServer) -> None:
         now = self.exchange.timers.now()
         held = self.exchange.get_service(server.service).held
-        for number in range(self.slots):
+        for number in range(self.slots + self.overlap):
             key = (server.id, SlotNumber(number))
             slot = held.slots.get(key)
             if slot is not None:
@@ -168,6 +170,7 @@
         slot = Slot(
             server=server,
             number=key[1],
+            overlap=key[1] >= self.slots,
             sequence=sighting.sequence,
             since=now,
             until=Monotonic(now + LONGEST_LEASE),
@@ -184,7 +187,7 @@
                 slot.until = max(slot.until, renewed)
 
     def _forget(self, server: ServerId) -> None:
-        for number in range(self.slots):
+        for number in range(self.slots + self.overlap):
             self.sightings.pop((server, SlotNumber(number)), None)
 
     def _drop_unlisted(self, service: ServiceName) -> None:
--- a/src/ebonystream/backend/_service.py
+++ b/src/ebonystream/backend/_service.py
@@ -76,6 +76,7 @@
             server=slot.server.id,
             number=slot.number,
             sequence=slot.sequence + 1,
+            overlap=slot.overlap,
             asked_ms=ask.ask.asked_ms,
             lease_ms=lease * MS_PER_SECOND,
         )
--- a/src/ebonystream/backend/_slots.py
+++ b/src/ebonystream/backend/_slots.py
@@ -30,6 +30,8 @@
         number: Which of its slots.
         sequence: How often the slot has changed hands.
         busy: Whether a call of this host is in flight in it.
+        overlap: Whether it is beyond what the server works on at a time: a
+            call in it waits there, ready for when another ends.
         revoked: Whether it goes away when its call ends.
         since: When this host got it.
         until: When its lease ends, unless home confirms it before.
@@ -39,6 +41,7 @@
     number: SlotNumber
     sequence: int = 0
     busy: bool = False
+    overlap: bool = False
     revoked: bool = False
     since: Monotonic = Monotonic(0)
     until: Monotonic = Monotonic(math.inf)
--- a/src/ebonystream/composition/_policy.py
+++ b/src/ebonystream/composition/_policy.py
@@ -75,6 +75,7 @@
             exchange=exchange,
             directory=directory,
             slots=settings.backends.slots,
+            overlap=settings.backends.queue,
             is_home=_is_home,
             get_confirmed=lambda server: timers.now(),
             get_silence=_get_silence,
--- a/src/ebonystream/peer/_slots.py
+++ b/src/ebonystream/peer/_slots.py
@@ -56,6 +56,7 @@
         asked_ms: As in the request.
         lease_ms: How long the slot may be used from then on, until home has
             heard of its new holder.
+        overlap: Whether it is beyond what the server works on at a time.
     """
 
     service: ServiceName
@@ -64,3 +65,4 @@
     sequence: int
     asked_ms: float
     lease_ms: float
+    overlap: bool = False
--- a/src/ebonystream/settings/_settings.py
+++ b/src/ebonystream/settings/_settings.py
@@ -170,7 +170,7 @@
     """
 
     slots: Annotated[int, Field(ge=1, le=1024)] = 2
-    queue: Annotated[int, Field(ge=0, le=1024)] = 2
+    queue: Annotated[int, Field(ge=0, le=1024)] = 1
     max_connections: Annotated[int, Field(ge=1, le=65_536)] = 220
     connect_timeout_ms: Milliseconds = 500
     idle_ms: Milliseconds = 30_000
--- a/tools/measure/hosts.py
+++ b/tools/measure/hosts.py
@@ -5,20 +5,27 @@
 
 import attrs
 
-from ebonystream._ids import HostId, ServiceName, ZoneName
+from ebonystream._ids import HostId, Seconds, ServerId, ServiceName, ZoneName
 from ebonystream.backend import (
     BackendServer,
     Directory,
     Observe,
     SlotExchange,
     SlotPeer,
+    SlotRegistry,
     UsualTimes,
     make_choosing,
     make_learning,
 )
 from ebonystream.peer import AskSlots, GrantSlot
 from measure.loop import Loop, make_timers
-from measure.world import ZONES, Load, Server, make_view, name_host
+from measure.world import SLOTS, ZONES, Load, Server, make_view, name_host
+
+OVERLAP = 1
+"""Calls that may wait at a server beyond its slots."""
+
+SILENCE = 3
+"""Seconds without news after which a slot is made again."""
 
 SERVICE = ServiceName('service')
 
@@ -34,12 +41,14 @@
         directory: The servers.
         exchange: Its slots.
         learn: Learns from the end of an attempt.
+        registry: Makes the slots of the servers that it is home to.
         ticking: Whether a look at the waiting calls is due.
     """
 
     directory: Directory
     exchange: SlotExchange
     learn: Observe
+    registry: SlotRegistry
     ticking: bool = False
 
 
@@ -72,4 +81,20 @@
         random=random,
     )
     learn = make_learning(exchange=exchange, usual=UsualTimes(), timers=timers)
-    return Host(directory, exchange, learn)
+    registry = SlotRegistry(
+        exchange=exchange,
+        directory=directory,
+        slots=SLOTS,
+        overlap=OVERLAP,
+        is_home=lambda server: find_home(server, load.hosts) == number,
+        get_confirmed=lambda server: timers.now(),
+        get_silence=lambda: Seconds(SILENCE if loop.now else 0),
+    )
+    return Host(directory, exchange, learn, registry)
+
+
+def find_home(server: ServerId, hosts: int) -> int:
+    """Give the host, in the server's zone, that makes its slots."""
+    number = int(server.removeprefix('s'))
+    near = range(number % 3, hosts, 3)
+    return near[number // 3 % len(near)]
