--- a/src/ebonystream/backend/__init__.py
+++ b/src/ebonystream/backend/__init__.py
@@ -4,6 +4,7 @@
     ABANDONED,
     CUT,
     NOT_SENT,
+    WITHDRAWN,
     Attempt,
     AttemptKind,
     LoadReport,
@@ -14,70 +15,101 @@
     MAY_HAVE_RUN,
     make_idempotent_run,
 )
-from ebonystream.backend._choice import (
-    Choice,
-    ChoiceReason,
-    MayTake,
-    make_choosing,
+from ebonystream.backend._cold import (
+    StartingRules,
+    check_starting,
+    make_starting_begin,
+    make_starting_gate,
+)
+from ebonystream.backend._directory import (
+    Directory,
 )
-from ebonystream.backend._directory import Directory
 from ebonystream.backend._dispatch import (
+    Begin,
     Dispatch,
+    MayTake,
     Observe,
     Place,
     Send,
     make_dispatch,
 )
-from ebonystream.backend._evidence import Evidence, UsualTimes
-from ebonystream.backend._exchange import SlotExchange
-from ebonystream.backend._peers import SlotPeer
-from ebonystream.backend._registry import SlotRegistry
-from ebonystream.backend._routing import (
-    abandon,
-    join,
-    make_learning,
-    make_placing,
+from ebonystream.backend._evidence import (
+    FAILURE_RATIO,
+    Evidence,
+    UsualTimes,
+)
+from ebonystream.backend._growth import (
+    ANSWERS_PER_STEP,
+    COLD_LIMIT,
+)
+from ebonystream.backend._learning import (
+    chill_zone,
+    make_starting_observer,
+)
+from ebonystream.backend._leaving import (
+    LEAVING_BOUND,
+)
+from ebonystream.backend._server import (
+    BackendServer,
+    ServerAddress,
+)
+from ebonystream.backend._sponsor import (
+    HANDOVER,
+    IsSponsor,
+    Sponsorship,
+)
+from ebonystream.backend._standing import (
+    Standing,
+    StandingExchange,
+    TakeReport,
+    make_report_taker,
+)
+from ebonystream.backend._warmth import (
+    ServerPhase,
+    Warmth,
 )
-from ebonystream.backend._server import BackendServer, ServerAddress
-from ebonystream.backend._shedding import Shed, make_shedding
-from ebonystream.backend._slots import HeldSlots, Slot
-from ebonystream.backend._waiting import Waiting
 
 __all__ = (
     'ABANDONED',
+    'ANSWERS_PER_STEP',
+    'COLD_LIMIT',
+    'CUT',
+    'FAILURES',
+    'FAILURE_RATIO',
+    'HANDOVER',
+    'LEAVING_BOUND',
+    'MAY_HAVE_RUN',
+    'NOT_SENT',
+    'WITHDRAWN',
     'Attempt',
     'AttemptKind',
     'BackendServer',
-    'CUT',
-    'Choice',
-    'ChoiceReason',
+    'Begin',
     'Directory',
     'Dispatch',
     'Evidence',
-    'FAILURES',
-    'HeldSlots',
+    'IsSponsor',
     'LoadReport',
-    'MAY_HAVE_RUN',
     'MayTake',
-    'NOT_SENT',
     'Observe',
     'Place',
     'Send',
     'ServerAddress',
+    'ServerPhase',
     'ServerState',
-    'Shed',
-    'Slot',
-    'SlotExchange',
-    'SlotPeer',
-    'SlotRegistry',
+    'Sponsorship',
+    'Standing',
+    'StandingExchange',
+    'StartingRules',
+    'TakeReport',
     'UsualTimes',
-    'Waiting',
-    'abandon',
-    'join',
-    'make_choosing',
+    'Warmth',
+    'check_starting',
+    'chill_zone',
     'make_dispatch',
     'make_idempotent_run',
-    'make_learning',
-    'make_placing',
-    'make_shedding',
+    'make_report_taker',
+    'make_starting_begin',
+    'make_starting_gate',
+    'make_starting_observer',
 )
--- a/src/ebonystream/backend/_server.py
+++ b/src/ebonystream/backend/_server.py
@@ -2,8 +2,16 @@
 
 import attrs
 
-from ebonystream._ids import ServerId, ServiceName, VersionName, ZoneName
+from ebonystream._ids import (
+    Monotonic,
+    ServerId,
+    ServiceName,
+    VersionName,
+    ZoneName,
+)
 from ebonystream.backend._evidence import Evidence
+from ebonystream.backend._latency import Slowdown
+from ebonystream.backend._warmth import Warmth
 
 
 @attrs.frozen
@@ -32,6 +40,9 @@
         leaving: Whether the host list says that it leaves.
         in_flight: Calls of this entry host that it has in hand.
         evidence: What this host's own calls there showed.
+        leaving_since: When this host learned that it leaves.
+        warmth: How much work it bears.
+        slowdown: How its latency is beside its own past.
     """
 
     id: ServerId
@@ -42,3 +53,6 @@
     leaving: bool = False
     in_flight: int = 0
     evidence: Evidence = attrs.field(factory=Evidence)
+    leaving_since: Monotonic | None = None
+    warmth: Warmth = attrs.field(factory=Warmth)
+    slowdown: Slowdown = attrs.field(factory=Slowdown)
--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -10,9 +10,11 @@
 )
 from ebonystream.call import CallKind, make_admission, make_serving
 from ebonystream.caller import CallerLimits, CallerListener
+from ebonystream.composition._moves import guard_place, make_zone_observer
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.configuration import PlanClass
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.http1 import ReaderLimits
 from ebonystream.observation import log_attempt, observe_run, observe_serve
 from ebonystream.upstream import make_sender
 
@@ -26,7 +28,7 @@
         count_retries=lambda call: 0,
     )
     admit = make_admission(
-        get_plans=lambda: parts.control.plans, parse_key=_refuse_key
+        get_plans=parts.control.get_plans, parse_key=_refuse_key
     )
     observed = observe_run(
         run,
@@ -38,8 +40,10 @@
     return CallerListener(
         serve=observe_serve(serve, metrics=parts.metrics),
         limits=CallerLimits(
-            head_bytes=callers.max_head_bytes,
-            body_bytes=callers.max_body_bytes,
+            message=ReaderLimits(
+                head_bytes=callers.max_head_bytes,
+                body_bytes=callers.max_body_bytes,
+            ),
             receive=convert_ms(callers.receive_timeout_ms),
             idle=convert_ms(callers.idle_timeout_ms),
         ),
@@ -50,20 +54,24 @@
 
 
 def _make_dispatch(parts: Parts) -> Dispatch:
+    rules = parts.server_rules
     return make_dispatch(
-        place=parts.policy.place,
+        place=guard_place(parts.policy.place, parts.zones_in_flight),
         send=make_sender(pool=parts.pool, timers=parts.timers),
         observers=(
             parts.policy.learn,
+            make_zone_observer(parts.zones_in_flight),
             parts.metrics.count_attempt,
             log_attempt,
+            *rules.observers,
         ),
         timers=parts.timers,
+        begins=rules.begins,
     )
 
 
 def _find_class(parts: Parts, customer: CustomerId) -> PlanClass:
-    plans = parts.control.plans
+    plans = parts.control.get_plans()
     plan = plans.find_plan(customer) if plans else None
     return plan.plan_class if plan else PlanClass.SPARE
 
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -10,8 +10,15 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
 from ebonystream.backend import Directory
+from ebonystream.composition._peers import ListedPeers
 from ebonystream.composition._policy import Policy, make_policy
+from ebonystream.composition._servers import (
+    ServerRules,
+    make_lone_view,
+    make_server_rules,
+)
 from ebonystream.configuration import Control
+from ebonystream.move import ZonesInFlight
 from ebonystream.observation import Metrics
 from ebonystream.platform import (
     LogService,
@@ -32,7 +39,10 @@
     log: LogService
     read_hosts: ReadHosts
     control: Control
+    peers: ListedPeers
+    zones_in_flight: ZonesInFlight
     directory: Directory
+    server_rules: ServerRules
     pool: ConnectionPool
     metrics: Metrics
     policy: Policy
@@ -56,13 +66,22 @@
     directory = Directory()
     control = Control()
     incarnation = Incarnation(uuid.uuid4().hex)
+    server_rules = make_server_rules(
+        directory=directory,
+        view=make_lone_view(),
+        slots=settings.backends.slots,
+        timers=timers,
+    )
     return Parts(
         settings=settings,
         timers=timers,
         log=make_http_log(client=client, url=settings.log.url),
         read_hosts=make_host_reader(client=client, url=settings.host_list.url),
         control=control,
+        peers=ListedPeers(),
+        zones_in_flight=ZonesInFlight(control.is_out),
         directory=directory,
+        server_rules=server_rules,
         pool=ConnectionPool(limits, timers),
         metrics=Metrics(),
         policy=make_policy(
@@ -70,6 +89,7 @@
             timers=timers,
             directory=directory,
             control=control,
+            may_take=server_rules.may_take,
             incarnation=incarnation,
         ),
         incarnation=incarnation,
--- a/src/ebonystream/composition/_policy.py
+++ b/src/ebonystream/composition/_policy.py
@@ -3,27 +3,29 @@
 from random import Random
 
 import attrs
+import trio
 
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import Timers
 from ebonystream.backend import (
+    BackendServer,
     Directory,
+    MayTake,
     Observe,
     Place,
+    UsualTimes,
+)
+from ebonystream.call import Call
+from ebonystream.composition._slots import make_exchange, make_registry
+from ebonystream.configuration import Control
+from ebonystream.plan import Guarantees, make_ranking
+from ebonystream.routing import (
     SlotExchange,
     SlotPeer,
     SlotRegistry,
-    UsualTimes,
     make_learning,
     make_placing,
 )
-from ebonystream.composition._slots import (
-    make_exchange,
-    make_registry,
-    may_take,
-)
-from ebonystream.configuration import Control
-from ebonystream.plan import Guarantees, make_ranking
 from ebonystream.settings import Settings
 
 CHECK_PERIOD = 0.1
@@ -62,6 +64,7 @@
     timers: Timers,
     directory: Directory,
     control: Control,
+    may_take: MayTake,
     incarnation: Incarnation,
 ) -> Policy:
     """Make the policy of one entry host; nothing runs yet.
@@ -71,8 +74,13 @@
         timers: Tells the time.
         directory: The servers that are known.
         control: The configuration in force.
+        may_take: Tells whether a server bears a call.
         incarnation: Seeds the random choices.
     """
+
+    def may_route(call: Call, server: BackendServer) -> bool:
+        return not control.is_out(server.zone) and may_take(call, server)
+
     usual = UsualTimes()
     guarantees = Guarantees()
     exchange = make_exchange(
@@ -80,6 +88,7 @@
         timers=timers,
         directory=directory,
         usual=usual,
+        may_take=may_route,
         random=Random(incarnation),
     )
     return Policy(
@@ -91,9 +100,10 @@
         place=make_placing(
             exchange=exchange,
             directory=directory,
-            may_take=may_take,
+            may_take=may_route,
+            is_out=control.is_out,
             rank=make_ranking(
-                get_plans=lambda: control.plans,
+                get_plans=control.get_plans,
                 guarantees=guarantees,
                 timers=timers,
             ),
@@ -103,6 +113,17 @@
     )
 
 
+def start_policy(background: trio.Nursery, policy: Policy) -> None:
+    """Start the tasks of the policy.
+
+    Args:
+        background: Where they run.
+        policy: The policy.
+    """
+    background.start_soon(keep_slots, policy)
+    background.start_soon(divide_guarantees, policy)
+
+
 async def keep_slots(policy: Policy) -> None:
     """Make the slots that nobody holds, for ever."""
     async for _ in policy.timers.subscribe(period=Seconds(CHECK_PERIOD)):
@@ -112,5 +133,5 @@
 async def divide_guarantees(policy: Policy) -> None:
     """Divide the guaranteed rates anew with each period, for ever."""
     async for now in policy.timers.subscribe(period=Seconds(DIVIDE_PERIOD)):
-        plans = policy.control.plans
+        plans = policy.control.get_plans()
         policy.guarantees.close_period(plans.plans if plans else {}, now)
--- a/src/ebonystream/composition/_slots.py
+++ b/src/ebonystream/composition/_slots.py
@@ -5,18 +5,19 @@
 from ebonystream._ids import HostId, Seconds, ServerId
 from ebonystream._timers import Timers
 from ebonystream.backend import (
-    BackendServer,
     Directory,
+    MayTake,
+    UsualTimes,
+)
+from ebonystream.peer import AskSlots, GrantSlot
+from ebonystream.plan import get_patience
+from ebonystream.routing import (
     SlotExchange,
     SlotPeer,
     SlotRegistry,
-    UsualTimes,
     make_choosing,
     make_shedding,
 )
-from ebonystream.call import Call
-from ebonystream.peer import AskSlots, GrantSlot
-from ebonystream.plan import get_patience
 from ebonystream.settings import Settings
 
 
@@ -26,6 +27,7 @@
     timers: Timers,
     directory: Directory,
     usual: UsualTimes,
+    may_take: MayTake,
     random: Random,
 ) -> SlotExchange:
     """Make the exchange of this host's slots; it holds none yet.
@@ -35,6 +37,7 @@
         timers: Tells the time.
         directory: The servers that are known.
         usual: How long calls usually take.
+        may_take: Tells whether a server may have a call.
         random: Breaks ties.
     """
     return SlotExchange(
@@ -74,11 +77,6 @@
     )
 
 
-def may_take(call: Call, server: BackendServer) -> bool:
-    """Tell whether a server may have a call, besides having room for it."""
-    return call.service == server.service
-
-
 def _is_home(server: ServerId) -> bool:
     return True
 
--- a/src/ebonystream/peer/_slots.py
+++ b/src/ebonystream/peer/_slots.py
@@ -23,7 +23,7 @@
     sequence: int
 
 
-class AskSlots(msgspec.Struct, tag='ask_slots', frozen=True):
+class AskSlots(msgspec.Struct, tag='a', frozen=True, array_like=True):
     """Asks a peer for slots that calls wait for.
 
     Attributes:
@@ -45,7 +45,7 @@
     asked_ms: float
 
 
-class GrantSlot(msgspec.Struct, tag='grant_slot', frozen=True):
+class GrantSlot(msgspec.Struct, tag='g', frozen=True, array_like=True):
     """Hands one slot of a backend server over to the host that asked.
 
     Attributes:
@@ -66,3 +66,7 @@
     asked_ms: float
     lease_ms: float
     overlap: bool = False
+
+
+PeerNote = AskSlots | GrantSlot
+"""The closed list of messages that get no answer of their own."""
--- a/src/ebonystream/backend/_asks.py
+++ b/src/ebonystream/routing/_asks.py
@@ -4,8 +4,8 @@
 
 from ebonystream._ids import HostId, Monotonic, Seconds, ZoneName
 from ebonystream._timers import MS_PER_SECOND
-from ebonystream.backend._waiting import Waiting
 from ebonystream.peer import AskSlots
+from ebonystream.routing._waiting import Waiting
 
 ASK_LIFE = 0.05
 """How long an unanswered request of a peer is remembered, in seconds."""
--- a/src/ebonystream/backend/_choice.py
+++ b/src/ebonystream/routing/_choice.py
@@ -7,14 +7,12 @@
 import attrs
 
 from ebonystream._ids import Monotonic, ZoneName
-from ebonystream.backend._server import BackendServer
-from ebonystream.backend._slots import Slot
-from ebonystream.backend._waiting import Waiting
-from ebonystream.call import Call
-
-MayTake = Callable[[Call, BackendServer], bool]
-"""Tells whether a server may have a call, besides having room for it."""
-
+from ebonystream.backend import (
+    BackendServer,
+    MayTake,
+)
+from ebonystream.routing._slots import Slot
+from ebonystream.routing._waiting import Waiting
 
 OVERLAP_AFTER = 0.003
 """How long a call waits for a slot before it may overlap, in seconds."""
@@ -95,7 +93,7 @@
         own: Where this host stands.
     """
     return min(
-        (slot for slot in free if not slot.server.evidence.is_slow()),
+        (slot for slot in free if _is_of_use(slot.server)),
         key=lambda slot: (
             slot.overlap,
             slot.server.zone != asker,
@@ -105,6 +103,10 @@
     )
 
 
+def _is_of_use(server: BackendServer) -> bool:
+    return not server.evidence.is_slow() and not server.warmth.is_starting
+
+
 def _explain(slot: Slot, zone: ZoneName) -> ChoiceReason:
     if slot.server.evidence.is_slow():
         return ChoiceReason.TRIAL
--- a/src/ebonystream/backend/_exchange.py
+++ b/src/ebonystream/routing/_exchange.py
@@ -13,16 +13,18 @@
     ServiceName,
 )
 from ebonystream._timers import MS_PER_SECOND, Timers
-from ebonystream.backend._asks import PeerAsk
-from ebonystream.backend._choice import Choose, choose_gift
-from ebonystream.backend._peers import SlotPeer, pick_peers
-from ebonystream.backend._server import BackendServer
-from ebonystream.backend._service import ASK_WAIT, ServiceSlots
-from ebonystream.backend._shedding import Shed
-from ebonystream.backend._slots import Slot
-from ebonystream.backend._waiting import Waiting
+from ebonystream.backend import (
+    BackendServer,
+)
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.peer import AskSlots, GrantSlot
+from ebonystream.routing._asks import PeerAsk
+from ebonystream.routing._choice import Choose, choose_gift
+from ebonystream.routing._peers import SlotPeer, pick_peers
+from ebonystream.routing._service import ASK_WAIT, ServiceSlots
+from ebonystream.routing._shedding import Shed
+from ebonystream.routing._slots import Slot
+from ebonystream.routing._waiting import Waiting
 
 GRANT_LIFE = 0.25
 """A grant that comes later after its request is dropped, in seconds."""
--- a/src/ebonystream/backend/_routing.py
+++ b/src/ebonystream/routing/_placing.py
@@ -5,18 +5,23 @@
 
 import trio
 
-from ebonystream._ids import Seconds, ServerId
+from ebonystream._ids import Seconds, ServerId, ZoneName
 from ebonystream._timers import Timers
-from ebonystream.backend._attempt import Attempt, AttemptKind
-from ebonystream.backend._choice import MayTake
-from ebonystream.backend._directory import Directory
-from ebonystream.backend._dispatch import Observe, Place
-from ebonystream.backend._evidence import FAILURE_RATIO, UsualTimes
-from ebonystream.backend._exchange import SlotExchange
-from ebonystream.backend._server import BackendServer
-from ebonystream.backend._waiting import Waiting
+from ebonystream.backend import (
+    FAILURE_RATIO,
+    Attempt,
+    AttemptKind,
+    BackendServer,
+    Directory,
+    MayTake,
+    Observe,
+    Place,
+    UsualTimes,
+)
 from ebonystream.call import Call
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.routing._exchange import SlotExchange
+from ebonystream.routing._waiting import Waiting
 
 Rank = Callable[[Call], int]
 """Gives a call's place by plan; 0 goes first."""
@@ -27,6 +32,7 @@
     exchange: SlotExchange,
     directory: Directory,
     may_take: MayTake,
+    is_out: Callable[[ZoneName], bool],
     rank: Rank,
     timers: Timers,
 ) -> Place:
@@ -39,27 +45,28 @@
         exchange: The slots of this host.
         directory: The servers that are known.
         may_take: Tells whether a server may have a call.
+        is_out: Tells whether operators took a zone out.
         rank: Gives a call's place by plan.
         timers: Tells the time.
     """
 
     async def place(call: Call, tried: set[ServerId]) -> BackendServer:
-        event = trio.Event()
-        waiting = Waiting(
-            call=call,
-            tried=frozenset(tried),
-            rank=rank(call),
-            since=timers.now(),
-            wake=event.set,
-        )
-        join(exchange, waiting, directory, may_take)
-        placed = None
-        try:
-            placed = await _wait(exchange, waiting, event)
-        finally:
-            if placed is None:
-                abandon(exchange, waiting)
-        return placed
+        call_rank = rank(call)
+        while True:
+            event = trio.Event()
+            waiting = Waiting(
+                call=call,
+                tried=frozenset(tried),
+                rank=call_rank,
+                since=timers.now(),
+                wake=event.set,
+            )
+            join(exchange, waiting, directory, may_take)
+            server = await _wait_safely(exchange, waiting, event)
+            if not is_out(server.zone):
+                return server
+            # The zone went out between the slot and this task's turn.
+            exchange.end(server)
 
     return place
 
@@ -104,6 +111,18 @@
         exchange.end(waiting.slot.server)
 
 
+async def _wait_safely(
+    exchange: SlotExchange, waiting: Waiting, event: trio.Event
+) -> BackendServer:
+    placed = None
+    try:
+        placed = await _wait(exchange, waiting, event)
+    finally:
+        if placed is None:
+            abandon(exchange, waiting)
+    return placed
+
+
 async def _wait(
     exchange: SlotExchange, waiting: Waiting, event: trio.Event
 ) -> BackendServer:
@@ -139,7 +158,8 @@
             ratio = max(1, usual.measure(call.route, took))
         elif _is_good(attempt):
             ratio = usual.compare(call.route, took)
-        server.evidence.record(ratio, timers.now())
+        if attempt.kind is not AttemptKind.WITHDRAWN:
+            server.evidence.record(ratio, timers.now())
         exchange.end(server)
 
     return learn
--- a/src/ebonystream/backend/_registry.py
+++ b/src/ebonystream/routing/_registry.py
@@ -18,12 +18,14 @@
     ServiceName,
     SlotNumber,
 )
-from ebonystream.backend._directory import Directory
-from ebonystream.backend._exchange import SlotExchange
-from ebonystream.backend._server import BackendServer
-from ebonystream.backend._service import LONGEST_LEASE
-from ebonystream.backend._slots import Slot, SlotKey
+from ebonystream.backend import (
+    BackendServer,
+    Directory,
+)
 from ebonystream.peer import ServerLoad, SlotClaim
+from ebonystream.routing._exchange import SlotExchange
+from ebonystream.routing._service import LONGEST_LEASE
+from ebonystream.routing._slots import Slot, SlotKey
 
 NO_HOST = HostId('')
 """Orders before each host: what is known of a slot is no claim to it."""
@@ -84,7 +86,8 @@
             if self.is_home(server.id):
                 self._make_missing(server)
             else:
-                self._forget(server.id)
+                for key in _list_keys(server, self.slots + self.overlap):
+                    self.sightings.pop(key, None)
 
     def report(self) -> tuple[ServerLoad, ...]:
         """Give the slots that this host holds or is home to, to all peers."""
@@ -147,8 +150,7 @@
     def _make_missing(self, server: BackendServer) -> None:
         now = self.exchange.timers.now()
         held = self.exchange.get_service(server.service).held
-        for number in range(self.slots + self.overlap):
-            key = (server.id, SlotNumber(number))
+        for key in _list_keys(server, self.slots + self.overlap):
             slot = held.slots.get(key)
             if slot is not None:
                 slot.until = Monotonic(now + LONGEST_LEASE)
@@ -186,20 +188,26 @@
                 renewed = Monotonic(confirmed + LONGEST_LEASE)
                 slot.until = max(slot.until, renewed)
 
-    def _forget(self, server: ServerId) -> None:
-        for number in range(self.slots + self.overlap):
-            self.sightings.pop((server, SlotNumber(number)), None)
-
     def _drop_unlisted(self, service: ServiceName) -> None:
         held = self.exchange.by_service[service].held
         for slot in list(held.slots.values()):
-            listed = self.directory.servers.get(slot.server.id)
-            if listed is not slot.server:
+            if not self._is_of_use(slot):
                 held.remove(slot)
 
+    def _is_of_use(self, slot: Slot) -> bool:
+        server = slot.server
+        if self.directory.servers.get(server.id) is not server:
+            return False
+        # Only its home sends to a server that starts, and so needs the slots.
+        return not server.warmth.is_starting or self.is_home(server.id)
+
 
 def _list_servers(
     directory: Directory, names: Iterable[ServerId]
 ) -> list[BackendServer]:
     servers = directory.servers
     return [servers[name] for name in sorted(names) if name in servers]
+
+
+def _list_keys(server: BackendServer, count: int) -> list[SlotKey]:
+    return [(server.id, SlotNumber(number)) for number in range(count)]
--- a/src/ebonystream/backend/_service.py
+++ b/src/ebonystream/routing/_service.py
@@ -4,11 +4,11 @@
 
 from ebonystream._ids import Monotonic, Seconds, ServiceName
 from ebonystream._timers import MS_PER_SECOND
-from ebonystream.backend._asks import PeerAsk, PeerAsks
-from ebonystream.backend._peers import SlotPeer
-from ebonystream.backend._slots import HeldSlots, Slot
-from ebonystream.backend._waiting import Waiting, WaitingLine
 from ebonystream.peer import AskSlots, GrantSlot
+from ebonystream.routing._asks import PeerAsk, PeerAsks
+from ebonystream.routing._peers import SlotPeer
+from ebonystream.routing._slots import HeldSlots, Slot
+from ebonystream.routing._waiting import Waiting, WaitingLine
 
 ASK_WAIT = 0.001
 """How long the first request for slots waits for its answer, in seconds."""
--- a/src/ebonystream/backend/_shedding.py
+++ b/src/ebonystream/routing/_shedding.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable
 
 from ebonystream._ids import Monotonic
-from ebonystream.backend._evidence import UsualTimes
-from ebonystream.backend._service import ServiceSlots
-from ebonystream.backend._waiting import Waiting
+from ebonystream.backend import (
+    UsualTimes,
+)
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.routing._service import ServiceSlots
+from ebonystream.routing._waiting import Waiting
 
 MOST_WAITING = 1024
 """Calls of one service that wait at one host."""
--- a/src/ebonystream/backend/_slots.py
+++ b/src/ebonystream/routing/_slots.py
@@ -12,7 +12,9 @@
 import attrs
 
 from ebonystream._ids import Monotonic, ServerId, SlotNumber
-from ebonystream.backend._server import BackendServer
+from ebonystream.backend import (
+    BackendServer,
+)
 
 SlotKey = tuple[ServerId, SlotNumber]
 """Names one slot."""
--- a/src/ebonystream/backend/_waiting.py
+++ b/src/ebonystream/routing/_waiting.py
@@ -6,9 +6,9 @@
 import attrs
 
 from ebonystream._ids import Monotonic, ServerId
-from ebonystream.backend._slots import Slot
 from ebonystream.call import Call
 from ebonystream.errors import EbonystreamError
+from ebonystream.routing._slots import Slot
 
 
 @attrs.define(kw_only=True, eq=False)
--- /dev/null
+++ b/tests/test_mutations.py
@@ -0,0 +1,201 @@
+"""Each proof can fail: a mechanism is broken in a copy, and its test goes red.
+
+Each row names a text of the product, what replaces it in a scratch copy, and
+the test that must then fail. The product itself is never changed.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from server_mutations import SERVER_MUTATIONS, Mutation
+
+ROOT = Path(__file__).parent.parent
+TESTS_FAILED = 1
+
+pytestmark = pytest.mark.mutations
+
+
+MUTATIONS = {
+    'a snapshot is fetched at once': Mutation(
+        'membership/_snapshots.py',
+        'return now - self.since >= BEHIND_AFTER',
+        'return True',
+        'tests/test_snapshots.py::test_lag',
+    ),
+    'a snapshot may go back': Mutation(
+        'membership/_snapshots.py',
+        'assert state.get_next() >= before, (',
+        'assert state.get_next() is not None, (',
+        'tests/test_snapshots.py::test_going_back_is_asserted',
+    ),
+    'a stranger may connect': Mutation(
+        'peer/_zap.py',
+        'if hmac.compare_digest(credentials, public_key):',
+        'if credentials:',
+        'tests/test_zmq_transport.py::test_strangers_are_not_heard',
+    ),
+    'another host may answer': Mutation(
+        'peer/_questions.py',
+        'return same_kind and sender == question.host',
+        'return same_kind',
+        'tests/test_exchange.py::test_only_its_own_answer',
+    ),
+    'answers to an earlier incarnation are taken': Mutation(
+        'peer/_exchange.py',
+        'if envelope.recipient == self.incarnation:',
+        'if envelope:',
+        'tests/test_exchange.py::test_drops',
+    ),
+    'whoever is heard is believed': Mutation(
+        'membership/_hearing.py',
+        'return hearing.echo >= candidate.proof',
+        'return True',
+        'tests/test_membership_faults.py::test_any_mix_of_faults',
+    ),
+    'an early echo is proof': Mutation(
+        'membership/_hearing.py',
+        'proof=hearing.sent + 1',
+        'proof=0',
+        'tests/test_membership.py::test_one_peer',
+    ),
+    'a proof outlives the next incarnation': Mutation(
+        'membership/_member.py',
+        'self.candidates.clear()',
+        'self.candidates.pop(heartbeat.incarnation)',
+        'tests/test_membership.py::test_one_peer',
+    ),
+    'heartbeats are taken in any order': Mutation(
+        'membership/_hearing.py',
+        'heartbeat.sequence <= _find_newest(member, heartbeat)',
+        'heartbeat.sequence < 0',
+        'tests/test_membership_faults.py::test_any_mix_of_faults',
+    ),
+    'what is gone comes back': Mutation(
+        'membership/_hearing.py',
+        'if heartbeat.incarnation in hearing.tombstones:',
+        'if not heartbeat.incarnation:',
+        'tests/test_membership.py::test_one_peer',
+    ),
+    'a peer that hears nothing is reachable': Mutation(
+        'membership/_member.py',
+        'if now - echoed_at > pace.silence + pace.period:',
+        'if not now:',
+        'tests/test_membership_faults.py::test_cut_one_way',
+    ),
+    'an own pause is the silence of all others': Mutation(
+        'membership/_membership.py',
+        'member.excuse(now)',
+        'member.excuse(member.excused_at)',
+        'tests/test_membership.py::test_one_peer',
+    ),
+    'the later claim wins': Mutation(
+        'ownership/_intervals.py',
+        'free = list(self._find_free(new))',
+        'self.sorted = []\n        free = [new]',
+        'tests/test_ownership_grants.py::test_only_its_owner_ends_ownership',
+    ),
+    'anyone can release': Mutation(
+        'ownership/_intervals.py',
+        'if interval.owner != owner or interval.until <= since:',
+        'if interval.until <= since:',
+        'tests/test_ownership_grants.py::test_only_its_owner_ends_ownership',
+    ),
+    'a late reader trusts what it sees': Mutation(
+        'ownership/_grants.py',
+        'max(self.blind_until, record.at + MAX_AHEAD_MS)',
+        'self.blind_until',
+        'tests/test_ownership_grants.py::'
+        'test_a_late_reader_agrees_where_it_answers',
+    ),
+    'claims may reach far ahead': Mutation(
+        'ownership/_grants.py',
+        ' and span.until <= at + MAX_AHEAD_MS',
+        '',
+        'tests/test_ownership_grants.py::test_fold',
+    ),
+    'a cut attempt is tried again': Mutation(
+        'ownership/_owner.py',
+        'if attempt.kind in MAY_HAVE_RUN:\n            break',
+        'if attempt.kind in MAY_HAVE_RUN:\n            continue',
+        'tests/test_ownership_ledger.py',
+    ),
+    'a key that was not run is not burned': Mutation(
+        'ownership/_ledger.py',
+        'entry.done.set()',
+        'entry.done.set()\n        self.entries.pop(entry.key)',
+        'tests/test_ownership_ledger.py',
+    ),
+    'the same key takes another request': Mutation(
+        'ownership/_ledger.py',
+        'if entry.digest != digest:',
+        'if False:',
+        'tests/test_ownership_ledger.py',
+    ),
+    'a key below the floor begins again': Mutation(
+        'ownership/_ledger.py',
+        'if read_label(key) < self.floor:\n                raise',
+        'if False:\n                raise',
+        'tests/test_ownership_ledger.py',
+    ),
+    'labels that were given up still run': Mutation(
+        'ownership/_owner.py',
+        'if owner == self.incarnation and self._gave_up(label):',
+        'if False:',
+        'tests/test_ownership_ledger.py',
+    ),
+    'a leaving owner gives up labels that ran': Mutation(
+        'ownership/_owner.py',
+        'max(since, self.ledger.ceiling + 1)',
+        'since',
+        'tests/test_once_everywhere.py',
+    ),
+    'an owner that is held loses its labels to others': Mutation(
+        'ownership/_intervals.py',
+        'free = list(self._find_free(new))',
+        'self.cut_all(new.start)\n        free = [new]\n\n'
+        '    def cut_all(self, since: EpochMs) -> None:\n'
+        '        """Drop whatever others own."""\n'
+        '        self.sorted = [\n'
+        '            one for one in self.sorted if one.until <= since\n'
+        '        ]\n\n'
+        '    def unused(self, new: Interval) -> None:\n'
+        '        """Keep the lines that follow in a function."""\n'
+        '        free: list[Interval] = []',
+        'tests/test_once_everywhere.py',
+    ),
+    'a caller that leaves cancels its call': Mutation(
+        'ownership/_owner.py',
+        'owner.running.start_soon(_execute, owner, call, entry)',
+        'owner.running.start_soon(_execute, owner, call, entry)\n'
+        '        owner.running.cancel_scope.deadline = 0.05',
+        'tests/test_ownership_ledger.py',
+    ),
+}
+
+
+EVERY = MUTATIONS | SERVER_MUTATIONS
+
+
+@pytest.mark.parametrize('mutation', EVERY.values(), ids=EVERY.keys())
+def test_the_proof_goes_red(mutation, tmp_path):
+    shutil.copytree(ROOT / 'src', tmp_path / 'src')
+    broken = tmp_path / 'src' / 'ebonystream' / mutation.module
+    text = broken.read_text()
+    assert text.count(mutation.old) == 1
+    broken.write_text(text.replace(mutation.old, mutation.new))
+    run = subprocess.run(
+        [
+            *(sys.executable, '-m', 'pytest', '-x', mutation.test),
+            *('-o', f'pythonpath={tmp_path / "src"} tools'),
+        ],
+        cwd=ROOT,
+        env={**os.environ, 'PYTHONPATH': f'{tmp_path / "src"}:tools'},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert run.returncode == TESTS_FAILED, run.stdout
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 
 from ebonystream._timers import Timers
-from ebonystream.backend import UsualTimes, Waiting, make_shedding
-from ebonystream.backend._service import ServiceSlots
+from ebonystream.backend import (
+    UsualTimes,
+)
 from ebonystream.call import Call, CallKind
 from ebonystream.configuration import Lists, PlanClass, index_lists
 from ebonystream.errors import ErrorKind
@@ -22,6 +23,11 @@
     get_patience,
     make_ranking,
 )
+from ebonystream.routing import (
+    ServiceSlots,
+    Waiting,
+    make_shedding,
+)
 
 ROUTE = {
     'route': 'r',
--- a/tools/measure/hosts.py
+++ b/tools/measure/hosts.py
@@ -10,18 +10,20 @@
     BackendServer,
     Directory,
     Observe,
+    UsualTimes,
+)
+from ebonystream.call import Call
+from ebonystream.configuration import PlanTable, index_lists
+from ebonystream.peer import AskSlots, GrantSlot
+from ebonystream.plan import Guarantees, get_patience, make_ranking
+from ebonystream.routing import (
     SlotExchange,
     SlotPeer,
     SlotRegistry,
-    UsualTimes,
     make_choosing,
     make_learning,
     make_shedding,
 )
-from ebonystream.call import Call
-from ebonystream.configuration import PlanTable, index_lists
-from ebonystream.peer import AskSlots, GrantSlot
-from ebonystream.plan import Guarantees, get_patience, make_ranking
 from measure.lists import make_lists
 from measure.loop import Loop, make_timers
 from measure.world import SLOTS, ZONES, Load, Server, make_view, name_host
--- a/tools/measure/product.py
+++ b/tools/measure/product.py
@@ -12,13 +12,15 @@
     ABANDONED,
     Attempt,
     AttemptKind,
-    Waiting,
-    abandon,
-    join,
 )
 from ebonystream.call import Answer
 from ebonystream.errors import EbonystreamError, Outcome
 from ebonystream.peer import AskSlots, GrantSlot
+from ebonystream.routing import (
+    Waiting,
+    abandon,
+    join,
+)
 from measure.hosts import SERVICE, Host, make_host, may_take
 from measure.loop import Loop
 from measure.wire import Finish, Wire
--- a/tools/measure/world.py
+++ b/tools/measure/world.py
@@ -18,7 +18,12 @@
     VersionName,
     ZoneName,
 )
-from ebonystream.backend import BackendServer, ServerAddress
+from ebonystream.backend import (
+    BackendServer,
+    ServerAddress,
+    ServerPhase,
+    Warmth,
+)
 from ebonystream.call import Call, CallKind
 from ebonystream.configuration import PlanClass
 from measure.loop import Loop
@@ -156,6 +161,7 @@
         service=ServiceName('service'),
         version=VersionName('v1'),
         zone=server.zone,
+        warmth=Warmth(phase=ServerPhase.SERVING),
     )
 
 
