--- a/src/ebonystream/composition/_moves.py
+++ b/src/ebonystream/composition/_moves.py
@@ -1,5 +1,6 @@
 """Wires moves: what hosts confirm, verdicts, and zones that come back."""
 
+from functools import partial
 from random import Random
 
 import xxhash
@@ -9,16 +10,21 @@
     RequestId,
     Seconds,
     ServerId,
-    ZoneName,
 )
-from ebonystream.backend import Attempt, BackendServer, Observe, Place
+from ebonystream.backend import (
+    Attempt,
+    BackendServer,
+    Observe,
+    Place,
+    chill_zone,
+)
 from ebonystream.call import Call
+from ebonystream.composition._confirmations import list_confirmations
 from ebonystream.composition._parts import Parts, convert_ms
-from ebonystream.configuration import Ask, make_asking, write_checkpoints
+from ebonystream.configuration import Ask, make_asking
 from ebonystream.errors import EbonystreamError
 from ebonystream.move import (
     CloseMove,
-    Confirmation,
     EndMove,
     MoveReport,
     VerdictKind,
@@ -57,17 +63,6 @@
     return end_move
 
 
-def list_confirmations(parts: Parts) -> tuple[Confirmation, ...]:
-    """Give the newest word of each live entry host, this one first."""
-    own = Confirmation(
-        host=parts.settings.host.id,
-        incarnation=parts.incarnation,
-        control_next=parts.control.next,
-        zones_in_flight=dict(parts.zones_in_flight.calls),
-    )
-    return own, *parts.peers.list_confirmations()
-
-
 def report_move(parts: Parts, move: MoveId) -> MoveReport:
     """Report on a move; raises `NOT_FOUND`."""
     moves = parts.control.folded.moves
@@ -96,25 +91,12 @@
     )
 
 
-async def keep_checkpoints(parts: Parts) -> None:
-    """Write the state to the log again before it expires, for ever."""
-    settings = parts.settings.log
-    await write_checkpoints(
-        control=parts.control,
-        log=parts.log,
-        stream=settings.control_stream,
-        retention=convert_ms(settings.retention_ms),
-        timers=parts.timers,
-        random=Random(parts.incarnation),
-    )
-
-
 def watch_returns(parts: Parts) -> None:
     """Have zones that come back treated as cold, from the next change on."""
     parts.control.watch.subscribe(
         make_return_watch(
             get_moves=lambda: parts.control.folded.moves,
-            on_zone_back=_leave_as_it_is,
+            on_zone_back=partial(chill_zone, parts.directory, parts.timers),
             timers=parts.timers,
         )
     )
@@ -153,7 +135,3 @@
 
 def _explain_nothing(move: VersionMove) -> str:
     return ''
-
-
-def _leave_as_it_is(zone: ZoneName) -> None:
-    """Take a zone's return for what its servers show of it."""
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -1,7 +1,8 @@
 """The parts that one entry host is made of."""
 
+import secrets
 import time
-import uuid
+from random import Random
 
 import attrs
 import httpx
@@ -10,7 +11,7 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
 from ebonystream.backend import Directory
-from ebonystream.composition._peers import ListedPeers
+from ebonystream.composition._peers import Peers, make_peers
 from ebonystream.composition._policy import Policy, make_policy
 from ebonystream.composition._servers import (
     ServerRules,
@@ -19,7 +20,9 @@
 )
 from ebonystream.configuration import Control
 from ebonystream.move import ZonesInFlight
-from ebonystream.observation import Metrics
+from ebonystream.observation import Metrics, Traffic, count_transport
+from ebonystream.ownership import Grants, Ledger
+from ebonystream.peer import Transport
 from ebonystream.platform import (
     LogService,
     ReadHosts,
@@ -29,6 +32,9 @@
 from ebonystream.settings import Settings
 from ebonystream.upstream import ConnectionPool, PoolLimits
 
+INCARNATION_BYTES = 9
+"""Short, since each heartbeat carries it twice, and still never drawn again."""
+
 
 @attrs.frozen(kw_only=True)
 class Parts:
@@ -39,38 +45,58 @@
     log: LogService
     read_hosts: ReadHosts
     control: Control
-    peers: ListedPeers
+    grants: Grants
+    ledger: Ledger
+    peers: Peers
     zones_in_flight: ZonesInFlight
     directory: Directory
     server_rules: ServerRules
     pool: ConnectionPool
     metrics: Metrics
     policy: Policy
+    peer_traffic: Traffic
+    platform_traffic: Traffic
     incarnation: Incarnation
     stopping: trio.Event
 
 
-def make_parts(settings: Settings, client: httpx.AsyncClient) -> Parts:
+def make_parts(
+    settings: Settings,
+    *,
+    client: httpx.AsyncClient,
+    transport: Transport,
+    platform_traffic: Traffic,
+) -> Parts:
     """Make the parts of one entry host; nothing runs yet.
 
     Args:
         settings: The checked settings.
         client: The HTTP client for the platform's services.
+        transport: Carries bytes to the other entry hosts.
+        platform_traffic: Counts the bytes of that client.
     """
     timers = start_timers(wall_clock=time.time)
-    limits = PoolLimits(
-        idle_connections=settings.backends.slots + settings.backends.queue,
-        idle=convert_ms(settings.backends.idle_ms),
-        connect_timeout=convert_ms(settings.backends.connect_timeout_ms),
-    )
+    peer_traffic = Traffic()
+    incarnation = Incarnation(secrets.token_urlsafe(INCARNATION_BYTES))
     directory = Directory()
     control = Control()
-    incarnation = Incarnation(uuid.uuid4().hex)
     server_rules = make_server_rules(
         directory=directory,
         view=make_lone_view(),
         slots=settings.backends.slots,
         timers=timers,
+        random=Random(incarnation),
+    )
+    peers = make_peers(
+        settings, incarnation, count_transport(transport, peer_traffic)
+    )
+    policy = make_policy(
+        settings,
+        timers=timers,
+        directory=directory,
+        control=control,
+        peers=peers,
+        may_take=server_rules.may_take,
     )
     return Parts(
         settings=settings,
@@ -78,25 +104,31 @@
         log=make_http_log(client=client, url=settings.log.url),
         read_hosts=make_host_reader(client=client, url=settings.host_list.url),
         control=control,
-        peers=ListedPeers(),
+        grants=Grants(keep_ms=settings.ownership.window_ms),
+        ledger=Ledger(max_bytes=settings.ownership.max_bytes),
+        peers=peers,
         zones_in_flight=ZonesInFlight(control.is_out),
         directory=directory,
         server_rules=server_rules,
-        pool=ConnectionPool(limits, timers),
+        pool=ConnectionPool(_make_limits(settings), timers),
         metrics=Metrics(),
-        policy=make_policy(
-            settings,
-            timers=timers,
-            directory=directory,
-            control=control,
-            may_take=server_rules.may_take,
-            incarnation=incarnation,
-        ),
+        policy=policy,
+        peer_traffic=peer_traffic,
+        platform_traffic=platform_traffic,
         incarnation=incarnation,
         stopping=trio.Event(),
     )
 
 
+def _make_limits(settings: Settings) -> PoolLimits:
+    backends = settings.backends
+    return PoolLimits(
+        idle_connections=backends.slots + backends.queue,
+        idle=convert_ms(backends.idle_ms),
+        connect_timeout=convert_ms(backends.connect_timeout_ms),
+    )
+
+
 def convert_ms(length: int) -> Seconds:
     """Convert milliseconds, as in the settings, to seconds."""
     return Seconds(length / MS_PER_SECOND)
--- a/src/ebonystream/composition/_policy.py
+++ b/src/ebonystream/composition/_policy.py
@@ -1,11 +1,9 @@
 """Wires the policy under load: slots, routing and what is learned of both."""
 
-from random import Random
-
 import attrs
 import trio
 
-from ebonystream._ids import Incarnation, Seconds
+from ebonystream._ids import Seconds
 from ebonystream._timers import Timers
 from ebonystream.backend import (
     BackendServer,
@@ -16,8 +14,10 @@
     UsualTimes,
 )
 from ebonystream.call import Call
+from ebonystream.composition._peers import Peers
 from ebonystream.composition._slots import make_exchange, make_registry
 from ebonystream.configuration import Control
+from ebonystream.peer import Heartbeat
 from ebonystream.plan import Guarantees, make_ranking
 from ebonystream.routing import (
     SlotExchange,
@@ -45,6 +45,7 @@
         exchange: The slots of this host.
         registry: Makes slots that nobody holds.
         guarantees: What is left of the guaranteed rates.
+        peers: The other entry hosts.
         place: Finds a server for a call.
         learn: Learns from an attempt and frees its slot; the first observer.
     """
@@ -54,6 +55,7 @@
     exchange: SlotExchange
     registry: SlotRegistry
     guarantees: Guarantees
+    peers: Peers
     place: Place
     learn: Observe
 
@@ -64,8 +66,8 @@
     timers: Timers,
     directory: Directory,
     control: Control,
+    peers: Peers,
     may_take: MayTake,
-    incarnation: Incarnation,
 ) -> Policy:
     """Make the policy of one entry host; nothing runs yet.
 
@@ -74,8 +76,8 @@
         timers: Tells the time.
         directory: The servers that are known.
         control: The configuration in force.
+        peers: The other entry hosts.
         may_take: Tells whether a server bears a call.
-        incarnation: Seeds the random choices.
     """
 
     def may_route(call: Call, server: BackendServer) -> bool:
@@ -89,14 +91,15 @@
         directory=directory,
         usual=usual,
         may_take=may_route,
-        random=Random(incarnation),
+        peers=peers,
     )
     return Policy(
         timers=timers,
         control=control,
         exchange=exchange,
-        registry=make_registry(settings, exchange, directory, timers),
+        registry=make_registry(settings, exchange, directory, peers),
         guarantees=guarantees,
+        peers=peers,
         place=make_placing(
             exchange=exchange,
             directory=directory,
@@ -124,6 +127,17 @@
     background.start_soon(divide_guarantees, policy)
 
 
+def take_policy_report(policy: Policy, heartbeat: Heartbeat) -> None:
+    """Learn what a peer holds, and how many calls come to it.
+
+    Args:
+        policy: The policy of this host.
+        heartbeat: A heartbeat of an incarnation that is believed.
+    """
+    policy.registry.take_report(heartbeat.host, heartbeat.loads)
+    policy.guarantees.take_report(heartbeat.host, heartbeat.demands)
+
+
 async def keep_slots(policy: Policy) -> None:
     """Make the slots that nobody holds, for ever."""
     async for _ in policy.timers.subscribe(period=Seconds(CHECK_PERIOD)):
@@ -133,5 +147,7 @@
 async def divide_guarantees(policy: Policy) -> None:
     """Divide the guaranteed rates anew with each period, for ever."""
     async for now in policy.timers.subscribe(period=Seconds(DIVIDE_PERIOD)):
+        table = policy.peers.membership.table
+        policy.guarantees.keep_hosts(frozenset(table.peers))
         plans = policy.control.get_plans()
         policy.guarantees.close_period(plans.plans if plans else {}, now)
--- a/src/ebonystream/composition/_root.py
+++ b/src/ebonystream/composition/_root.py
@@ -3,25 +3,39 @@
 import httpx
 import trio
 
+from ebonystream._ids import Seconds
 from ebonystream._timers import MS_PER_SECOND
 from ebonystream.composition._admin import serve_admin_api
-from ebonystream.composition._listener import make_listener
-from ebonystream.composition._moves import (
-    finish_moves,
-    keep_checkpoints,
-    watch_returns,
+from ebonystream.composition._control import keep_control
+from ebonystream.composition._gauges import add_gauges
+from ebonystream.composition._listener import (
+    make_call_dispatch,
+    make_listener,
+)
+from ebonystream.composition._members import keep_peers
+from ebonystream.composition._ownership import (
+    Ownership,
+    claim_slices,
+    leave_ownership,
+    make_ownership,
+    tail_keys,
 )
 from ebonystream.composition._parts import Parts, make_parts
+from ebonystream.composition._peers import open_transport
 from ebonystream.composition._policy import start_policy
 from ebonystream.composition._servers import refresh_sponsorship
 from ebonystream.composition._tasks import (
     close_idle,
     refresh_hosts,
-    tail_control,
     watch_signals,
 )
+from ebonystream.observation import Traffic, make_traffic_hooks
+from ebonystream.ownership import make_owner_answer
 from ebonystream.settings import Settings
 
+LAST_ANSWERS = Seconds(0.1)
+"""How long the last answers to peers may take to leave this host."""
+
 
 async def run_entry_host(settings: Settings) -> None:
     """Run one entry host until SIGTERM or SIGINT, then stop it gracefully.
@@ -30,30 +44,67 @@
         settings: The checked settings of the host.
     """
     timeout = settings.log.timeout_ms + settings.log.poll_wait_ms
-    async with httpx.AsyncClient(timeout=timeout / MS_PER_SECOND) as client:
-        parts = make_parts(settings, client)
+    traffic = Traffic()
+    async with (
+        httpx.AsyncClient(
+            timeout=timeout / MS_PER_SECOND,
+            event_hooks=make_traffic_hooks(traffic),
+        ) as client,
+        open_transport(settings) as transport,
+    ):
+        parts = make_parts(
+            settings,
+            client=client,
+            transport=transport,
+            platform_traffic=traffic,
+        )
+        add_gauges(parts)
         listeners = await trio.open_tcp_listeners(
             settings.callers.port, host=str(settings.callers.address)
         )
         async with trio.open_nursery() as background:
-            _start_tasks(background, parts)
-            await make_listener(parts).run(listeners, parts.stopping)
+            await _serve_until_stopped(parts, listeners, background)
             background.cancel_scope.cancel()
 
 
-def _start_tasks(background: trio.Nursery, parts: Parts) -> None:
+async def _serve_until_stopped(
+    parts: Parts,
+    listeners: list[trio.SocketListener],
+    background: trio.Nursery,
+) -> None:
+    dispatch = make_call_dispatch(parts)
+    async with trio.open_nursery() as running:
+        ownership = make_ownership(parts, dispatch=dispatch, running=running)
+        listener = make_listener(parts, dispatch=dispatch, ownership=ownership)
+        _start_tasks(parts, ownership, background)
+        async with trio.open_nursery() as serving:
+            serving.start_soon(listener.run, listeners, parts.stopping)
+            serving.start_soon(leave_ownership, parts, ownership)
+    await _finish_requests(parts)
+
+
+def _start_tasks(
+    parts: Parts, ownership: Ownership, background: trio.Nursery
+) -> None:
+    answer_call = make_owner_answer(
+        run_owned=ownership.run_owned, timers=parts.timers
+    )
     background.start_soon(watch_signals, parts.stopping)
-    watch_returns(parts)
-    background.start_soon(tail_control, parts)
-    background.start_soon(finish_moves, parts)
-    background.start_soon(keep_checkpoints, parts)
+    background.start_soon(keep_control, parts)
+    background.start_soon(keep_peers, parts, answer_call)
+    background.start_soon(tail_keys, parts)
+    background.start_soon(claim_slices, parts, ownership)
     background.start_soon(refresh_hosts, parts)
     background.start_soon(close_idle, parts)
     start_policy(background, parts.policy)
     background.start_soon(
-        refresh_sponsorship,
-        parts.server_rules,
-        parts.directory,
-        parts.timers,
+        refresh_sponsorship, parts.server_rules, parts.directory, parts.timers
     )
     background.start_soon(serve_admin_api, parts)
+
+
+async def _finish_requests(parts: Parts) -> None:
+    """Wait until what peers asked is answered and the answers are sent."""
+    while parts.peers.exchange.running:
+        await parts.timers.wait(LAST_ANSWERS)
+    await parts.timers.wait(LAST_ANSWERS)
--- a/src/ebonystream/membership/_contents.py
+++ b/src/ebonystream/membership/_contents.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ebonystream._ids import Offset, ZoneName
+from ebonystream._ids import CustomerId, Offset, ZoneName
 from ebonystream.peer import ServerLoad, VersionBrake
 
 
@@ -20,6 +20,7 @@
         zones_in_flight: Calls that it has in hand in each zone.
         brakes: Versions that it stopped.
         suspects: Fingerprints of requests that it saw end a server.
+        demands: Calls a second that come to it, by customer.
     """
 
     control_next: Offset = Offset(0)
@@ -28,6 +29,7 @@
     zones_in_flight: dict[ZoneName, int] = msgspec.field(default_factory=dict)
     brakes: tuple[VersionBrake, ...] = ()
     suspects: tuple[str, ...] = ()
+    demands: dict[CustomerId, float] = msgspec.field(default_factory=dict)
 
 
 FillHeartbeat = Callable[[], HeartbeatContents]
--- a/src/ebonystream/membership/_membership.py
+++ b/src/ebonystream/membership/_membership.py
@@ -111,6 +111,7 @@
             zones_in_flight=contents.zones_in_flight,
             brakes=contents.brakes,
             suspects=contents.suspects,
+            demands=contents.demands,
         )
 
     def take_heartbeat(self, heartbeat: Heartbeat, now: Monotonic) -> None:
--- a/src/ebonystream/peer/_messages.py
+++ b/src/ebonystream/peer/_messages.py
@@ -9,6 +9,7 @@
 from ebonystream._ids import (
     BootId,
     CorrelationId,
+    CustomerId,
     HostId,
     Incarnation,
     MoveId,
@@ -71,6 +72,7 @@
         zones_in_flight: Calls that it has in hand in each zone.
         brakes: Versions that it stopped.
         suspects: Fingerprints of requests that it saw end a server.
+        demands: Calls a second that come to it, by customer.
     """
 
     host: HostId
@@ -86,6 +88,7 @@
     zones_in_flight: dict[ZoneName, int] = msgspec.field(default_factory=dict)
     brakes: tuple[VersionBrake, ...] = ()
     suspects: tuple[str, ...] = ()
+    demands: dict[CustomerId, float] = msgspec.field(default_factory=dict)
 
 
 class ForwardCall(msgspec.Struct, tag='call', frozen=True, array_like=True):
--- a/src/ebonystream/routing/_exchange.py
+++ b/src/ebonystream/routing/_exchange.py
@@ -21,7 +21,7 @@
 from ebonystream.routing._asks import PeerAsk
 from ebonystream.routing._choice import Choose, choose_gift
 from ebonystream.routing._peers import SlotPeer, pick_peers
-from ebonystream.routing._service import ASK_WAIT, ServiceSlots
+from ebonystream.routing._service import ASK_WAIT, LONGEST_LEASE, ServiceSlots
 from ebonystream.routing._shedding import Shed
 from ebonystream.routing._slots import Slot
 from ebonystream.routing._waiting import Waiting
@@ -29,6 +29,8 @@
 GRANT_LIFE = 0.25
 """A grant that comes later after its request is dropped, in seconds."""
 
+LONGEST_LEASE_MS = LONGEST_LEASE * MS_PER_SECOND
+
 LOOK_AHEAD = 8
 """How many calls are looked at where the first may use no free slot."""
 
@@ -139,7 +141,8 @@
         server = self.find_server(grant.server)
         now = self.timers.now()
         asked = grant.asked_ms / MS_PER_SECOND
-        if server is None or not 0 <= now - asked <= GRANT_LIFE:
+        fresh = 0 <= now - asked <= GRANT_LIFE
+        if server is None or not fresh or grant.lease_ms > LONGEST_LEASE_MS:
             self.counts.dropped += 1
             return
         slots = self.get_service(server.service)
--- a/tests/test_server_rules.py
+++ b/tests/test_server_rules.py
@@ -1,5 +1,7 @@
 """The rules of starting and leaving servers, one case a line."""
 
+from random import Random
+
 import pytest
 import trio
 from server_fakes import SLOTS, TIMERS, make_attempt, make_call, make_listed
@@ -254,9 +256,9 @@
 async def test_a_zone_returns_cold(autojump_clock):
     rules, server = make_rules()
     learn(rules, server, *WARM)
-    chill_zone(rules.directory, 'b', TIMERS)
+    chill_zone(rules.directory, TIMERS, 'b')
     assert server.warmth.phase is SERVING
-    chill_zone(rules.directory, 'a', TIMERS)
+    chill_zone(rules.directory, TIMERS, 'a')
     assert server.warmth.phase is COLD
 
 
@@ -304,7 +306,7 @@
 
 async def test_standings_of_peers(autojump_clock):
     rules, server = make_rules()
-    exchange = StandingExchange(rules.directory, TIMERS)
+    exchange = StandingExchange(rules.directory, TIMERS, Random(1))
     exchange.take_standings(
         Standing(server=ServerId(name), epoch=epoch, phase=SERVING, boot=B0)
         for name, epoch in (('s', -1), ('s', 2**80), ('unknown', 1))
--- a/tests/test_server_runs.py
+++ b/tests/test_server_runs.py
@@ -81,7 +81,7 @@
         """Let each host look at its sponsorships."""
         async for _ in TIMERS.subscribe(period=0.25):
             for host in self.hosts:
-                host.sponsorship.refresh(host.directory.servers.values())
+                host.rules.sponsorship.refresh(host.directory.servers.values())
 
     async def change_sponsors(self, nursery):
         """Give a server another sponsor; views change one after another."""
--- a/tools/standins/operation.py
+++ b/tools/standins/operation.py
@@ -4,16 +4,34 @@
 import trio
 
 from ebonystream.configuration import Lists
+from ebonystream.move import MoveReport, ZoneDirection
 from standins.backendserver import Counts, Ledger
 from standins.client import connect, fetch
 from standins.cluster import LOOPBACK, Cluster, EntryHost
-from standins.processes import run_command
+from standins.processes import LaunchFailed, run_command
 
 IN_FORCE_SECONDS = 15
+MOVE_SECONDS = 15
 POLL_SECONDS = 0.05
 CLI = 'ebonystream.cli'
 
 
+class NotInForce(LaunchFailed):
+    """Raised when a configuration takes too long to be in force."""
+
+
+class Status(msgspec.Struct):
+    """What an entry host says of itself; other fields are left out.
+
+    Attributes:
+        configuration_version: The configuration in force.
+        backends: The backend servers that it knows.
+    """
+
+    configuration_version: int
+    backends: list[msgspec.Raw]
+
+
 async def publish(cluster: Cluster, lists: Lists) -> None:
     """Publish both lists through the command line, as operators do.
 
@@ -27,15 +45,31 @@
     await run_command(CLI, 'publish', str(path), '--admin', admin)
 
 
-async def move_zone(cluster: Cluster, zone: str, *, out: bool) -> None:
-    """Take a zone out or bring it back through the command line.
+async def move_zone(
+    cluster: Cluster,
+    zone: str,
+    direction: ZoneDirection,
+) -> None:
+    """Take a zone out or bring it back, and watch until that is finished.
 
     Args:
         cluster: What runs.
         zone: The availability zone.
-        out: Whether it is taken out.
+        direction: Which way it moves.
+
+    Raises:
+        CommandFailed: The move was refused or is not finished in time.
     """
-    await trio.lowlevel.checkpoint()
+    command = f'zone-{direction.value}'
+    told = await _run_move(cluster, command, zone, '--json')
+    report = msgspec.json.decode(told, type=MoveReport)
+    patience = ('--timeout', str(MOVE_SECONDS))
+    await _run_move(cluster, 'watch', report.move.id, *patience)
+
+
+async def _run_move(cluster: Cluster, *arguments: str) -> str:
+    admin = cluster.entries[0].admin
+    return await run_command(CLI, 'move', *arguments, '--admin', admin)
 
 
 async def await_configuration(cluster: Cluster, version: int) -> None:
@@ -46,23 +80,13 @@
         version: The version of the configuration.
 
     Raises:
-        trio.TooSlowError: It is not in force everywhere in time.
+        NotInForce: It is not in force everywhere in time.
     """
-    with trio.fail_after(IN_FORCE_SECONDS):
+    with trio.move_on_after(IN_FORCE_SECONDS):
         for entry in cluster.entries:
             await _await_entry(cluster, entry, version)
-
-
-class Status(msgspec.Struct):
-    """What an entry host says of itself; other fields are left out.
-
-    Attributes:
-        configuration_version: The configuration in force.
-        backends: The backend servers that it knows.
-    """
-
-    configuration_version: int
-    backends: list[msgspec.Raw]
+        return
+    raise NotInForce(f'version {version}')
 
 
 async def _await_entry(
