--- a/src/ebonystream/backend/_server.py
+++ b/src/ebonystream/backend/_server.py
@@ -9,6 +9,7 @@
     VersionName,
     ZoneName,
 )
+from ebonystream.backend._evidence import Evidence
 from ebonystream.backend._latency import Slowdown
 from ebonystream.backend._warmth import Warmth
 
@@ -38,6 +39,7 @@
         zone: The availability zone it stands in.
         leaving: Whether the host list says that it leaves.
         in_flight: Calls of this entry host that it has in hand.
+        evidence: What this host's own calls there showed.
         leaving_since: When this host learned that it leaves.
         warmth: How much work it bears.
         slowdown: How its latency is beside its own past.
@@ -50,6 +52,7 @@
     zone: ZoneName
     leaving: bool = False
     in_flight: int = 0
+    evidence: Evidence = attrs.field(factory=Evidence)
     leaving_since: Monotonic | None = None
     warmth: Warmth = attrs.field(factory=Warmth)
     slowdown: Slowdown = attrs.field(factory=Slowdown)
--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -1,15 +1,12 @@
 """Wires the path of a call, from the caller's connection to a back end."""
 
 from functools import partial
-from random import Random
 
 from ebonystream._ids import CustomerId
 from ebonystream.backend import (
     Dispatch,
     make_dispatch,
     make_idempotent_run,
-    make_placing,
-    release_place,
 )
 from ebonystream.call import (
     CallKind,
@@ -93,19 +90,11 @@
     rules = parts.server_rules
     return make_dispatch(
         place=rules.guard(
-            guard_place(
-                make_placing(
-                    directory=parts.directory,
-                    is_out=parts.control.is_out,
-                    random=Random(parts.incarnation),
-                    may_take=rules.may_take,
-                ),
-                parts.zones_in_flight,
-            )
+            guard_place(parts.policy.place, parts.zones_in_flight)
         ),
         send=make_sender(pool=parts.pool, timers=parts.timers),
         observers=(
-            release_place,
+            parts.policy.learn,
             make_zone_observer(parts.zones_in_flight),
             parts.metrics.count_attempt,
             log_attempt,
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -12,6 +12,7 @@
 from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
 from ebonystream.backend import Directory
 from ebonystream.composition._peers import Peers, make_peers
+from ebonystream.composition._policy import Policy, make_policy
 from ebonystream.composition._servers import (
     ServerRules,
     make_lone_view,
@@ -53,6 +54,7 @@
     server_rules: ServerRules
     pool: ConnectionPool
     metrics: Metrics
+    policy: Policy
     peer_traffic: Traffic
     platform_traffic: Traffic
     incarnation: Incarnation
@@ -78,13 +80,27 @@
     timers = start_timers(wall_clock=time.time)
     peer_traffic = Traffic()
     incarnation = Incarnation(secrets.token_urlsafe(INCARNATION_BYTES))
-    limits = PoolLimits(
-        idle_connections=settings.backends.slots + settings.backends.queue,
-        idle=convert_ms(settings.backends.idle_ms),
-        connect_timeout=convert_ms(settings.backends.connect_timeout_ms),
-    )
     directory = Directory()
     control = Control()
+    peers = make_peers(
+        settings, incarnation, count_transport(transport, peer_traffic)
+    )
+    server_rules = make_server_rules(
+        directory=directory,
+        view=make_lone_view(),
+        moves=make_moves_view(control),
+        slots=settings.backends.slots,
+        timers=timers,
+        random=Random(incarnation),
+    )
+    policy = make_policy(
+        settings,
+        timers=timers,
+        directory=directory,
+        control=control,
+        peers=peers,
+        may_take=server_rules.may_take,
+    )
     return Parts(
         settings=settings,
         timers=timers,
@@ -93,21 +109,13 @@
         control=control,
         grants=Grants(keep_ms=settings.ownership.window_ms),
         ledger=Ledger(max_bytes=settings.ownership.max_bytes),
-        peers=make_peers(
-            settings, incarnation, count_transport(transport, peer_traffic)
-        ),
+        peers=peers,
         zones_in_flight=ZonesInFlight(control.is_out),
         directory=directory,
-        server_rules=make_server_rules(
-            directory=directory,
-            view=make_lone_view(),
-            moves=make_moves_view(control),
-            slots=settings.backends.slots,
-            timers=timers,
-            random=Random(incarnation),
-        ),
-        pool=ConnectionPool(limits, timers),
+        server_rules=server_rules,
+        pool=ConnectionPool(_make_limits(settings), timers),
         metrics=Metrics(),
+        policy=policy,
         peer_traffic=peer_traffic,
         platform_traffic=platform_traffic,
         incarnation=incarnation,
@@ -116,6 +124,15 @@
     )
 
 
+def _make_limits(settings: Settings) -> PoolLimits:
+    backends = settings.backends
+    return PoolLimits(
+        idle_connections=backends.slots + backends.queue,
+        idle=convert_ms(backends.idle_ms),
+        connect_timeout=convert_ms(backends.connect_timeout_ms),
+    )
+
+
 def convert_ms(length: int) -> Seconds:
     """Convert milliseconds, as in the settings, to seconds."""
     return Seconds(length / MS_PER_SECOND)
--- a/src/ebonystream/membership/_contents.py
+++ b/src/ebonystream/membership/_contents.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ebonystream._ids import Offset, ZoneName
+from ebonystream._ids import CustomerId, Offset, ZoneName
 from ebonystream.peer import (
     ServerLoad,
     ServerStanding,
@@ -27,6 +27,7 @@
         suspects: Fingerprints of requests that it saw end a server.
         standings: How far it would use backend servers, some of them.
         evidence: What it has seen of version moves.
+        demands: Calls a second that come to it, by customer.
     """
 
     control_next: Offset = Offset(0)
@@ -37,6 +38,7 @@
     suspects: tuple[str, ...] = ()
     standings: tuple[ServerStanding, ...] = ()
     evidence: tuple[VersionEvidence, ...] = ()
+    demands: dict[CustomerId, float] = msgspec.field(default_factory=dict)
 
 
 FillHeartbeat = Callable[[], HeartbeatContents]
--- a/src/ebonystream/membership/_membership.py
+++ b/src/ebonystream/membership/_membership.py
@@ -113,6 +113,7 @@
             suspects=contents.suspects,
             standings=contents.standings,
             evidence=contents.evidence,
+            demands=contents.demands,
         )
 
     def take_heartbeat(self, heartbeat: Heartbeat, now: Monotonic) -> None:
--- a/src/ebonystream/peer/__init__.py
+++ b/src/ebonystream/peer/__init__.py
@@ -13,6 +13,7 @@
     AnswerFetch,
     Handlers,
     TakeHeartbeat,
+    TakeNote,
 )
 from ebonystream.peer._messages import (
     FetchSnapshot,
@@ -28,6 +29,7 @@
     VersionEvidence,
 )
 from ebonystream.peer._questions import Questions
+from ebonystream.peer._slots import AskSlots, GrantSlot, PeerNote, SlotClaim
 from ebonystream.peer._transport import Transport
 from ebonystream.peer._zmq import (
     ZmqSettings,
@@ -38,6 +40,7 @@
 __all__ = (
     'AnswerCall',
     'AnswerFetch',
+    'AskSlots',
     'DropReason',
     'Envelope',
     'Exchange',
@@ -46,15 +49,19 @@
     'ForwardCall',
     'Frame',
     'FetchSnapshot',
+    'GrantSlot',
     'Handlers',
     'Heartbeat',
     'PeerAnswer',
+    'PeerNote',
     'PeerRequest',
     'Questions',
     'ServerLoad',
     'ServerStanding',
+    'SlotClaim',
     'Snapshot',
     'TakeHeartbeat',
+    'TakeNote',
     'Transport',
     'VersionBrake',
     'VersionEvidence',
--- a/src/ebonystream/peer/_exchange.py
+++ b/src/ebonystream/peer/_exchange.py
@@ -27,6 +27,7 @@
     Snapshot,
 )
 from ebonystream.peer._questions import Questions
+from ebonystream.peer._slots import AskSlots, GrantSlot, PeerNote
 from ebonystream.peer._transport import Transport
 
 
@@ -110,6 +111,10 @@
         """Send a heartbeat to a peer, best effort."""
         self._transmit(host, heartbeat)
 
+    def send_note(self, host: HostId, note: PeerNote) -> None:
+        """Send a note to a peer, best effort."""
+        self._send(host, note)
+
     async def run(self, handlers: Handlers) -> None:
         """Take what peers send, for ever, each request in its own task.
 
@@ -142,6 +147,8 @@
             self.drops[DropReason.OWN_NAME] += 1
         elif isinstance(message, ForwardAnswer | Snapshot):
             self._take_answer(envelope, message)
+        elif isinstance(message, AskSlots | GrantSlot):
+            handlers.take_note(envelope.sender, message)
         elif self.running >= self.limits.requests:
             self.drops[DropReason.OVERLOADED] += 1
         else:
@@ -175,7 +182,7 @@
     def _send(
         self,
         host: HostId,
-        message: PeerRequest | PeerAnswer,
+        message: PeerRequest | PeerAnswer | PeerNote,
         *,
         recipient: Incarnation | None = None,
     ) -> None:
--- a/src/ebonystream/peer/_handlers.py
+++ b/src/ebonystream/peer/_handlers.py
@@ -14,6 +14,7 @@
     PeerRequest,
     Snapshot,
 )
+from ebonystream.peer._slots import PeerNote
 
 AnswerCall = Callable[[HostId, ForwardCall], Awaitable[ForwardAnswer | None]]
 """Answers a call that the named host forwards; None gives no answer."""
@@ -24,6 +25,13 @@
 TakeHeartbeat = Callable[[Heartbeat], None]
 """Learns from a peer's heartbeat."""
 
+TakeNote = Callable[[HostId, PeerNote], None]
+"""Takes a note of the named host."""
+
+
+def drop_note(sender: HostId, note: PeerNote) -> None:
+    """Do nothing with a note."""
+
 
 @attrs.frozen(kw_only=True)
 class Handlers:
@@ -36,11 +44,13 @@
         answer_call: Answers a forwarded call.
         answer_fetch: Answers a request for a snapshot.
         take_heartbeat: Learns from a heartbeat.
+        take_note: Takes a note about slots.
     """
 
     answer_call: AnswerCall
     answer_fetch: AnswerFetch
     take_heartbeat: TakeHeartbeat
+    take_note: TakeNote = drop_note
 
     async def answer(
         self, sender: HostId, request: PeerRequest
--- a/src/ebonystream/peer/_messages.py
+++ b/src/ebonystream/peer/_messages.py
@@ -9,6 +9,7 @@
 from ebonystream._ids import (
     BootId,
     CorrelationId,
+    CustomerId,
     HostId,
     Incarnation,
     MoveId,
@@ -19,6 +20,7 @@
     VersionName,
     ZoneName,
 )
+from ebonystream.peer._slots import SlotClaim
 
 
 class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -28,11 +30,16 @@
         server: The backend server.
         in_flight: Calls of the host that the server has in hand.
         boot: The run of the server that answered last, if known.
+        held: The slots of the server that the host holds.
+        known: The slots as the home of the server last knew them, from there
+            only.
     """
 
     server: ServerId
     in_flight: int
     boot: BootId | None = None
+    held: tuple[SlotClaim, ...] = ()
+    known: tuple[SlotClaim, ...] = ()
 
 
 class VersionBrake(msgspec.Struct, frozen=True, array_like=True):
@@ -102,6 +109,7 @@
         suspects: Fingerprints of requests that it saw end a server.
         standings: How far it would use backend servers, some of them.
         evidence: What it has seen of version moves.
+        demands: Calls a second that come to it, by customer.
     """
 
     host: HostId
@@ -119,6 +127,7 @@
     suspects: tuple[str, ...] = ()
     standings: tuple[ServerStanding, ...] = ()
     evidence: tuple[VersionEvidence, ...] = ()
+    demands: dict[CustomerId, float] = msgspec.field(default_factory=dict)
 
 
 class ForwardCall(msgspec.Struct, tag='call', frozen=True, array_like=True):
--- /dev/null
+++ b/src/ebonystream/routing/_choice.py
@@ -0,0 +1,117 @@
+"""The choice of a slot for a call, with its reason."""
+
+import enum
+from collections.abc import Callable, Iterable, Sequence
+from random import Random
+
+import attrs
+
+from ebonystream._ids import Monotonic, ZoneName
+from ebonystream.backend import (
+    BackendServer,
+    MayTake,
+)
+from ebonystream.routing._slots import Slot
+from ebonystream.routing._waiting import Waiting
+
+OVERLAP_AFTER = 0.003
+"""How long a call waits for a slot before it may overlap, in seconds."""
+
+
+class ChoiceReason(enum.Enum):
+    """Why a call went where it went."""
+
+    OWN_ZONE = 'own_zone'
+    SPILLED = 'spilled'
+    OVERLAP = 'overlap'
+    """All slots are busy: the call fills the gap between two others."""
+
+    TRIAL = 'trial'
+    """A server that was slow gets one call to show that it recovered."""
+
+
+@attrs.frozen
+class Choice:
+    """A slot for a call.
+
+    Attributes:
+        slot: The slot.
+        reason: Why this one.
+    """
+
+    slot: Slot
+    reason: ChoiceReason
+
+
+Choose = Callable[[Sequence[Slot], Waiting, Monotonic], Choice | None]
+"""Picks one of the free slots for a call, if it may use any now."""
+
+
+def make_choosing(
+    *, zone: ZoneName, may_take: MayTake, random: Random
+) -> Choose:
+    """Make the function that picks a slot.
+
+    Args:
+        zone: Where this host stands.
+        may_take: Tells whether a server may have a call.
+        random: Breaks ties.
+    """
+
+    def weigh(slot: Slot) -> tuple[bool, bool, bool, float]:
+        server = slot.server
+        slow = server.evidence.is_slow()
+        return slow, slot.overlap, server.zone != zone, random.random()
+
+    def choose(
+        free: Sequence[Slot], waiting: Waiting, now: Monotonic
+    ) -> Choice | None:
+        patient = now - waiting.since < OVERLAP_AFTER
+        fit = [
+            slot
+            for slot in free
+            if not (slot.overlap and patient)
+            and slot.server.id not in waiting.tried
+            and may_take(waiting.call, slot.server)
+        ]
+        if not fit:
+            return None
+        slot = min(fit, key=weigh)
+        return Choice(slot, _explain(slot, zone))
+
+    return choose
+
+
+def choose_gift(
+    free: Iterable[Slot], asker: ZoneName, own: ZoneName
+) -> Slot | None:
+    """Pick a free slot for a peer: one of its zone, else one of no use here.
+
+    Args:
+        free: Slots that may take a call.
+        asker: Where the peer stands.
+        own: Where this host stands.
+    """
+    return min(
+        (slot for slot in free if _is_of_use(slot.server)),
+        key=lambda slot: (
+            slot.overlap,
+            slot.server.zone != asker,
+            slot.server.zone == own,
+        ),
+        default=None,
+    )
+
+
+def _is_of_use(server: BackendServer) -> bool:
+    return not server.evidence.is_slow() and not server.warmth.is_starting
+
+
+def _explain(slot: Slot, zone: ZoneName) -> ChoiceReason:
+    if slot.server.evidence.is_slow():
+        return ChoiceReason.TRIAL
+    if slot.overlap:
+        return ChoiceReason.OVERLAP
+    if slot.server.zone == zone:
+        return ChoiceReason.OWN_ZONE
+    return ChoiceReason.SPILLED
--- a/tests/server_fakes.py
+++ b/tests/server_fakes.py
@@ -27,8 +27,6 @@
     ServerAddress,
     ServerState,
     make_dispatch,
-    make_placing,
-    release_place,
 )
 from ebonystream.call import Answer, Call, CallKind
 from ebonystream.composition._servers import (
@@ -40,7 +38,7 @@
     fill_server_words,
     take_server_words,
 )
-from ebonystream.errors import Outcome
+from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
 from ebonystream.peer import Heartbeat
 from ebonystream.version import MovesView
 
@@ -213,6 +211,30 @@
 )
 
 
+def make_random_place(directory, random, may_take):
+    """Place each call at the less busy of two servers, without a wait."""
+
+    async def place(call, tried):
+        fit = [
+            server
+            for server in directory.list_service(call.service)
+            if server.id not in tried and may_take(call, server)
+        ]
+        if not fit:
+            raise EbonystreamError(ErrorKind.NO_BACKEND, call.service)
+        drawn = random.sample(fit, min(2, len(fit)))
+        server = min(drawn, key=lambda one: one.in_flight)
+        server.in_flight += 1
+        return server
+
+    return place
+
+
+def release_place(call, server, attempt, took):
+    """Give the place of an ended attempt back."""
+    server.in_flight -= 1
+
+
 def make_host(name, fakes, random, *, is_sponsor, is_alone, moves=NO_MOVES):
     directory = Directory()
     heard = {}
@@ -236,12 +258,7 @@
     async def send(call, server):
         return await fakes[server.id].run(call)
 
-    place = make_placing(
-        directory=directory,
-        is_out=lambda zone: False,
-        random=random,
-        may_take=rules.may_take,
-    )
+    place = make_random_place(directory, random, rules.may_take)
     dispatch = make_dispatch(
         place=rules.guard(place),
         send=send,
