Let calls wait for a server that bears none now, and don't take a pause for cold

Ruled out: the server itself: no attempt ended badly; the load client: direct calls did not fail. Change: a call is refused at once only where no server may have any call; it waits for one that bears none now, to its deadline. A past below 5 ms counts as 5 ms when a server is compared with it.

--- a/src/ebonystream/backend/_latency.py
+++ b/src/ebonystream/backend/_latency.py
@@ -29,8 +29,9 @@
 LARGEST_STEP = 2.0
 """One answer moves the past as if it were no slower than this."""
 
-SHORTEST_PAST = Seconds(1 / MS_PER_SECOND)
-"""A past below this is compared as if it were this long."""
+SHORTEST_PAST = Seconds(5 / MS_PER_SECOND)
+"""A past below this is compared as if it were this long: a pause of this host
+itself is as long as many answers of a fast server."""
 
 
 @attrs.define
--- a/src/ebonystream/composition/_policy.py
+++ b/src/ebonystream/composition/_policy.py
@@ -103,7 +103,6 @@
         place=make_placing(
             exchange=exchange,
             directory=directory,
-            may_take=may_route,
             is_out=control.is_out,
             rank=make_ranking(
                 get_plans=control.get_plans,
--- a/src/ebonystream/routing/_placing.py
+++ b/src/ebonystream/routing/_placing.py
@@ -13,7 +13,6 @@
     AttemptKind,
     BackendServer,
     Directory,
-    MayTake,
     Observe,
     Place,
     UsualTimes,
@@ -31,7 +30,6 @@
     *,
     exchange: SlotExchange,
     directory: Directory,
-    may_take: MayTake,
     is_out: Callable[[ZoneName], bool],
     rank: Rank,
     timers: Timers,
@@ -44,12 +42,14 @@
     Args:
         exchange: The slots of this host.
         directory: The servers that are known.
-        may_take: Tells whether a server may have a call.
         is_out: Tells whether operators took a zone out.
         rank: Gives a call's place by plan.
         timers: Tells the time.
     """
 
+    def is_usable(server: BackendServer) -> bool:
+        return not is_out(server.zone)
+
     async def place(call: Call, tried: set[ServerId]) -> BackendServer:
         call_rank = rank(call)
         while True:
@@ -61,7 +61,7 @@
                 since=timers.now(),
                 wake=event.set,
             )
-            join(exchange, waiting, directory, may_take)
+            join(exchange, waiting, directory, is_usable)
             server = await _wait_safely(exchange, waiting, event)
             if not is_out(server.zone):
                 return server
@@ -75,15 +75,17 @@
     exchange: SlotExchange,
     waiting: Waiting,
     directory: Directory,
-    may_take: MayTake,
+    is_usable: Callable[[BackendServer], bool],
 ) -> None:
     """Let a call wait; it may have its slot at once.
 
+    A server that bears no call now, as while it starts, is waited for.
+
     Args:
         exchange: The slots of this host.
         waiting: The call.
         directory: The servers that are known.
-        may_take: Tells whether a server may have a call.
+        is_usable: Tells whether a server may have any call.
 
     Raises:
         EbonystreamError: No server may have the call, or it would wait longer
@@ -93,7 +95,7 @@
     if not any(
         server.id not in waiting.tried
         and not server.leaving
-        and may_take(waiting.call, server)
+        and is_usable(server)
         for server in directory.list_service(service)
     ):
         raise EbonystreamError(ErrorKind.NO_BACKEND, service)
--- a/tests/test_server_rules.py
+++ b/tests/test_server_rules.py
@@ -27,6 +27,7 @@
     make_starting_gate,
     make_starting_observer,
 )
+from ebonystream.backend._latency import Slowdown, is_far_slower
 from ebonystream.call import CallKind
 
 COLD, SERVING = ServerPhase.COLD, ServerPhase.SERVING
@@ -314,3 +315,26 @@
     assert (exchange.dropped, server.warmth.phase) == (2, COLD)
     make_report_taker(directory=rules.directory, timers=TIMERS)('s', B0)
     assert exchange.list_standings()[0].boot == B0
+
+
+SLOWDOWNS = {
+    'a pause of this host, beside a fast server': (0.0003, 0.008, 8, False),
+    'a server that turned cold': (0.02, 0.3, 4, True),
+    'one late answer': (0.02, 0.3, 1, False),
+    'a fast server that turned cold': (0.0003, 0.1, 4, True),
+}
+
+
+@pytest.mark.parametrize(
+    ('past', 'late', 'answers', 'slower'),
+    SLOWDOWNS.values(),
+    ids=SLOWDOWNS.keys(),
+)
+def test_a_lone_server_beside_its_past(past, late, answers, slower):
+    """Found by two benches at once: the only server was taken for cold."""
+    slowdown = Slowdown()
+    for _ in range(100):
+        slowdown.add('check', past)
+    for _ in range(answers):
+        slowdown.add('check', late)
+    assert is_far_slower(slowdown, ()) is slower
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -85,6 +85,7 @@
         self.homes = {}
         self.frozen = set()
         self.out = set()
+        self.bears_from = 0.0
         self.hosts = {
             f'h{i}': self.make_host(i, hosts, servers) for i in range(hosts)
         }
@@ -103,7 +104,7 @@
             me=me,
             timers=self.timers,
             choose=make_choosing(
-                zone=me.zone, may_take=lambda *_: True, random=random
+                zone=me.zone, may_take=self.may_take, random=random
             ),
             shed=make_shedding(usual=usual, patience=lambda rank: 1),
             send=self.send,
@@ -125,7 +126,6 @@
         place = make_placing(
             exchange=exchange,
             directory=directory,
-            may_take=lambda *_: True,
             is_out=lambda zone: zone in self.out,
             rank=lambda call: 0,
             timers=self.timers,
@@ -135,6 +135,10 @@
         )
         return exchange, registry, place, learn
 
+    def may_take(self, call, server):
+        """Tell whether servers bear a call yet."""
+        return trio.current_time() >= self.bears_from
+
     def find_home(self, server):
         """Give the host that makes the slots of a server."""
         home = f'h{int(server[1:]) % self.count}'
@@ -305,3 +309,25 @@
         with pytest.raises(EbonystreamError) as caught:
             await world.hosts['h0'][2](make_call(0.5), set(tried))
         assert caught.value.kind is kind
+
+
+@pytest.mark.parametrize(
+    ('bears_after', 'patience', 'placed'), [(0.3, 2, True), (3, 0.5, False)]
+)
+async def test_a_call_waits_for_a_server_that_bears_none_now(
+    autojump_clock, bears_after, patience, placed
+):
+    """Found by two benches at once: a cold server's calls were refused."""
+    async with trio.open_nursery() as nursery:
+        world = World(nursery, hosts=1, servers=1, seed=1)
+        nursery.start_soon(world.gossip)
+        await trio.sleep(4)
+        world.bears_from = trio.current_time() + bears_after
+        call = make_call(trio.current_time() + patience)
+        kind = None
+        try:
+            await world.hosts['h0'][2](call, set())
+        except EbonystreamError as error:
+            kind = error.kind
+        assert kind is (None if placed else ErrorKind.DEADLINE_EXPIRED)
+        nursery.cancel_scope.cancel()
--- a/tools/measure/product.py
+++ b/tools/measure/product.py
@@ -1,5 +1,7 @@
 """The product's own routing, on the measured world."""
 
+from functools import partial
+
 import attrs
 
 from ebonystream._ids import (
@@ -111,7 +113,8 @@
             wake=lambda: self._wake(arrival, host, waiting),
         )
         try:
-            join(host.exchange, waiting, host.directory, may_take)
+            is_usable = partial(may_take, call)
+            join(host.exchange, waiting, host.directory, is_usable)
         except EbonystreamError as error:
             self.finish(arrival, error.kind.value)
             return
