Name what the bench's failed calls were told; spread the ports

Cause: one of two benches that ran at once ended with exit 1 and did not say why; and launchers that start together could take the same ports between the check and the bind (seen in the code, not in a run). Change: ports begin at a random place; the bench prints the answers of failed calls. It still ends with exit 1 if any failed. Ruled out: the ports as the cause of the failed calls: they stay.

--- a/tools/standins/bench.py
+++ b/tools/standins/bench.py
@@ -7,6 +7,7 @@
 
 import sys
 import tempfile
+from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
 from types import MappingProxyType
@@ -70,6 +71,7 @@
             many calls at a time.
         calls: How many calls were measured.
         failed: How many of them were not answered with status 200.
+        failures: What those answers said, and how often.
     """
 
     added_p50_ms: float
@@ -88,6 +90,7 @@
     entry_cpu_ms_per_call: float
     calls: int
     failed: int
+    failures: dict[str, int]
 
 
 @attrs.define
@@ -96,13 +99,13 @@
 
     Attributes:
         took_ms: How long each call took.
-        failed: How many were not answered with status 200.
+        failures: The bodies of answers without status 200, and how often.
         seconds: How long it took altogether.
         cpu_seconds: Processor time that the entry host took meanwhile.
     """
 
     took_ms: list[float] = attrs.field(factory=list)
-    failed: int = 0
+    failures: Counter[str] = attrs.field(factory=Counter)
     seconds: float = 0
     cpu_seconds: float = 0
 
@@ -179,7 +182,8 @@
         reply = await fetch(client, 'GET', '/racks/7', headers=HEADERS)
         took_ms = (trio.current_time() - begun) * MS_PER_SECOND
         tally.took_ms.append(took_ms)
-        tally.failed += reply.status != OK_STATUS
+        if reply.status != OK_STATUS:
+            tally.failures[f'{reply.status} {reply.body.decode()}'] += 1
 
 
 def make_lists() -> Lists:
@@ -229,6 +233,7 @@
     direct, routed = await measure_single(*clients)
     busy_direct, busy_routed = [await measure_busy(port) for port in ports]
     tallies = (direct, routed, busy_direct, busy_routed)
+    failures = sum((tally.failures for tally in tallies), Counter[str]())
     return Figures(
         added_p50_ms=routed.p50 - direct.p50,
         added_p99_ms=routed.p99 - direct.p99,
@@ -245,7 +250,8 @@
         entry_busy_share=busy_routed.cpu_seconds / busy_routed.seconds,
         entry_cpu_ms_per_call=busy_routed.cpu_per_call_ms,
         calls=sum(len(tally.took_ms) for tally in tallies),
-        failed=sum(tally.failed for tally in tallies),
+        failed=failures.total(),
+        failures=failures,
     )
 
 
--- a/tools/standins/cluster.py
+++ b/tools/standins/cluster.py
@@ -1,5 +1,6 @@
 """Lays out a small system on loopback: its hosts, servers and ports."""
 
+import random
 import socket
 from collections.abc import Iterator, Sequence
 from pathlib import Path
@@ -122,7 +123,9 @@
 
 
 def _find_ports() -> Iterator[int]:
-    for port in range(FIRST_PORT, LAST_PORT):
+    # Two launchers that start together begin at ports far apart.
+    begin = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+    for port in (*range(begin, LAST_PORT), *range(FIRST_PORT, begin)):
         with socket.socket() as trial:
             trial.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             free = _is_free(trial, port)
