Drop frames that nest too deep and forwarded calls with malformed keys

Cause: anything that a peer sends may at worst be dropped. Two things ended the host instead: a heartbeat with one field too many that holds arrays nested 4000 deep (RecursionError, which is no error of the codec), and a forwarded call whose key is no UUIDv7 (ValueError in read_label). Ruled out: a handler for every exception around the answers to peers: it would hide assertions. Conclusion: what is decoded is checked before it is used.

--- a/src/ebonystream/composition/_members.py
+++ b/src/ebonystream/composition/_members.py
@@ -88,7 +88,7 @@
     def restore(snapshot: bytes) -> bool:
         try:
             return grants.restore(snapshot)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return False
 
     return SharedState(
--- a/src/ebonystream/ownership/_forwarding.py
+++ b/src/ebonystream/ownership/_forwarding.py
@@ -7,7 +7,6 @@
     CorrelationId,
     CustomerId,
     HostId,
-    IdempotencyKey,
     Incarnation,
     Monotonic,
     RouteName,
@@ -17,6 +16,7 @@
 from ebonystream._timers import MS_PER_SECOND, Timers
 from ebonystream.call import ONCE_PATIENCE, Answer, Call, CallKind, Run
 from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
+from ebonystream.ownership._key import parse_key
 from ebonystream.ownership._owner import Forward, get_key
 from ebonystream.peer import ForwardAnswer, ForwardCall
 
@@ -147,6 +147,6 @@
         headers=request.headers,
         body=request.body,
         deadline=Monotonic(now + request.remaining_ms / MS_PER_SECOND),
-        key=IdempotencyKey(request.key),
+        key=parse_key(request.key.encode('latin-1', 'replace')),
         patience=ONCE_PATIENCE,
     )
--- a/src/ebonystream/peer/_frame.py
+++ b/src/ebonystream/peer/_frame.py
@@ -61,5 +61,5 @@
         return DropReason.UNKNOWN_VERSION
     try:
         return _decoder.decode(memoryview(sent)[1:])
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return DropReason.MALFORMED
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -32,6 +32,9 @@
 SNAPSHOT = Snapshot(0, 7, b'state')
 BEAT = Heartbeat('b', 'b1', 'z', 1)
 CALL = ForwardCall(0, 'b1', 'c', 'r', 's', 'GET', '/', (), b'body', 9, 'k')
+NESTED = b'\x01\x9f' + encode_frame(BEAT)[2:] + b'\x91' * 4000 + b'\xc0'
+"""A heartbeat with one field too many, whose arrays are nested 4000 deep."""
+
 ANSWER = ForwardAnswer(0, 'ran', 200, (), b'body')
 
 
@@ -81,6 +84,7 @@
         (b'\x02' + encode_frame(BEAT)[1:], DropReason.UNKNOWN_VERSION),
         (encode_frame(BEAT) + b'x', DropReason.MALFORMED),
         (encode_frame(BEAT)[:-1], DropReason.MALFORMED),
+        (NESTED, DropReason.MALFORMED),
         (b'\x01' * (MAX_BYTES + 1), DropReason.OVERSIZE),
         (encode_frame(Heartbeat('a', 'x', 'z', 1)), DropReason.OWN_NAME),
         (encode_frame(Envelope('a', 'x', None, FETCH)), DropReason.OWN_NAME),
--- /dev/null
+++ b/tests/test_forwarded_calls.py
@@ -0,0 +1,42 @@
+"""What a peer forwards is checked before it is run."""
+
+import msgspec
+import pytest
+import trio
+
+from ebonystream._timers import Timers
+from ebonystream.call import Answer
+from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
+from ebonystream.ownership import make_owner_answer, read_label
+from ebonystream.peer import ForwardCall
+
+KEY = '01890a5d-ac96-774b-bcce-b302099a8057'
+CALL = ForwardCall(0, 'b1', 'c', 'r', 's', 'GET', '/', (), b'body', 9, KEY)
+
+
+async def run_owned(call):
+    return Answer(Outcome.RAN, 200, (), str(read_label(call.key)).encode())
+
+
+@pytest.mark.parametrize(
+    ('key', 'body'),
+    [
+        (KEY, b'1688096058518'),
+        (KEY.upper(), b'1688096058518'),
+        ('', None),
+        ('x', None),
+        ('\u20ac' * 36, None),
+        ('01890a5d-ac96-474b-bcce-b302099a8057', None),
+    ],
+)
+async def test_key(key, body):
+    """A malformed key is declined; it doesn't end the host."""
+    answer = make_owner_answer(run_owned=run_owned, timers=Timers(0))
+    request = msgspec.structs.replace(CALL, key=key)
+    if body is not None:
+        assert (await answer('a', request)).body == body
+        return
+    with pytest.raises(EbonystreamError) as caught:
+        await answer('a', request)
+    assert caught.value.kind is ErrorKind.KEY_MALFORMED
+    await trio.lowlevel.checkpoint()
