--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -55,6 +55,7 @@
     peer_traffic: Traffic
     platform_traffic: Traffic
     incarnation: Incarnation
+    listed: trio.Event
     stopping: trio.Event
 
 
@@ -108,6 +109,7 @@
         peer_traffic=peer_traffic,
         platform_traffic=platform_traffic,
         incarnation=incarnation,
+        listed=trio.Event(),
         stopping=trio.Event(),
     )
 
