--- a/tests/test_forwarded_calls.py
+++ b/tests/test_forwarded_calls.py
@@ -15,7 +15,12 @@
 
 
 async def run_owned(call):
-    return Answer(Outcome.RAN, 200, (), str(read_label(call.key)).encode())
+    return Answer(
+        outcome=Outcome.RAN,
+        status=200,
+        headers=(),
+        body=str(read_label(call.key)).encode(),
+    )
 
 
 @pytest.mark.parametrize(
