--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,8 @@
 	$(PY) -m pytest -m "not mutations"
 
 soak: install
-	SEEDS=$(SEEDS) $(PY) -m pytest -s tests/test_once_everywhere.py
+	SEEDS=$(SEEDS) $(PY) -m pytest -s tests/test_once_everywhere.py \
+		tests/test_control_run.py::test_run
 
 mutations: install
 	$(PY) -m pytest -m mutations tests/test_mutations.py
--- a/tests/test_control_run.py
+++ b/tests/test_control_run.py
@@ -1,6 +1,6 @@
 """Long runs hold what must always hold, and go red where a mechanism breaks.
 
-`CONTROL_SEEDS` sets how many seeds run; a failing seed is in the test's name.
+Longer runs: `make soak SEEDS=0-99`. One seed: `make soak SEEDS=17-17`.
 """
 
 import os
@@ -26,7 +26,7 @@
 from ebonystream.move._versions import Versions
 from ebonystream.move._zones import Zones
 
-SEEDS = range(int(os.environ.get('CONTROL_SEEDS', '4')))
+CI_SEEDS = '0-3'
 SEEDS_OF_MUTATIONS = range(2)
 SEEN = (
     'accepted',
@@ -44,9 +44,18 @@
     return trio.run(control_run.run_world, seed, clock=clock)
 
 
-@pytest.mark.parametrize('seed', SEEDS)
+def list_seeds():
+    first, _, last = os.environ.get('SEEDS', CI_SEEDS).partition('-')
+    return range(int(first), int(last or first) + 1)
+
+
+@pytest.mark.parametrize('seed', list_seeds())
 def test_run(seed):
-    counts = run(seed)
+    try:
+        counts = run(seed)
+    except BaseException:
+        print(f'repeat with: make soak SEEDS={seed}-{seed}')
+        raise
     assert [what for what in SEEN if not counts.get(what)] == []
 
 
