--- a/src/ebonystream/composition/_control.py
+++ b/src/ebonystream/composition/_control.py
@@ -5,7 +5,11 @@
 import trio
 
 from ebonystream.composition._confirmations import list_confirmations
-from ebonystream.composition._moves import finish_moves, watch_returns
+from ebonystream.composition._moves import (
+    finish_moves,
+    judge_moves,
+    watch_returns,
+)
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.composition._tasks import tail_control
 from ebonystream.configuration import settle_control, write_checkpoints
@@ -21,6 +25,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(tail_control, parts)
         nursery.start_soon(finish_moves, parts)
+        nursery.start_soon(judge_moves, parts)
         nursery.start_soon(keep_checkpoints, parts)
         nursery.start_soon(settle_start, parts)
 
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -15,11 +15,12 @@
 from ebonystream.composition._servers import (
     ServerRules,
     make_lone_view,
+    make_moves_view,
     make_server_rules,
 )
 from ebonystream.configuration import Control
 from ebonystream.move import ZonesInFlight
-from ebonystream.observation import Metrics
+from ebonystream.observation import Metrics, Traffic, count_transport
 from ebonystream.ownership import Grants, Ledger
 from ebonystream.peer import Transport
 from ebonystream.platform import (
@@ -52,13 +53,19 @@
     server_rules: ServerRules
     pool: ConnectionPool
     metrics: Metrics
+    peer_traffic: Traffic
+    platform_traffic: Traffic
     incarnation: Incarnation
     listed: trio.Event
     stopping: trio.Event
 
 
 def make_parts(
-    settings: Settings, client: httpx.AsyncClient, transport: Transport
+    settings: Settings,
+    *,
+    client: httpx.AsyncClient,
+    transport: Transport,
+    platform_traffic: Traffic,
 ) -> Parts:
     """Make the parts of one entry host; nothing runs yet.
 
@@ -66,8 +73,10 @@
         settings: The checked settings.
         client: The HTTP client for the platform's services.
         transport: Carries bytes to the other entry hosts.
+        platform_traffic: Counts the bytes of that client.
     """
     timers = start_timers(wall_clock=time.time)
+    peer_traffic = Traffic()
     incarnation = Incarnation(secrets.token_urlsafe(INCARNATION_BYTES))
     limits = PoolLimits(
         idle_connections=settings.backends.slots + settings.backends.queue,
@@ -84,18 +93,23 @@
         control=control,
         grants=Grants(keep_ms=settings.ownership.window_ms),
         ledger=Ledger(max_bytes=settings.ownership.max_bytes),
-        peers=make_peers(settings, incarnation, transport),
+        peers=make_peers(
+            settings, incarnation, count_transport(transport, peer_traffic)
+        ),
         zones_in_flight=ZonesInFlight(control.is_out),
         directory=directory,
         server_rules=make_server_rules(
             directory=directory,
             view=make_lone_view(),
+            moves=make_moves_view(control),
             slots=settings.backends.slots,
             timers=timers,
             random=Random(incarnation),
         ),
         pool=ConnectionPool(limits, timers),
         metrics=Metrics(),
+        peer_traffic=peer_traffic,
+        platform_traffic=platform_traffic,
         incarnation=incarnation,
         listed=trio.Event(),
         stopping=trio.Event(),
