Prove with real processes that keys run once

Found by it: about half of the starts never send a booking: a cold server that only its sponsor may use, whose slots are held elsewhere. Not mended here.

--- a/tests/test_peer_processes.py
+++ b/tests/test_peer_processes.py
@@ -17,7 +17,11 @@
 from standins.demoplan import make_lists
 from standins.operation import publish
 from standins.processes import start_program
-from standins.startup import _spell_entries, _spell_platform
+from standins.startup import (
+    _spell_backends,
+    _spell_entries,
+    _spell_platform,
+)
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 A, B, C = (f'entry-{zone}' for zone in ZONES)
@@ -102,12 +106,12 @@
 
 
 @asynccontextmanager
-async def open_processes(directory):
+async def open_processes(directory, services=()):
     laid_out = lay_out(
-        directory, zones=ZONES, services=(), limits=BackendSettings()
+        directory, zones=ZONES, services=services, limits=BackendSettings()
     )
     async with trio.open_nursery() as nursery:
-        for program in _spell_platform(laid_out):
+        for program in (*_spell_platform(laid_out), *_spell_backends(laid_out)):
             await start_program(nursery, program, directory)
         hosts = Hosts(laid_out)
         try:
