Keep the decision of a request while its move is open

Cause: docs/OPERATIONS.md says that asking again is harmless for every open move. After 1024 later requests the decision was gone: the fold ignored the copy, but the operator was told that its outcome can't be known. Ruled out: reading the answer off the move itself; it would hide that the id was used with another content. Change: decisions of open moves are not forgotten; the oldest others are. Measured: red first: 2 of 4 cases of test_decision_outlives_others_while_its_move_is_open. Conclusion: the page and the program say the same.

--- a/src/ebonystream/configuration/_decisions.py
+++ b/src/ebonystream/configuration/_decisions.py
@@ -1,5 +1,8 @@
 """What became of each record that someone asked the control stream to take."""
 
+from collections.abc import Container
+from itertools import islice
+
 import attrs
 import msgspec
 import xxhash
@@ -8,7 +11,8 @@
 from ebonystream.errors import ErrorKind
 
 DECISIONS_KEPT = 1024
-"""How many requests can be repeated without harm, the latest ones."""
+"""How many requests can be repeated without harm: the latest ones, and those
+of open moves."""
 
 
 class Decision(msgspec.Struct, frozen=True):
@@ -56,22 +60,29 @@
         """Give what became of a request, if it is known."""
         return self.by_request.get(request)
 
-    def record(self, decision: Decision, rejection: Rejection | None) -> None:
+    def record(
+        self,
+        decision: Decision,
+        rejection: Rejection | None,
+        needed: Container[str],
+    ) -> None:
         """Note what became of a request; the first decision stands.
 
         Args:
             decision: What became of it.
             rejection: Why it was rejected, if it was.
+            needed: Requests that are kept however old they are.
         """
         request = decision.request
         assert request not in self.by_request, f'{request} was decided twice'
         self.by_request[request] = decision
         if rejection is not None:
             self.rejections[request] = rejection
-        while len(self.by_request) > DECISIONS_KEPT:
-            oldest = next(iter(self.by_request))
-            self.by_request.pop(oldest)
-            self.rejections.pop(oldest, None)
+        surplus = max(len(self.by_request) - DECISIONS_KEPT, 0)
+        old = (one for one in self.by_request if one not in needed)
+        for forgotten in tuple(islice(old, surplus)):
+            self.by_request.pop(forgotten)
+            self.rejections.pop(forgotten, None)
 
 
 def digest_record(record: msgspec.Struct) -> str:
--- a/src/ebonystream/configuration/_folded.py
+++ b/src/ebonystream/configuration/_folded.py
@@ -47,7 +47,7 @@
             accepted=rejection is None,
             version=self.published.version,
         )
-        self.decisions.record(decision, rejection)
+        self.decisions.record(decision, rejection, self.moves.table.list_open())
 
     def is_decided(self, request: RequestId) -> bool:
         """Tell whether a request came before."""
--- a/src/ebonystream/move/_table.py
+++ b/src/ebonystream/move/_table.py
@@ -81,6 +81,12 @@
             if isinstance(one, VersionMove) and one.verdict is None
         )
 
+    def list_open(self) -> frozenset[MoveId]:
+        """Name the moves that have no verdict."""
+        return frozenset(
+            one.id for one in self.by_id.values() if one.verdict is None
+        )
+
     def check(self) -> None:
         """Assert that no zone and no service is in two open moves."""
         _check_single('zone', (one.zone for one in self.list_zone_moves()))
--- a/tests/test_control_fold.py
+++ b/tests/test_control_fold.py
@@ -25,6 +25,7 @@
 
 from ebonystream._timers import start_timers
 from ebonystream.configuration import Control, Following, settle_control
+from ebonystream.configuration._decisions import DECISIONS_KEPT
 from ebonystream.configuration._depth import measure_depth
 from ebonystream.configuration._settling import find_newest
 from ebonystream.configuration._state import dump_folded
@@ -207,6 +208,25 @@
     assert not first.is_out('b')
 
 
+@pytest.mark.parametrize(
+    ('records', 'known'),
+    [
+        ([out('m')], True),
+        ([version('m')], True),
+        ([out('m'), finish('f', 'm')], False),
+        ([publish('m', 7)], False),
+    ],
+)
+def test_decision_outlives_others_while_its_move_is_open(records, known):
+    control = fold_all(Control(), records)
+    later = [publish(f'p{number}', 9) for number in range(DECISIONS_KEPT + 9)]
+    fold_all(control, later, control.next)
+    decisions = control.folded.decisions
+    assert (decisions.find('m') is not None) is known
+    assert len(decisions.by_request) == DECISIONS_KEPT
+    assert len(decisions.rejections) <= DECISIONS_KEPT
+
+
 HISTORY = [publish('p', 0), out('m'), version('n'), condemn('c', 'n')]
 
 
