--- a/src/ebonystream/backend/__init__.py
+++ b/src/ebonystream/backend/__init__.py
@@ -21,7 +21,9 @@
     make_starting_begin,
     make_starting_gate,
 )
-from ebonystream.backend._directory import Directory
+from ebonystream.backend._directory import (
+    Directory,
+)
 from ebonystream.backend._dispatch import (
     Begin,
     Dispatch,
@@ -31,19 +33,41 @@
     Send,
     make_dispatch,
 )
-from ebonystream.backend._growth import ANSWERS_PER_STEP, COLD_LIMIT
-from ebonystream.backend._learning import chill_zone, make_starting_observer
-from ebonystream.backend._leaving import LEAVING_BOUND
-from ebonystream.backend._routing import make_placing, release_place
-from ebonystream.backend._server import BackendServer, ServerAddress
-from ebonystream.backend._sponsor import HANDOVER, IsSponsor, Sponsorship
+from ebonystream.backend._evidence import (
+    FAILURE_RATIO,
+    Evidence,
+    UsualTimes,
+)
+from ebonystream.backend._growth import (
+    ANSWERS_PER_STEP,
+    COLD_LIMIT,
+)
+from ebonystream.backend._learning import (
+    chill_zone,
+    make_starting_observer,
+)
+from ebonystream.backend._leaving import (
+    LEAVING_BOUND,
+)
+from ebonystream.backend._server import (
+    BackendServer,
+    ServerAddress,
+)
+from ebonystream.backend._sponsor import (
+    HANDOVER,
+    IsSponsor,
+    Sponsorship,
+)
 from ebonystream.backend._standing import (
     Standing,
     StandingExchange,
     TakeReport,
     make_report_taker,
 )
-from ebonystream.backend._warmth import ServerPhase, Warmth
+from ebonystream.backend._warmth import (
+    ServerPhase,
+    Warmth,
+)
 
 __all__ = (
     'ABANDONED',
@@ -51,6 +75,7 @@
     'COLD_LIMIT',
     'CUT',
     'FAILURES',
+    'FAILURE_RATIO',
     'HANDOVER',
     'LEAVING_BOUND',
     'MAY_HAVE_RUN',
@@ -62,6 +87,7 @@
     'Begin',
     'Directory',
     'Dispatch',
+    'Evidence',
     'IsSponsor',
     'LoadReport',
     'MayTake',
@@ -76,15 +102,14 @@
     'StandingExchange',
     'StartingRules',
     'TakeReport',
+    'UsualTimes',
     'Warmth',
     'check_starting',
     'chill_zone',
     'make_dispatch',
     'make_idempotent_run',
-    'make_placing',
     'make_report_taker',
     'make_starting_begin',
     'make_starting_gate',
     'make_starting_observer',
-    'release_place',
 )
--- a/src/ebonystream/composition/_members.py
+++ b/src/ebonystream/composition/_members.py
@@ -8,6 +8,8 @@
 
 from ebonystream._ids import HostId
 from ebonystream.composition._parts import Parts
+from ebonystream.composition._policy import take_policy_report
+from ebonystream.composition._slots import make_note_taker
 from ebonystream.membership import (
     FillHeartbeat,
     HeartbeatContents,
@@ -53,6 +55,7 @@
         answer_call=answer_call,
         answer_fetch=make_fetch_answer(states),
         take_heartbeat=_make_take(parts),
+        take_note=make_note_taker(parts.policy.exchange, parts.settings),
     )
     helpers = Helpers(
         table=parts.peers.membership.table,
@@ -88,7 +91,7 @@
     def restore(snapshot: bytes) -> bool:
         try:
             return grants.restore(snapshot)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return False
 
     return SharedState(
@@ -127,6 +130,8 @@
             control_next=parts.control.next,
             keys_next=parts.grants.next,
             zones_in_flight=dict(parts.zones_in_flight.calls),
+            loads=parts.policy.registry.report(),
+            demands=parts.policy.guarantees.report(),
         )
 
     return fill
@@ -135,6 +140,9 @@
 def _make_take(parts: Parts) -> TakeHeartbeat:
     def take(heartbeat: Heartbeat) -> None:
         parts.peers.membership.take_heartbeat(heartbeat, parts.timers.now())
+        table = parts.peers.membership.table
+        if table.find_host(heartbeat.incarnation) == heartbeat.host:
+            take_policy_report(parts.policy, heartbeat)
 
     return take
 
--- /dev/null
+++ b/src/ebonystream/composition/_policy.py
@@ -0,0 +1,152 @@
+"""Wires the policy under load: slots, routing and what is learned of both."""
+
+import attrs
+import trio
+
+from ebonystream._ids import Seconds
+from ebonystream._timers import Timers
+from ebonystream.backend import (
+    BackendServer,
+    Directory,
+    MayTake,
+    Observe,
+    Place,
+    UsualTimes,
+)
+from ebonystream.call import Call
+from ebonystream.composition._peers import Peers
+from ebonystream.composition._slots import make_exchange, make_registry
+from ebonystream.configuration import Control
+from ebonystream.peer import Heartbeat
+from ebonystream.plan import Guarantees, make_ranking
+from ebonystream.routing import (
+    SlotExchange,
+    SlotPeer,
+    SlotRegistry,
+    make_learning,
+    make_placing,
+)
+from ebonystream.settings import Settings
+
+CHECK_PERIOD = 0.1
+"""How often missing slots are looked for, in seconds."""
+
+DIVIDE_PERIOD = 0.25
+"""How often guaranteed rates are divided among the hosts, in seconds."""
+
+
+@attrs.frozen(kw_only=True)
+class Policy:
+    """What the policy of one entry host is made of.
+
+    Attributes:
+        timers: Tells the time.
+        control: The configuration in force.
+        exchange: The slots of this host.
+        registry: Makes slots that nobody holds.
+        guarantees: What is left of the guaranteed rates.
+        peers: The other entry hosts.
+        place: Finds a server for a call.
+        learn: Learns from an attempt and frees its slot; the first observer.
+    """
+
+    timers: Timers
+    control: Control
+    exchange: SlotExchange
+    registry: SlotRegistry
+    guarantees: Guarantees
+    peers: Peers
+    place: Place
+    learn: Observe
+
+
+def make_policy(
+    settings: Settings,
+    *,
+    timers: Timers,
+    directory: Directory,
+    control: Control,
+    peers: Peers,
+    may_take: MayTake,
+) -> Policy:
+    """Make the policy of one entry host; nothing runs yet.
+
+    Args:
+        settings: The checked settings.
+        timers: Tells the time.
+        directory: The servers that are known.
+        control: The configuration in force.
+        peers: The other entry hosts.
+        may_take: Tells whether a server bears a call.
+    """
+
+    def may_route(call: Call, server: BackendServer) -> bool:
+        return not control.is_out(server.zone) and may_take(call, server)
+
+    usual = UsualTimes()
+    guarantees = Guarantees()
+    exchange = make_exchange(
+        SlotPeer(settings.host.id, settings.host.zone),
+        timers=timers,
+        directory=directory,
+        usual=usual,
+        may_take=may_route,
+        peers=peers,
+    )
+    return Policy(
+        timers=timers,
+        control=control,
+        exchange=exchange,
+        registry=make_registry(settings, exchange, directory, peers),
+        guarantees=guarantees,
+        peers=peers,
+        place=make_placing(
+            exchange=exchange,
+            directory=directory,
+            is_out=control.is_out,
+            rank=make_ranking(
+                get_plans=control.get_plans,
+                guarantees=guarantees,
+                timers=timers,
+            ),
+            timers=timers,
+        ),
+        learn=make_learning(exchange=exchange, usual=usual, timers=timers),
+    )
+
+
+def start_policy(background: trio.Nursery, policy: Policy) -> None:
+    """Start the tasks of the policy.
+
+    Args:
+        background: Where they run.
+        policy: The policy.
+    """
+    background.start_soon(keep_slots, policy)
+    background.start_soon(divide_guarantees, policy)
+
+
+def take_policy_report(policy: Policy, heartbeat: Heartbeat) -> None:
+    """Learn what a peer holds, and how many calls come to it.
+
+    Args:
+        policy: The policy of this host.
+        heartbeat: A heartbeat of an incarnation that is believed.
+    """
+    policy.registry.take_report(heartbeat.host, heartbeat.loads)
+    policy.guarantees.take_report(heartbeat.host, heartbeat.demands)
+
+
+async def keep_slots(policy: Policy) -> None:
+    """Make the slots that nobody holds, for ever."""
+    async for _ in policy.timers.subscribe(period=Seconds(CHECK_PERIOD)):
+        policy.registry.check()
+
+
+async def divide_guarantees(policy: Policy) -> None:
+    """Divide the guaranteed rates anew with each period, for ever."""
+    async for now in policy.timers.subscribe(period=Seconds(DIVIDE_PERIOD)):
+        table = policy.peers.membership.table
+        policy.guarantees.keep_hosts(frozenset(table.peers))
+        plans = policy.control.get_plans()
+        policy.guarantees.close_period(plans.plans if plans else {}, now)
--- /dev/null
+++ b/src/ebonystream/composition/_slots.py
@@ -0,0 +1,124 @@
+"""Wires the exchange of slots between entry hosts."""
+
+from random import Random
+
+from ebonystream._ids import HostId, Monotonic, Seconds, ServerId
+from ebonystream._timers import Timers
+from ebonystream.backend import (
+    Directory,
+    MayTake,
+    UsualTimes,
+)
+from ebonystream.composition._peers import Peers
+from ebonystream.membership import MemberState
+from ebonystream.peer import AskSlots, GrantSlot, PeerNote, TakeNote
+from ebonystream.plan import get_patience
+from ebonystream.routing import (
+    SlotExchange,
+    SlotPeer,
+    SlotRegistry,
+    make_choosing,
+    make_shedding,
+)
+from ebonystream.settings import Settings
+
+SILENCE = 3
+"""Seconds without news after which a slot is made again.
+
+Longer than any lease together with what a grant and a short call take.
+"""
+
+
+def make_exchange(
+    me: SlotPeer,
+    *,
+    timers: Timers,
+    directory: Directory,
+    usual: UsualTimes,
+    may_take: MayTake,
+    peers: Peers,
+) -> SlotExchange:
+    """Make the exchange of this host's slots; it holds none yet.
+
+    Args:
+        me: This host.
+        timers: Tells the time.
+        directory: The servers that are known.
+        usual: How long calls usually take.
+        may_take: Tells whether a server may have a call.
+        peers: The other entry hosts.
+    """
+    random = Random(peers.membership.table.own.incarnation)
+    return SlotExchange(
+        me=me,
+        timers=timers,
+        choose=make_choosing(zone=me.zone, may_take=may_take, random=random),
+        shed=make_shedding(usual=usual, patience=get_patience),
+        send=peers.exchange.send_note,
+        list_peers=lambda: _list_peers(peers),
+        find_server=lambda server: directory.servers.get(server),
+        random=random,
+    )
+
+
+def make_registry(
+    settings: Settings,
+    exchange: SlotExchange,
+    directory: Directory,
+    peers: Peers,
+) -> SlotRegistry:
+    """Make the registry of the slots that this host is home to.
+
+    Args:
+        settings: The checked settings.
+        exchange: The slots of this host.
+        directory: The servers that are known.
+        peers: The other entry hosts.
+    """
+    table = peers.membership.table
+
+    def is_home(server: ServerId) -> bool:
+        return table.find_owner(server) == table.own.host
+
+    def get_confirmed(server: ServerId) -> Monotonic:
+        home = table.peers.get(table.find_owner(server) or table.own.host)
+        life = None if home is None else home.life
+        return Monotonic(-1) if life is None else life.echoed_at
+
+    return SlotRegistry(
+        exchange=exchange,
+        directory=directory,
+        slots=settings.backends.slots,
+        overlap=settings.backends.queue,
+        is_home=is_home,
+        get_confirmed=get_confirmed,
+        get_silence=lambda: Seconds(SILENCE if table.peers else 0),
+    )
+
+
+def make_note_taker(exchange: SlotExchange, settings: Settings) -> TakeNote:
+    """Make the function that takes what peers say about slots.
+
+    Args:
+        exchange: The slots of this host.
+        settings: The checked settings.
+    """
+    slots = settings.backends.slots + settings.backends.queue
+
+    def take_note(sender: HostId, note: PeerNote) -> None:
+        if isinstance(note, GrantSlot) and 0 <= note.number < slots:
+            exchange.take_grant(note)
+        elif isinstance(note, AskSlots) and note.host == sender:
+            exchange.take_ask(note)
+        else:
+            exchange.counts.dropped += 1
+
+    return take_note
+
+
+def _list_peers(peers: Peers) -> list[SlotPeer]:
+    return [
+        SlotPeer(member.place.host, member.place.zone)
+        for member in peers.membership.table.peers.values()
+        if member.state is MemberState.REACHABLE
+    ]
--- a/src/ebonystream/peer/_exchange.py
+++ b/src/ebonystream/peer/_exchange.py
@@ -1,5 +1,6 @@
 """The exchange: requests to peers and their answers, paired by correlation."""
 
+import itertools
 from collections import Counter
 from typing import overload
 
@@ -27,8 +28,12 @@
     Snapshot,
 )
 from ebonystream.peer._questions import Questions
+from ebonystream.peer._slots import AskSlots, GrantSlot, PeerNote
 from ebonystream.peer._transport import Transport
 
+BURST_FRAMES = 16
+"""Frames that are taken in before other tasks get their turn."""
+
 
 @attrs.frozen(kw_only=True)
 class ExchangeLimits:
@@ -110,6 +115,10 @@
         """Send a heartbeat to a peer, best effort."""
         self._transmit(host, heartbeat)
 
+    def send_note(self, host: HostId, note: PeerNote) -> None:
+        """Send a note to a peer, best effort."""
+        self._send(host, note)
+
     async def run(self, handlers: Handlers) -> None:
         """Take what peers send, for ever, each request in its own task.
 
@@ -118,7 +127,7 @@
         """
         max_bytes = self.limits.message_bytes
         async with trio.open_nursery() as nursery:
-            while True:
+            for number in itertools.count(1):
                 sent = await self.transport.receive()
                 frame = decode_frame(sent, max_bytes=max_bytes)
                 if isinstance(frame, DropReason):
@@ -127,6 +136,8 @@
                     self._take_heartbeat(frame, handlers)
                 else:
                     self._take_envelope(frame, handlers, nursery)
+                if number % BURST_FRAMES == 0:
+                    await trio.lowlevel.checkpoint()
 
     def _take_heartbeat(self, heartbeat: Heartbeat, handlers: Handlers) -> None:
         if heartbeat.host == self.host:
@@ -142,6 +153,8 @@
             self.drops[DropReason.OWN_NAME] += 1
         elif isinstance(message, ForwardAnswer | Snapshot):
             self._take_answer(envelope, message)
+        elif isinstance(message, AskSlots | GrantSlot):
+            handlers.take_note(envelope.sender, message)
         elif self.running >= self.limits.requests:
             self.drops[DropReason.OVERLOADED] += 1
         else:
@@ -175,7 +188,7 @@
     def _send(
         self,
         host: HostId,
-        message: PeerRequest | PeerAnswer,
+        message: PeerRequest | PeerAnswer | PeerNote,
         *,
         recipient: Incarnation | None = None,
     ) -> None:
--- a/src/ebonystream/peer/_frame.py
+++ b/src/ebonystream/peer/_frame.py
@@ -9,6 +9,7 @@
 from ebonystream._ids import HostId, Incarnation
 from ebonystream.peer._drop import DropReason
 from ebonystream.peer._messages import Heartbeat, PeerAnswer, PeerRequest
+from ebonystream.peer._slots import PeerNote
 
 PROTOCOL_VERSION = 1
 
@@ -20,13 +21,13 @@
         sender: The host that sent it.
         incarnation: Which run of the sender.
         recipient: The incarnation that an answer is for.
-        message: The request or the answer.
+        message: The request, the answer or the note.
     """
 
     sender: HostId
     incarnation: Incarnation
     recipient: Incarnation | None
-    message: PeerRequest | PeerAnswer
+    message: PeerRequest | PeerAnswer | PeerNote
 
 
 Frame = Heartbeat | Envelope
@@ -61,5 +62,5 @@
         return DropReason.UNKNOWN_VERSION
     try:
         return _decoder.decode(memoryview(sent)[1:])
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return DropReason.MALFORMED
--- /dev/null
+++ b/tools/measure/hosts.py
@@ -0,0 +1,127 @@
+"""Entry hosts that run the product's own functions, on the measured world."""
+
+from collections.abc import Callable
+from random import Random
+
+import attrs
+
+from ebonystream._ids import HostId, Seconds, ServerId, ServiceName, ZoneName
+from ebonystream.backend import (
+    BackendServer,
+    Directory,
+    Observe,
+    UsualTimes,
+)
+from ebonystream.call import Call
+from ebonystream.configuration import PlanTable, index_lists
+from ebonystream.peer import AskSlots, GrantSlot
+from ebonystream.plan import Guarantees, get_patience, make_ranking
+from ebonystream.routing import (
+    SlotExchange,
+    SlotPeer,
+    SlotRegistry,
+    make_choosing,
+    make_learning,
+    make_shedding,
+)
+from measure.lists import make_lists
+from measure.loop import Loop, make_timers
+from measure.world import SLOTS, ZONES, Load, Server, make_view, name_host
+
+OVERLAP = 1
+"""Calls that may wait at a server beyond its slots."""
+
+SILENCE = 3
+"""Seconds without news after which a slot is made again."""
+
+SERVICE = ServiceName('service')
+
+Carry = Callable[[ZoneName, HostId, AskSlots | GrantSlot], None]
+"""Brings a message from a zone to a host."""
+
+
+@attrs.define(eq=False, kw_only=True)
+class Host:
+    """One entry host.
+
+    Attributes:
+        directory: The servers.
+        exchange: Its slots.
+        learn: Learns from the end of an attempt.
+        registry: Makes the slots of the servers that it is home to.
+        guarantees: What is left of the guaranteed rates.
+        plans: The plans in force.
+        rank: Gives a call's place by plan.
+        ticking: Whether a look at the waiting calls is due.
+    """
+
+    directory: Directory
+    exchange: SlotExchange
+    learn: Observe
+    registry: SlotRegistry
+    guarantees: Guarantees
+    plans: PlanTable
+    rank: Callable[[Call], int]
+    ticking: bool = False
+
+
+def may_take(call: object, server: BackendServer) -> bool:
+    """Let each server have each call."""
+    return True
+
+
+def make_host(
+    number: int, load: Load, loop: Loop, *, servers: list[Server], send: Carry
+) -> Host:
+    """Make an entry host that holds no slots."""
+    random = Random(f'{load.seed} host {number}')
+    timers = make_timers(loop)
+    usual = UsualTimes()
+    directory = Directory()
+    directory.replace(make_view(server) for server in servers)
+    zone = ZONES[number % 3]
+    peers = [
+        SlotPeer(name_host(other), ZONES[other % 3])
+        for other in range(load.hosts)
+        if other != number
+    ]
+    exchange = SlotExchange(
+        me=SlotPeer(name_host(number), zone),
+        timers=timers,
+        choose=make_choosing(zone=zone, may_take=may_take, random=random),
+        shed=make_shedding(usual=usual, patience=get_patience),
+        send=lambda to, message: send(zone, to, message),
+        list_peers=lambda: peers,
+        find_server=directory.servers.get,
+        random=random,
+    )
+    learn = make_learning(exchange=exchange, usual=usual, timers=timers)
+    guarantees = Guarantees(hosts=load.hosts)
+    plans = index_lists(make_lists(load))
+    registry = SlotRegistry(
+        exchange=exchange,
+        directory=directory,
+        slots=SLOTS,
+        overlap=OVERLAP,
+        is_home=lambda server: find_home(server, load.hosts) == number,
+        get_confirmed=lambda server: timers.now(),
+        get_silence=lambda: Seconds(SILENCE if loop.now else 0),
+    )
+    return Host(
+        directory=directory,
+        exchange=exchange,
+        learn=learn,
+        registry=registry,
+        guarantees=guarantees,
+        plans=plans,
+        rank=make_ranking(
+            get_plans=lambda: plans, guarantees=guarantees, timers=timers
+        ),
+    )
+
+
+def find_home(server: ServerId, hosts: int) -> int:
+    """Give the host, in the server's zone, that makes its slots."""
+    number = int(server.removeprefix('s'))
+    near = range(number % 3, hosts, 3)
+    return near[number // 3 % len(near)]
