--- a/src/ebonystream/composition/_gauges.py
+++ b/src/ebonystream/composition/_gauges.py
@@ -25,6 +25,9 @@
         'ebonystream_memory_bytes': 'Resident memory of this process.',
         'ebonystream_peer_sent_bytes': 'Bytes sent to peers.',
         'ebonystream_peer_received_bytes': 'Bytes received from peers.',
+        'ebonystream_peer_frames_dropped': 'Frames dropped, in or out.',
+        'ebonystream_heartbeats_ignored': 'Heartbeats not believed.',
+        'ebonystream_hosts_fit': 'Entry hosts that may get duties.',
         'ebonystream_platform_sent_bytes': 'Bytes sent to the platform.',
         'ebonystream_platform_received_bytes': 'Bytes got from the platform.',
         'ebonystream_connections_opened': 'Connections opened to servers.',
@@ -38,11 +41,16 @@
 def _list_gauges(parts: Parts) -> Mapping[str, ReadGauge]:
     peers = parts.peer_traffic
     platform = parts.platform_traffic
+    drops = parts.peers.exchange.drops
+    membership = parts.peers.membership
     return {
         'ebonystream_processor_seconds': time.process_time,
         'ebonystream_memory_bytes': _read_memory,
         'ebonystream_peer_sent_bytes': lambda: peers.sent,
         'ebonystream_peer_received_bytes': lambda: peers.received,
+        'ebonystream_peer_frames_dropped': drops.total,
+        'ebonystream_heartbeats_ignored': membership.ignored.total,
+        'ebonystream_hosts_fit': lambda: len(membership.table.list_fit()),
         'ebonystream_platform_sent_bytes': lambda: platform.sent,
         'ebonystream_platform_received_bytes': lambda: platform.received,
         'ebonystream_connections_opened': lambda: parts.pool.opened,
--- a/tests/test_peer_processes.py
+++ b/tests/test_peer_processes.py
@@ -71,6 +71,12 @@
             return None
         return answer.json()
 
+    async def read_metrics(self, name):
+        """Read the metrics of a host, without the labels."""
+        async with httpx.AsyncClient() as client:
+            answer = await client.get(f'{self.admins[name]}/metrics')
+        return answer.text.replace('{}', '')
+
     async def wait_for(self, name, path, is_reached):
         """Poll until an answer is as wanted; the number of polls is bounded."""
         told = None
@@ -130,6 +136,7 @@
     """Paused, killed and started anew, and asked to stop."""
     async with open_processes(tmp_path) as hosts:
         first = await hosts.wait_for_states(A, b='reachable')
+        assert 'ebonystream_hosts_fit 3' in await hosts.read_metrics(A)
         hosts.running[B].send_signal(signal.SIGSTOP)
         await hosts.wait_for_states(A, b='unreachable', c='reachable')
         hosts.running[B].send_signal(signal.SIGCONT)
