Measure the policy beside its baselines; give no slots of a zone that is out

Cause: figures of the policy were trials; a host that held slots of a zone that was out could hand them to a peer in answer to a request. Slots of a zone that is out are not given. Lint, types, and the tests of slots, plans and peer processes pass.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 STAMP = $(VENV)/.installed
 
-.PHONY: slopes soak install mutations run bench test check format lint types unit features
+.PHONY: measure slopes soak install mutations run bench test check format lint types unit features
 
 install: $(STAMP)
 
@@ -43,6 +43,9 @@
 slopes: install
 	$(PY) -m slopes --plot docs/plots/slopes.png
 
+measure: install
+	$(PY) -m measure --plots docs/plots
+
 soak: install
 	SEEDS=$(SEEDS) $(PY) -m pytest -s tests/test_once_everywhere.py
 
--- a/src/ebonystream/composition/_policy.py
+++ b/src/ebonystream/composition/_policy.py
@@ -21,7 +21,6 @@
 from ebonystream.plan import Guarantees, make_ranking
 from ebonystream.routing import (
     SlotExchange,
-    SlotPeer,
     SlotRegistry,
     make_learning,
     make_placing,
@@ -86,11 +85,11 @@
     usual = UsualTimes()
     guarantees = Guarantees()
     exchange = make_exchange(
-        SlotPeer(settings.host.id, settings.host.zone),
         timers=timers,
         directory=directory,
         usual=usual,
         may_take=may_route,
+        is_out=control.is_out,
         peers=peers,
     )
     return Policy(
--- a/src/ebonystream/composition/_slots.py
+++ b/src/ebonystream/composition/_slots.py
@@ -1,8 +1,9 @@
 """Wires the exchange of slots between entry hosts."""
 
+from collections.abc import Callable
 from random import Random
 
-from ebonystream._ids import HostId, Monotonic, Seconds, ServerId
+from ebonystream._ids import HostId, Monotonic, Seconds, ServerId, ZoneName
 from ebonystream._timers import Timers
 from ebonystream.backend import (
     Directory,
@@ -30,31 +31,33 @@
 
 
 def make_exchange(
-    me: SlotPeer,
     *,
     timers: Timers,
     directory: Directory,
     usual: UsualTimes,
     may_take: MayTake,
+    is_out: Callable[[ZoneName], bool],
     peers: Peers,
 ) -> SlotExchange:
     """Make the exchange of this host's slots; it holds none yet.
 
     Args:
-        me: This host.
         timers: Tells the time.
         directory: The servers that are known.
         usual: How long calls usually take.
         may_take: Tells whether a server may have a call.
+        is_out: Tells whether operators took a zone out.
         peers: The other entry hosts.
     """
-    random = Random(peers.membership.table.own.incarnation)
+    own = peers.membership.table.own
+    random = Random(own.incarnation)
     return SlotExchange(
-        me=me,
+        me=SlotPeer(own.host, own.zone),
         timers=timers,
-        choose=make_choosing(zone=me.zone, may_take=may_take, random=random),
+        choose=make_choosing(zone=own.zone, may_take=may_take, random=random),
         shed=make_shedding(usual=usual, patience=get_patience),
         send=peers.exchange.send_note,
+        is_out=is_out,
         list_peers=lambda: _list_peers(peers),
         find_server=lambda server: directory.servers.get(server),
         random=random,
--- a/src/ebonystream/routing/_exchange.py
+++ b/src/ebonystream/routing/_exchange.py
@@ -11,6 +11,7 @@
     Seconds,
     ServerId,
     ServiceName,
+    ZoneName,
 )
 from ebonystream._timers import MS_PER_SECOND, Timers
 from ebonystream.backend import (
@@ -66,6 +67,7 @@
         choose: Picks a slot for a call.
         shed: Refuses calls that would wait too long.
         send: Sends a message to a peer.
+        is_out: Tells whether operators took a zone out.
         list_peers: Gives the peers that can be reached.
         find_server: Gives the server of a name, if it is known.
         random: Picks the peers that are asked.
@@ -78,6 +80,7 @@
     choose: Choose
     shed: Shed
     send: SendToPeer
+    is_out: Callable[[ZoneName], bool]
     list_peers: Callable[[], Sequence[SlotPeer]]
     find_server: Callable[[ServerId], BackendServer | None]
     random: Random
@@ -95,9 +98,9 @@
         """Give free slots to whoever waits, the most urgent first."""
         slots = self.get_service(service)
         now = self.timers.now()
-        free = slots.held.list_free(now)
-        while free and self._serve_next(slots, free, now):
-            free = slots.held.list_free(now)
+        serving = True
+        while serving:
+            serving = self._serve_next(slots, now)
         self.shed(slots, now)
         if not slots.line.waiting:
             slots.stop_asking()
@@ -158,9 +161,14 @@
         self.counts.taken += slots.held.add(slot)
         self.settle(server.service)
 
-    def _serve_next(
-        self, slots: ServiceSlots, free: list[Slot], now: Monotonic
-    ) -> bool:
+    def _serve_next(self, slots: ServiceSlots, now: Monotonic) -> bool:
+        free = [
+            slot
+            for slot in slots.held.list_free(now)
+            if not self.is_out(slot.server.zone)
+        ]
+        if not free:
+            return False
         ask = slots.asks.find_first(now)
         for waiting in slots.line.waiting[:LOOK_AHEAD]:
             first = ask is not None and ask.precedes(waiting, now)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -107,6 +107,7 @@
             ),
             shed=make_shedding(usual=usual, patience=lambda rank: 1),
             send=self.send,
+            is_out=lambda zone: zone in self.out,
             list_peers=lambda: peers,
             find_server=directory.servers.get,
             random=random,
--- a/tools/measure/hosts.py
+++ b/tools/measure/hosts.py
@@ -9,6 +9,7 @@
 from ebonystream.backend import (
     BackendServer,
     Directory,
+    MayTake,
     Observe,
     UsualTimes,
 )
@@ -49,6 +50,8 @@
         exchange: Its slots.
         learn: Learns from the end of an attempt.
         registry: Makes the slots of the servers that it is home to.
+        out: Zones that operators took out, as far as it knows.
+        may_take: Tells whether a server may have a call.
         guarantees: What is left of the guaranteed rates.
         plans: The plans in force.
         rank: Gives a call's place by plan.
@@ -59,21 +62,23 @@
     exchange: SlotExchange
     learn: Observe
     registry: SlotRegistry
+    out: set[ZoneName]
+    may_take: MayTake
     guarantees: Guarantees
     plans: PlanTable
     rank: Callable[[Call], int]
     ticking: bool = False
 
 
-def may_take(call: object, server: BackendServer) -> bool:
-    """Let each server have each call."""
-    return True
-
-
 def make_host(
     number: int, load: Load, loop: Loop, *, servers: list[Server], send: Carry
 ) -> Host:
     """Make an entry host that holds no slots."""
+    out: set[ZoneName] = set()
+
+    def may_take(call: object, server: BackendServer) -> bool:
+        return server.zone not in out
+
     random = Random(f'{load.seed} host {number}')
     timers = make_timers(loop)
     usual = UsualTimes()
@@ -90,6 +95,7 @@
         timers=timers,
         choose=make_choosing(zone=zone, may_take=may_take, random=random),
         shed=make_shedding(usual=usual, patience=get_patience),
+        is_out=out.__contains__,
         send=lambda to, message: send(zone, to, message),
         list_peers=lambda: peers,
         find_server=directory.servers.get,
@@ -112,6 +118,8 @@
         exchange=exchange,
         learn=learn,
         registry=registry,
+        out=out,
+        may_take=may_take,
         guarantees=guarantees,
         plans=plans,
         rank=make_ranking(
--- a/tools/measure/product.py
+++ b/tools/measure/product.py
@@ -1,5 +1,8 @@
 """The product's own routing, on the measured world."""
 
+from functools import partial
+from random import Random
+
 import attrs
 
 from ebonystream._ids import (
@@ -21,7 +24,7 @@
     abandon,
     join,
 )
-from measure.hosts import SERVICE, Host, make_host, may_take
+from measure.hosts import SERVICE, Host, make_host
 from measure.loop import Loop
 from measure.wire import Finish, Wire
 from measure.world import (
@@ -35,6 +38,10 @@
     name_host,
 )
 
+OUT_FROM = 0.3
+OUT_UNTIL = 0.7
+"""When a zone is out, in parts of the run."""
+
 BEAT = 0.25
 """Seconds between heartbeats."""
 
@@ -56,6 +63,7 @@
         finish: Notes the end of a call.
         hosts: The entry hosts.
         messages: Messages between hosts so far.
+        last_in_zone: When the last call went to the zone before its return.
     """
 
     load: Load
@@ -65,6 +73,7 @@
     finish: Finish
     hosts: list[Host] = attrs.field(factory=list)
     messages: int = 0
+    last_in_zone: float = 0
 
     def build(self) -> None:
         """Make the hosts, which make the first slots."""
@@ -79,6 +88,17 @@
             for number in range(self.load.hosts)
         ]
         self._beat()
+        if self.load.zone_out:
+            self._move_zone()
+
+    def _move_zone(self) -> None:
+        """Take a zone out and back; hosts hear of it one by one."""
+        random = Random(f'{self.load.seed} zone')
+        for host in self.hosts:
+            out = OUT_FROM * self.load.length + random.uniform(0, BEAT)
+            back = OUT_UNTIL * self.load.length + random.uniform(0, BEAT)
+            self.loop.call_after(out, partial(host.out.add, ZONES[0]))
+            self.loop.call_after(back, partial(host.out.discard, ZONES[0]))
 
     def _beat(self) -> None:
         for number, host in enumerate(self.hosts):
@@ -111,7 +131,7 @@
             wake=lambda: self._wake(arrival, host, waiting),
         )
         try:
-            join(host.exchange, waiting, host.directory, may_take)
+            join(host.exchange, waiting, host.directory, host.may_take)
         except EbonystreamError as error:
             self.finish(arrival, error.kind.value)
             return
@@ -146,6 +166,8 @@
             host.learn(waiting.call, view, attempt, took)
             self.finish(arrival, 'ran' if whole else 'late')
 
+        if server.zone == ZONES[0] and began < OUT_UNTIL * self.load.length:
+            self.last_in_zone = began
         self.wire.send(arrival, server, ended)
 
     def _tick(self, host: Host) -> None:
--- a/tools/measure/run.py
+++ b/tools/measure/run.py
@@ -1,5 +1,6 @@
 """One run of one policy, and what came of it."""
 
+import math
 from functools import partial
 from random import Random
 from typing import Any
@@ -14,7 +15,7 @@
     make_two_choices,
 )
 from measure.loop import Loop
-from measure.product import Product
+from measure.product import OUT_FROM, Product
 from measure.wire import Finish, Submit, Wire
 from measure.world import (
     Arrival,
@@ -61,13 +62,15 @@
     def summarize(self) -> dict[str, Any]:
         """Give percentiles in milliseconds and counts, for each class."""
         return {
-            name: self.ends[name] | _rank_times(sorted(times))
-            for name, times in sorted(self.times.items())
+            name: ends | _rank_times(sorted(self.times.get(name, ())))
+            for name, ends in sorted(self.ends.items())
         }
 
 
 def _rank_times(times: list[float]) -> dict[str, float]:
     last = len(times) - 1
+    if last < 0:
+        return {name: math.nan for name, _ in PERCENTILES}
     return {
         name: round(1000 * times[min(last, int(part * len(times)))], 2)
         for name, part in PERCENTILES
@@ -122,10 +125,18 @@
         'hosts': load.hosts,
         'load': load.share,
         'faults': load.slow,
+        'zone_out': load.zone_out,
         'classes': tally.summarize(),
         'most_in_flight': max(server.most_on_way for server in servers),
         'connect_share': round(wire.opened * 0.001 / busy, 5),
         'messages_per_call': round(product.messages / load.calls, 2)
         if product
         else 0,
+        'last_new_call_s': _find_last_call(load, product),
     }
+
+
+def _find_last_call(load: Load, product: Product | None) -> float | None:
+    if product is None or not load.zone_out:
+        return None
+    return round(product.last_in_zone - OUT_FROM * load.length, 3)
--- a/tools/measure/world.py
+++ b/tools/measure/world.py
@@ -202,6 +202,7 @@
         seed: Of all random draws.
         noisy: Whether one standard customer sends in bursts.
         slow: Whether servers turn slow suddenly.
+        zone_out: Whether a zone is taken out and back.
     """
 
     site: Site
@@ -211,6 +212,7 @@
     seed: int
     noisy: bool = False
     slow: bool = False
+    zone_out: bool = False
 
     @property
     def rate(self) -> float:
