Retry and hedge what plans bought, out of a budget

Cause: plans sell retries and hedging, and neither was made. Ruled out: a fixed number of repetitions for each call, which multiplies an overload. An idempotent call that has a server and is late by three usual times of its route is sent once more, to another server; the first that ran wins, the other is cancelled there. "Unknown" goes before "not run" where neither ran for certain. Its effect on tail latency is not measured yet.

--- a/src/ebonystream/backend/__init__.py
+++ b/src/ebonystream/backend/__init__.py
@@ -13,6 +13,7 @@
 from ebonystream.backend._attempts import (
     FAILURES,
     MAY_HAVE_RUN,
+    RunApart,
     make_idempotent_run,
 )
 from ebonystream.backend._cold import (
@@ -42,6 +43,7 @@
     ANSWERS_PER_STEP,
     COLD_LIMIT,
 )
+from ebonystream.backend._hedging import make_hedged_run
 from ebonystream.backend._learning import (
     chill_zone,
     make_starting_observer,
@@ -93,6 +95,7 @@
     'MayTake',
     'Observe',
     'Place',
+    'RunApart',
     'Send',
     'ServerAddress',
     'ServerPhase',
@@ -107,6 +110,7 @@
     'check_starting',
     'chill_zone',
     'make_dispatch',
+    'make_hedged_run',
     'make_idempotent_run',
     'make_report_taker',
     'make_starting_begin',
--- /dev/null
+++ b/src/ebonystream/composition/_bought.py
@@ -0,0 +1,56 @@
+"""Wires the second attempts that customers bought: retries and hedges."""
+
+from ebonystream._ids import Seconds
+from ebonystream.backend import Dispatch, make_hedged_run, make_idempotent_run
+from ebonystream.call import Call, Run
+from ebonystream.composition._policy import Policy
+from ebonystream.configuration import Control, PlanAllowance
+from ebonystream.plan import Budget, BudgetShare
+
+HEDGE_AFTER = 3
+"""A call is late when it has taken this many usual times of its route."""
+
+
+def make_bought_run(
+    policy: Policy, dispatch: Dispatch, control: Control
+) -> Run:
+    """Make the function that runs idempotent calls as their plans say.
+
+    Args:
+        policy: The policy of this host.
+        dispatch: Makes one attempt.
+        control: The configuration in force.
+    """
+    retries = Budget(BudgetShare.RETRY)
+    hedges = Budget(BudgetShare.HEDGE)
+
+    def find_plan(call: Call) -> PlanAllowance | None:
+        plans = control.get_plans()
+        return plans.find_plan(call.customer) if plans else None
+
+    def count_retries(call: Call) -> int:
+        plan = find_plan(call)
+        return plan.retries if plan else 0
+
+    def get_delay(call: Call) -> Seconds | None:
+        plan = find_plan(call)
+        usual = policy.usual.estimate(call.route)
+        if plan is None or not plan.hedging or not usual:
+            return None
+        return Seconds(HEDGE_AFTER * usual)
+
+    def earn() -> None:
+        retries.earn()
+        hedges.earn()
+
+    return make_hedged_run(
+        run=make_idempotent_run(
+            dispatch=dispatch,
+            timers=policy.timers,
+            count_retries=count_retries,
+            spend_retry=retries.spend,
+        ),
+        get_delay=get_delay,
+        spend_hedge=hedges.spend,
+        earn=earn,
+    )
--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -6,7 +6,6 @@
 from ebonystream.backend import (
     Dispatch,
     make_dispatch,
-    make_idempotent_run,
 )
 from ebonystream.call import (
     CallKind,
@@ -16,6 +15,7 @@
     make_serving,
 )
 from ebonystream.caller import CallerLimits, CallerListener
+from ebonystream.composition._bought import make_bought_run
 from ebonystream.composition._moves import guard_place, make_zone_observer
 from ebonystream.composition._ownership import Ownership
 from ebonystream.composition._parts import Parts, convert_ms
@@ -57,10 +57,8 @@
     parts: Parts, dispatch: Dispatch, ownership: Ownership
 ) -> Serve:
     runs = {
-        CallKind.IDEMPOTENT: make_idempotent_run(
-            dispatch=dispatch,
-            timers=parts.timers,
-            count_retries=lambda call: 0,
+        CallKind.IDEMPOTENT: make_bought_run(
+            parts.policy, dispatch, parts.control
         ),
         CallKind.ONCE: ownership.run,
     }
--- a/src/ebonystream/composition/_policy.py
+++ b/src/ebonystream/composition/_policy.py
@@ -44,6 +44,7 @@
         exchange: The slots of this host.
         registry: Makes slots that nobody holds.
         guarantees: What is left of the guaranteed rates.
+        usual: How long calls usually take.
         peers: The other entry hosts.
         place: Finds a server for a call.
         learn: Learns from an attempt and frees its slot; the first observer.
@@ -54,6 +55,7 @@
     exchange: SlotExchange
     registry: SlotRegistry
     guarantees: Guarantees
+    usual: UsualTimes
     peers: Peers
     place: Place
     learn: Observe
@@ -98,6 +100,7 @@
         exchange=exchange,
         registry=make_registry(settings, exchange, directory, peers),
         guarantees=guarantees,
+        usual=usual,
         peers=peers,
         place=make_placing(
             exchange=exchange,
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,105 @@
+"""Second attempts: only late idempotent calls, and only out of the budget."""
+
+import pytest
+import trio
+
+from ebonystream._timers import Timers
+from ebonystream.backend import (
+    ABANDONED,
+    CUT,
+    Attempt,
+    AttemptKind,
+    make_hedged_run,
+    make_idempotent_run,
+)
+from ebonystream.call import Answer, Call, CallKind, refuse
+from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
+from ebonystream.plan import Budget, BudgetShare
+
+RAN = Answer(outcome=Outcome.RAN, status=200, headers=(), body=b'')
+NOT_RUN = refuse(EbonystreamError(ErrorKind.NO_BACKEND))
+UNKNOWN = refuse(EbonystreamError(ErrorKind.OUTCOME_LOST))
+
+
+def make_call():
+    return Call(
+        customer='c',
+        route='r',
+        service='s',
+        kind=CallKind.IDEMPOTENT,
+        method='GET',
+        target='/',
+        headers=(),
+        body=b'',
+        deadline=trio.current_time() + 10,
+    )
+
+
+@pytest.mark.parametrize(
+    ('attempts', 'tokens', 'outcome', 'took', 'begun', 'cancelled'),
+    [
+        ([(0.05, RAN)], 3, Outcome.RAN, 0.05, 1, 0),
+        ([(1, RAN), (0.1, RAN)], 3, Outcome.RAN, 0.2, 2, 1),
+        ([(0.3, RAN), (1, RAN)], 3, Outcome.RAN, 0.3, 2, 1),
+        ([(1, RAN), (0.1, RAN)], 0, Outcome.RAN, 1, 1, 0),
+        ([(0.3, NOT_RUN), (0.4, RAN)], 3, Outcome.RAN, 0.5, 2, 0),
+        ([(0.3, NOT_RUN), (0.4, NOT_RUN)], 3, Outcome.NOT_RUN, 0.5, 2, 0),
+        ([(0.3, UNKNOWN), (0.4, NOT_RUN)], 3, Outcome.UNKNOWN, 0.5, 2, 0),
+        ([(0.3, NOT_RUN), (0.4, UNKNOWN)], 3, Outcome.UNKNOWN, 0.5, 2, 0),
+    ],
+)
+async def test_race(
+    autojump_clock, attempts, tokens, outcome, took, begun, cancelled
+):
+    left, ends = list(attempts), []
+
+    async def run(call, tried):
+        tried.add(len(tried))
+        length, answer = left.pop(0)
+        ends.append('cancelled')
+        await trio.sleep(length)
+        ends.remove('cancelled')
+        return answer
+
+    budget = Budget(BudgetShare.HEDGE, tokens=tokens)
+    hedged = make_hedged_run(
+        run=run,
+        get_delay=lambda call: 0.1,
+        spend_hedge=budget.spend,
+        earn=budget.earn,
+    )
+    began = trio.current_time()
+    answer = await hedged(make_call())
+    assert answer.outcome is outcome
+    assert trio.current_time() - began == pytest.approx(took)
+    assert len(attempts) - len(left) == begun
+    assert len(ends) == cancelled
+
+
+@pytest.mark.parametrize(
+    ('bought', 'tokens', 'attempts', 'outcome'),
+    [
+        (0, 3, 1, Outcome.UNKNOWN),
+        (2, 3, 3, Outcome.RAN),
+        (1, 3, 2, Outcome.UNKNOWN),
+        (2, 1, 2, Outcome.UNKNOWN),
+        (2, 0, 1, Outcome.UNKNOWN),
+    ],
+)
+async def test_retries(autojump_clock, bought, tokens, attempts, outcome):
+    ends = [CUT, ABANDONED, Attempt(AttemptKind.ANSWERED, answer=RAN)]
+    made = []
+    budget = Budget(BudgetShare.RETRY, tokens=tokens)
+
+    async def dispatch(call, tried):
+        made.append(call)
+        return ends[len(made) - 1]
+
+    run = make_idempotent_run(
+        dispatch=dispatch,
+        timers=Timers(epoch_at_zero=0),
+        count_retries=lambda call: bought,
+        spend_retry=budget.spend,
+    )
+    answer = await run(make_call(), set())
+    assert (len(made), answer.outcome) == (attempts, outcome)
