Probe servers that calls tell nothing of, within a budget

Cause: nothing told of a server without calls, and nothing bounded what telling costs. A probe costs 6 ms; 17 hosts each second would cost 102 ms of a server. Change: one prober for each server, the host that the membership names; a server that answered in the last 5 s, has calls, leaves or starts is not probed. The budget counts what each server was made to spend and asserts that it is kept.

--- a/src/ebonystream/backend/_evidence.py
+++ b/src/ebonystream/backend/_evidence.py
@@ -61,6 +61,10 @@
             self.rests_until = Monotonic(now + self.rest)
             self.rest = Seconds(min(LONGEST_REST, 2 * self.rest))
 
+    def record_failure(self, now: Monotonic) -> None:
+        """Take a failed attempt."""
+        self.record(FAILURE_RATIO, now)
+
     def is_resting(self, now: Monotonic) -> bool:
         """Tell whether the server is left alone for now."""
         return now < self.rests_until
--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -19,6 +19,7 @@
 from ebonystream.composition._moves import guard_place, make_zone_observer
 from ebonystream.composition._ownership import Ownership
 from ebonystream.composition._parts import Parts, convert_ms
+from ebonystream.composition._probes import make_hearing
 from ebonystream.configuration import PlanClass
 from ebonystream.http1 import ReaderLimits
 from ebonystream.observation import log_attempt, observe_run, observe_serve
@@ -93,6 +94,7 @@
         send=make_sender(pool=parts.pool, timers=parts.timers),
         observers=(
             parts.policy.learn,
+            make_hearing(parts.policy.prober, parts.timers),
             make_zone_observer(parts.zones_in_flight),
             parts.metrics.count_attempt,
             log_attempt,
--- a/src/ebonystream/composition/_policy.py
+++ b/src/ebonystream/composition/_policy.py
@@ -19,6 +19,7 @@
 from ebonystream.configuration import Control
 from ebonystream.peer import Heartbeat
 from ebonystream.plan import Guarantees, make_ranking
+from ebonystream.probe import ProbeBudget, Prober
 from ebonystream.routing import (
     SlotExchange,
     SlotRegistry,
@@ -44,6 +45,7 @@
         exchange: The slots of this host.
         registry: Makes slots that nobody holds.
         guarantees: What is left of the guaranteed rates.
+        prober: Which servers are probed.
         usual: How long calls usually take.
         peers: The other entry hosts.
         place: Finds a server for a call.
@@ -56,6 +58,7 @@
     registry: SlotRegistry
     guarantees: Guarantees
     usual: UsualTimes
+    prober: Prober
     peers: Peers
     place: Place
     learn: Observe
@@ -101,6 +104,7 @@
         registry=make_registry(settings, exchange, directory, peers),
         guarantees=guarantees,
         usual=usual,
+        prober=_make_prober(settings, directory, peers),
         peers=peers,
         place=make_placing(
             exchange=exchange,
@@ -118,6 +122,20 @@
     )
 
 
+def _make_prober(
+    settings: Settings, directory: Directory, peers: Peers
+) -> Prober:
+    table = peers.membership.table
+    return Prober(
+        directory=directory,
+        budget=ProbeBudget(
+            cost_ms=settings.backends.probe_cost_ms,
+            budget_ms=settings.backends.probe_budget_ms,
+        ),
+        is_prober=lambda server: table.find_owner(server) == table.own.host,
+    )
+
+
 def start_policy(background: trio.Nursery, policy: Policy) -> None:
     """Start the tasks of the policy.
 
--- /dev/null
+++ b/src/ebonystream/composition/_probes.py
@@ -0,0 +1,60 @@
+"""Wires the probes of backend servers."""
+
+from ebonystream._ids import (
+    CustomerId,
+    Monotonic,
+    RouteName,
+    Seconds,
+)
+from ebonystream._timers import Timers
+from ebonystream.backend import Attempt, BackendServer, Observe
+from ebonystream.call import Call, CallKind
+from ebonystream.composition._parts import Parts
+from ebonystream.probe import Prober, probe_forever
+from ebonystream.upstream import make_sender
+
+PROBE_TIMEOUT = Seconds(1)
+HEALTH_TARGET = '/-/health'
+
+
+def make_hearing(prober: Prober, timers: Timers) -> Observe:
+    """Make the observer that notes which servers calls tell of."""
+
+    def hear(
+        call: Call, server: BackendServer, attempt: Attempt, took: Seconds
+    ) -> None:
+        if attempt.answer is not None:
+            prober.hear(server.id, timers.now())
+
+    return hear
+
+
+async def probe_servers(parts: Parts) -> None:
+    """Probe servers for ever.
+
+    Args:
+        parts: The parts of this host.
+    """
+    send = make_sender(pool=parts.pool, timers=parts.timers)
+
+    async def probe(server: BackendServer) -> None:
+        now = parts.timers.now()
+        attempt = await send(_make_probe(server, now), server)
+        if attempt.answer is None:
+            server.evidence.record_failure(parts.timers.now())
+
+    await probe_forever(parts.policy.prober, probe, parts.timers)
+
+
+def _make_probe(server: BackendServer, now: Monotonic) -> Call:
+    return Call(
+        customer=CustomerId('-'),
+        route=RouteName('-'),
+        service=server.service,
+        kind=CallKind.IDEMPOTENT,
+        method='GET',
+        target=HEALTH_TARGET,
+        headers=(),
+        body=b'',
+        deadline=Monotonic(now + PROBE_TIMEOUT),
+    )
--- a/src/ebonystream/composition/_root.py
+++ b/src/ebonystream/composition/_root.py
@@ -23,6 +23,7 @@
 from ebonystream.composition._parts import Parts, make_parts
 from ebonystream.composition._peers import open_transport
 from ebonystream.composition._policy import start_policy
+from ebonystream.composition._probes import probe_servers
 from ebonystream.composition._servers import refresh_sponsorship
 from ebonystream.composition._tasks import (
     close_idle,
@@ -97,6 +98,7 @@
     background.start_soon(refresh_hosts, parts)
     background.start_soon(close_idle, parts)
     start_policy(background, parts.policy)
+    background.start_soon(probe_servers, parts)
     background.start_soon(
         refresh_sponsorship, parts.server_rules, parts.directory, parts.timers
     )
--- /dev/null
+++ b/tests/test_probe.py
@@ -0,0 +1,66 @@
+"""Probes: one prober, within the budget, none where calls tell enough."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonystream.backend import (
+    BackendServer,
+    Directory,
+    ServerAddress,
+    ServerPhase,
+    Warmth,
+)
+from ebonystream.probe import ProbeBudget, Prober
+
+
+def make_prober(*, mine=('s0', 's1'), cost=6, budget=10):
+    directory = Directory()
+    directory.replace(
+        BackendServer(
+            id=f's{number}',
+            at=ServerAddress('127.0.0.1', number),
+            service='s',
+            version='v1',
+            zone='a',
+            warmth=Warmth(phase=ServerPhase.SERVING),
+        )
+        for number in range(3)
+    )
+    return Prober(
+        directory=directory,
+        budget=ProbeBudget(cost_ms=cost, budget_ms=budget),
+        is_prober=lambda server: server in mine,
+    )
+
+
+@pytest.mark.parametrize(
+    ('mine', 'heard', 'now', 'due'),
+    [
+        ((), {}, 0, []),
+        (('s0', 's1'), {}, 0, ['s0', 's1']),
+        (('s0', 's1'), {'s0': 0}, 4, ['s1']),
+        (('s0', 's1'), {'s0': 0}, 5, ['s0', 's1']),
+        (('s2',), {'s0': 0}, 1, ['s2']),
+    ],
+)
+def test_due(mine, heard, now, due):
+    prober = make_prober(mine=mine)
+    for server, at in heard.items():
+        prober.hear(server, at)
+    assert [server.id for server in prober.list_due(now)] == due
+
+
+@given(
+    gaps=st.lists(st.floats(0, 3), max_size=100),
+    cost=st.floats(0.1, 50),
+    budget=st.floats(0, 50),
+)
+def test_cost_is_never_beyond_the_budget(gaps, cost, budget):
+    """The budget asserts it too; here it is counted apart."""
+    prober = make_prober(mine=('s0',), cost=cost, budget=budget)
+    now, spent = 0, 0
+    for gap in gaps:
+        now += gap
+        spent += cost * len(prober.list_due(now))
+        assert spent <= budget * now + cost + 1e-6
