Send the slots of a server that starts back to its home at once

Cause: a host dropped the slots of a server that turned cold or lost a connection, and home made them again after 3 s. Ruled out: a shorter silence (it must outlast every lease); keeping the slots (only the sponsor may use them, and would have none). Change: a free slot that its holder may not use goes to the server's home in a note; one in use follows when its call has ended. A late or doubled return is told by its sequence.

--- a/src/ebonystream/composition/_members.py
+++ b/src/ebonystream/composition/_members.py
@@ -55,7 +55,7 @@
         answer_call=answer_call,
         answer_fetch=make_fetch_answer(states),
         take_heartbeat=_make_take(parts),
-        take_note=make_note_taker(parts.policy.exchange, parts.settings),
+        take_note=make_note_taker(parts.policy.registry, parts.settings),
     )
     helpers = Helpers(
         table=parts.peers.membership.table,
--- a/src/ebonystream/composition/_slots.py
+++ b/src/ebonystream/composition/_slots.py
@@ -15,6 +15,7 @@
 from ebonystream.peer import AskSlots, GrantSlot, PeerNote, TakeNote
 from ebonystream.plan import get_patience
 from ebonystream.routing import (
+    RETURNED,
     SlotExchange,
     SlotPeer,
     SlotRegistry,
@@ -80,9 +81,6 @@
     """
     table = peers.membership.table
 
-    def is_home(server: ServerId) -> bool:
-        return table.find_owner(server) == table.own.host
-
     def get_confirmed(server: ServerId) -> Monotonic:
         home = table.peers.get(table.find_owner(server) or table.own.host)
         life = None if home is None else home.life
@@ -93,24 +91,25 @@
         directory=directory,
         slots=settings.backends.slots,
         overlap=settings.backends.queue,
-        is_home=is_home,
+        find_home=table.find_owner,
         get_confirmed=get_confirmed,
         get_silence=lambda: Seconds(SILENCE if table.peers else 0),
     )
 
 
-def make_note_taker(exchange: SlotExchange, settings: Settings) -> TakeNote:
+def make_note_taker(registry: SlotRegistry, settings: Settings) -> TakeNote:
     """Make the function that takes what peers say about slots.
 
     Args:
-        exchange: The slots of this host.
+        registry: The slots of this host.
         settings: The checked settings.
     """
+    exchange = registry.exchange
     slots = settings.backends.slots + settings.backends.queue
 
     def take_note(sender: HostId, note: PeerNote) -> None:
         if isinstance(note, GrantSlot) and 0 <= note.number < slots:
-            exchange.take_grant(note)
+            _take_grant(registry, note)
         elif isinstance(note, AskSlots) and note.host == sender:
             exchange.take_ask(note)
         else:
@@ -119,6 +118,13 @@
     return take_note
 
 
+def _take_grant(registry: SlotRegistry, grant: GrantSlot) -> None:
+    if grant.asked_ms == RETURNED:
+        registry.take_return(grant)
+    else:
+        registry.exchange.take_grant(grant)
+
+
 def _list_peers(peers: Peers) -> list[SlotPeer]:
     return [
         SlotPeer(member.place.host, member.place.zone)
--- a/src/ebonystream/routing/__init__.py
+++ b/src/ebonystream/routing/__init__.py
@@ -17,9 +17,7 @@
     make_learning,
     make_placing,
 )
-from ebonystream.routing._registry import (
-    SlotRegistry,
-)
+from ebonystream.routing._registry import RETURNED, SlotRegistry
 from ebonystream.routing._service import (
     ServiceSlots,
 )
@@ -36,6 +34,7 @@
 )
 
 __all__ = (
+    'RETURNED',
     'Choice',
     'ChoiceReason',
     'HeldSlots',
--- a/src/ebonystream/routing/_registry.py
+++ b/src/ebonystream/routing/_registry.py
@@ -22,7 +22,7 @@
     BackendServer,
     Directory,
 )
-from ebonystream.peer import ServerLoad, SlotClaim
+from ebonystream.peer import GrantSlot, ServerLoad, SlotClaim
 from ebonystream.routing._exchange import SlotExchange
 from ebonystream.routing._service import LONGEST_LEASE
 from ebonystream.routing._slots import Slot, SlotKey
@@ -30,6 +30,9 @@
 NO_HOST = HostId('')
 """Orders before each host: what is known of a slot is no claim to it."""
 
+RETURNED = -1
+"""Stands in a grant that was not asked for: the slot goes back home."""
+
 GENERATION = 1_000_000
 """How far a slot that is made again is ahead of its lost copy."""
 
@@ -56,7 +59,7 @@
         directory: The servers that are known.
         slots: How many calls each server works on at a time.
         overlap: How many more may wait there.
-        is_home: Tells whether this host is home to a server.
+        find_home: Gives the host that is home to a server.
         get_confirmed: Gives when the newest heartbeat was sent that the home
             of a server has confirmed to this host.
         get_silence: Gives how long a slot must be unheard of before it is
@@ -70,7 +73,7 @@
     directory: Directory
     slots: int
     overlap: int
-    is_home: Callable[[ServerId], bool]
+    find_home: Callable[[ServerId], HostId | None]
     get_confirmed: Callable[[ServerId], Monotonic]
     get_silence: Callable[[], Seconds]
     sightings: dict[SlotKey, Sighting] = attrs.field(factory=dict)
@@ -83,7 +86,7 @@
             self._drop_unlisted(service)
             self._renew(service)
         for server in self.directory.servers.values():
-            if self.is_home(server.id):
+            if _is_home(self, server.id):
                 self._make_missing(server)
             else:
                 for key in _list_keys(server, self.slots + self.overlap):
@@ -98,7 +101,7 @@
                 claims[slot.server.id].append(claim)
         known: dict[ServerId, list[SlotClaim]] = defaultdict(list)
         for key, sighting in self.sightings.items():
-            if self.is_home(key[0]):
+            if _is_home(self, key[0]):
                 known[key[0]].append(SlotClaim(key[1], sighting.sequence))
         return tuple(
             ServerLoad(
@@ -112,6 +115,27 @@
             )
         )
 
+    def take_return(self, grant: GrantSlot) -> None:
+        """Take a slot back that another host has no use for.
+
+        A late or doubled one is told by its sequence, for what this host
+        made since is newer.
+        """
+        server = self.directory.servers.get(grant.server)
+        if server is None or not _is_home(self, grant.server):
+            return
+        now = self.exchange.timers.now()
+        slot = Slot(
+            server=server,
+            number=grant.number,
+            sequence=grant.sequence,
+            overlap=grant.overlap,
+            since=now,
+            until=Monotonic(now + LONGEST_LEASE),
+        )
+        self.exchange.get_service(server.service).held.add(slot)
+        self.exchange.settle(server.service)
+
     def take_report(self, host: HostId, loads: Iterable[ServerLoad]) -> None:
         """Take what a peer holds.
 
@@ -124,29 +148,16 @@
             for claim in load.held:
                 key = (load.server, claim.number)
                 self._see(key, claim.sequence, now)
-                self._yield_to(key, (claim.sequence, host))
+                _yield_to(self, key, (claim.sequence, host))
             for claim in load.known:
                 key = (load.server, claim.number)
-                self._yield_to(key, (claim.sequence, NO_HOST))
+                _yield_to(self, key, (claim.sequence, NO_HOST))
 
     def _see(self, key: SlotKey, sequence: int, now: Monotonic) -> None:
         sighting = self.sightings.setdefault(key, Sighting(now))
         sighting.at = now
         sighting.sequence = max(sighting.sequence, sequence)
 
-    def _yield_to(self, key: SlotKey, claim: tuple[int, HostId]) -> None:
-        server = self.directory.servers.get(key[0])
-        if server is None:
-            return
-        held = self.exchange.get_service(server.service).held
-        slot = held.slots.get(key)
-        held.learn(key, claim[0])
-        if slot is None:
-            return
-        if claim > (slot.sequence, self.exchange.me.host):
-            held.remove(slot)
-            self.dropped += 1
-
     def _make_missing(self, server: BackendServer) -> None:
         now = self.exchange.timers.now()
         held = self.exchange.get_service(server.service).held
@@ -191,15 +202,21 @@
     def _drop_unlisted(self, service: ServiceName) -> None:
         held = self.exchange.by_service[service].held
         for slot in list(held.slots.values()):
-            if not self._is_of_use(slot):
+            listed = self.directory.servers.get(slot.server.id)
+            if listed is not slot.server:
                 held.remove(slot)
+            elif listed.warmth.is_starting and not slot.busy:
+                self._return(service, slot)
 
-    def _is_of_use(self, slot: Slot) -> bool:
-        server = slot.server
-        if self.directory.servers.get(server.id) is not server:
-            return False
+    def _return(self, service: ServiceName, slot: Slot) -> None:
         # Only its home sends to a server that starts, and so needs the slots.
-        return not server.warmth.is_starting or self.is_home(server.id)
+        home = self.find_home(slot.server.id)
+        if home in {None, self.exchange.me.host}:
+            return
+        grant = self.exchange.by_service[service].hand_over(
+            slot, Seconds(0), asked_ms=RETURNED
+        )
+        self.exchange.send(home, grant)
 
 
 def _list_servers(
@@ -211,3 +228,23 @@
 
 def _list_keys(server: BackendServer, count: int) -> list[SlotKey]:
     return [(server.id, SlotNumber(number)) for number in range(count)]
+
+
+def _is_home(registry: SlotRegistry, server: ServerId) -> bool:
+    return registry.find_home(server) == registry.exchange.me.host
+
+
+def _yield_to(
+    registry: SlotRegistry, key: SlotKey, claim: tuple[int, HostId]
+) -> None:
+    server = registry.directory.servers.get(key[0])
+    if server is None:
+        return
+    held = registry.exchange.get_service(server.service).held
+    slot = held.slots.get(key)
+    held.learn(key, claim[0])
+    if slot is None:
+        return
+    if claim > (slot.sequence, registry.exchange.me.host):
+        held.remove(slot)
+        registry.dropped += 1
--- a/src/ebonystream/routing/_service.py
+++ b/src/ebonystream/routing/_service.py
@@ -66,18 +66,30 @@
             ask: What the peer asked for.
             now: The time.
         """
+        ask.granted += 1
+        lease = Seconds(min(slot.until - now, LONGEST_LEASE))
+        return self.hand_over(slot, lease, asked_ms=ask.ask.asked_ms)
+
+    def hand_over(
+        self, slot: Slot, lease: Seconds, *, asked_ms: float
+    ) -> GrantSlot:
+        """Give up a free slot, and make the message for its next holder.
+
+        Args:
+            slot: The slot.
+            lease: How long it may be used from then on, in seconds.
+            asked_ms: As in the request.
+        """
         assert not slot.busy, f'the slot {slot.key} is given while in use'
         self.held.remove(slot)
         self.held.learn(slot.key, slot.sequence + 1)
-        ask.granted += 1
-        lease = min(slot.until - now, LONGEST_LEASE)
         return GrantSlot(
             service=self.service,
             server=slot.server.id,
             number=slot.number,
             sequence=slot.sequence + 1,
             overlap=slot.overlap,
-            asked_ms=ask.ask.asked_ms,
+            asked_ms=asked_ms,
             lease_ms=lease * MS_PER_SECOND,
         )
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -22,6 +22,7 @@
 from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
 from ebonystream.peer import AskSlots
 from ebonystream.routing import (
+    RETURNED,
     SlotExchange,
     SlotPeer,
     SlotRegistry,
@@ -117,7 +118,7 @@
             directory=directory,
             slots=SLOTS,
             overlap=self.overlap,
-            is_home=lambda server: self.find_home(server) == me.host,
+            find_home=self.find_home,
             get_confirmed=lambda server: self.confirmed.get(
                 (me.host, self.find_home(server)), 0
             ),
@@ -154,6 +155,8 @@
         exchange = self.hosts[to][0]
         if isinstance(message, AskSlots):
             exchange.take_ask(message)
+        elif message.asked_ms == RETURNED:
+            self.hosts[to][1].take_return(message)
         else:
             exchange.take_grant(message)
 
@@ -306,3 +309,25 @@
         with pytest.raises(EbonystreamError) as caught:
             await world.hosts['h0'][2](make_call(0.5), set(tried))
         assert caught.value.kind is kind
+
+
+async def test_slots_of_a_server_that_starts_go_home(autojump_clock):
+    """At once, not after the silence; a slot in use follows when it is free."""
+    async with trio.open_nursery() as nursery:
+        world = World(nursery, hosts=2, servers=1, seed=1)
+        nursery.start_soon(world.gossip)
+        await trio.sleep(4)
+        nursery.start_soon(world.call, 'h1', 1)
+        await trio.sleep(0.1)
+        one, home = (
+            world.hosts[name][0].get_service('s') for name in ('h1', 'h0')
+        )
+        assert one.held.slots
+        for name in ('h0', 'h1'):
+            server = world.hosts[name][0].find_server('s0')
+            server.warmth.phase = ServerPhase.COLD
+        await trio.sleep(0.5)
+        assert len(one.held.slots) == 1
+        await trio.sleep(1)
+        assert (len(one.held.slots), len(home.held.slots)) == (0, SLOTS)
+        nursery.cancel_scope.cancel()
--- a/tools/measure/hosts.py
+++ b/tools/measure/hosts.py
@@ -109,7 +109,7 @@
         directory=directory,
         slots=SLOTS,
         overlap=OVERLAP,
-        is_home=lambda server: find_home(server, load.hosts) == number,
+        find_home=lambda server: name_host(find_home(server, load.hosts)),
         get_confirmed=lambda server: timers.now(),
         get_silence=lambda: Seconds(SILENCE if loop.now else 0),
     )
