--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,8 @@
 	$(PY) -m measure --plots docs/plots
 
 soak: install
-	SEEDS=$(SEEDS) $(PY) -m pytest -s tests/test_once_everywhere.py
+	SEEDS=$(SEEDS) $(PY) -m pytest -s tests/test_once_everywhere.py \
+		tests/test_control_run.py::test_run
 
 mutations: install
 	$(PY) -m pytest -m mutations tests/test_mutations.py
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -16,6 +16,7 @@
 from ebonystream.composition._servers import (
     ServerRules,
     make_lone_view,
+    make_moves_view,
     make_server_rules,
 )
 from ebonystream.configuration import Control
@@ -81,16 +82,17 @@
     incarnation = Incarnation(secrets.token_urlsafe(INCARNATION_BYTES))
     directory = Directory()
     control = Control()
+    peers = make_peers(
+        settings, incarnation, count_transport(transport, peer_traffic)
+    )
     server_rules = make_server_rules(
         directory=directory,
         view=make_lone_view(),
+        moves=make_moves_view(control),
         slots=settings.backends.slots,
         timers=timers,
         random=Random(incarnation),
     )
-    peers = make_peers(
-        settings, incarnation, count_transport(transport, peer_traffic)
-    )
     policy = make_policy(
         settings,
         timers=timers,
--- a/src/ebonystream/peer/__init__.py
+++ b/src/ebonystream/peer/__init__.py
@@ -23,8 +23,10 @@
     PeerAnswer,
     PeerRequest,
     ServerLoad,
+    ServerStanding,
     Snapshot,
     VersionBrake,
+    VersionEvidence,
 )
 from ebonystream.peer._questions import Questions
 from ebonystream.peer._slots import AskSlots, GrantSlot, PeerNote, SlotClaim
@@ -55,12 +57,14 @@
     'PeerRequest',
     'Questions',
     'ServerLoad',
+    'ServerStanding',
     'SlotClaim',
     'Snapshot',
     'TakeHeartbeat',
     'TakeNote',
     'Transport',
     'VersionBrake',
+    'VersionEvidence',
     'ZmqSettings',
     'ZmqTransport',
     'decode_frame',
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -12,6 +12,7 @@
 from ebonystream.composition._admin import make_verbs
 from ebonystream.composition._parts import make_parts
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.observation import Traffic
 from ebonystream.platform import LogPage, LogRecord, LogService
 from ebonystream.settings import Settings
 from standins.network import Network
@@ -44,7 +45,12 @@
 
 async def start(*, listed=True):
     transport = Network(Random(0)).open_transport('h1')
-    parts = make_parts(SETTINGS, httpx.AsyncClient(), transport)
+    parts = make_parts(
+        SETTINGS,
+        client=httpx.AsyncClient(),
+        transport=transport,
+        platform_traffic=Traffic(),
+    )
     control, down = parts.control, []
 
     async def append(stream, body):
--- a/tools/measure/product.py
+++ b/tools/measure/product.py
@@ -131,7 +131,8 @@
             wake=lambda: self._wake(arrival, host, waiting),
         )
         try:
-            join(host.exchange, waiting, host.directory, host.may_take)
+            is_usable = partial(host.may_take, call)
+            join(host.exchange, waiting, host.directory, is_usable)
         except EbonystreamError as error:
             self.finish(arrival, error.kind.value)
             return
