--- a/src/ebonystream/composition/_policy.py
+++ b/src/ebonystream/composition/_policy.py
@@ -19,9 +19,9 @@
 from ebonystream.configuration import Control
 from ebonystream.peer import Heartbeat
 from ebonystream.plan import Guarantees, make_ranking
+from ebonystream.probe import ProbeBudget, Prober
 from ebonystream.routing import (
     SlotExchange,
-    SlotPeer,
     SlotRegistry,
     make_learning,
     make_placing,
@@ -45,6 +45,8 @@
         exchange: The slots of this host.
         registry: Makes slots that nobody holds.
         guarantees: What is left of the guaranteed rates.
+        prober: Which servers are probed.
+        usual: How long calls usually take.
         peers: The other entry hosts.
         place: Finds a server for a call.
         learn: Learns from an attempt and frees its slot; the first observer.
@@ -55,6 +57,8 @@
     exchange: SlotExchange
     registry: SlotRegistry
     guarantees: Guarantees
+    usual: UsualTimes
+    prober: Prober
     peers: Peers
     place: Place
     learn: Observe
@@ -86,11 +90,11 @@
     usual = UsualTimes()
     guarantees = Guarantees()
     exchange = make_exchange(
-        SlotPeer(settings.host.id, settings.host.zone),
         timers=timers,
         directory=directory,
         usual=usual,
         may_take=may_route,
+        is_out=control.is_out,
         peers=peers,
     )
     return Policy(
@@ -99,6 +103,8 @@
         exchange=exchange,
         registry=make_registry(settings, exchange, directory, peers),
         guarantees=guarantees,
+        usual=usual,
+        prober=_make_prober(settings, directory, peers),
         peers=peers,
         place=make_placing(
             exchange=exchange,
@@ -115,6 +121,20 @@
     )
 
 
+def _make_prober(
+    settings: Settings, directory: Directory, peers: Peers
+) -> Prober:
+    table = peers.membership.table
+    return Prober(
+        directory=directory,
+        budget=ProbeBudget(
+            cost_ms=settings.backends.probe_cost_ms,
+            budget_ms=settings.backends.probe_budget_ms,
+        ),
+        is_prober=lambda server: table.find_owner(server) == table.own.host,
+    )
+
+
 def start_policy(background: trio.Nursery, policy: Policy) -> None:
     """Start the tasks of the policy.
 
