Meet the listed peers before claiming slices

Ruled out: shorter first claims: they would leave gaps in a log outage. Change: a host claims once it is on the host list and each listed peer was heard, or was silent for twice the time that makes a peer unreachable.

--- a/src/ebonystream/composition/_ownership.py
+++ b/src/ebonystream/composition/_ownership.py
@@ -91,6 +91,7 @@
 
 async def claim_slices(parts: Parts, ownership: Ownership) -> None:
     """Keep this host's slices claimed ahead of time, for ever."""
+    await _meet_members(parts)
     await keep_claims(
         owner=ownership.owner,
         log=parts.log,
@@ -101,6 +102,20 @@
     )
 
 
+async def _meet_members(parts: Parts) -> None:
+    """Wait until each listed peer was heard, or was silent for long enough.
+
+    A host that starts sees itself alone at first. It would claim every slice
+    for the whole horizon, and the others would have none until that ends.
+    """
+    await parts.listed.wait()
+    membership = parts.peers.membership
+    patience_ms = 2 * parts.settings.peers.unreachable_after_ms
+    with trio.move_on_after(convert_ms(patience_ms)):
+        while not membership.table.is_met():
+            await membership.watch.wait()
+
+
 def list_slices(members: MemberTable) -> list[SliceNumber]:
     """Give the slices that fall to this host, as it sees the members.
 
--- a/src/ebonystream/membership/_table.py
+++ b/src/ebonystream/membership/_table.py
@@ -44,6 +44,12 @@
         """Give every peer as it stands now, with its newest heartbeat."""
         return tuple(map(show_member, self.peers.values()))
 
+    def is_met(self) -> bool:
+        """Tell whether each listed peer was heard at least once."""
+        return not any(
+            member.state is MemberState.LISTED for member in self.peers.values()
+        )
+
     def list_fit(self) -> tuple[HostId, ...]:
         """Give the hosts that may get duties: reachable ones and this one."""
         fit = [
