--- a/src/ebonystream/backend/__init__.py
+++ b/src/ebonystream/backend/__init__.py
@@ -31,7 +31,11 @@
     Send,
     make_dispatch,
 )
-from ebonystream.backend._growth import ANSWERS_PER_STEP, COLD_LIMIT
+from ebonystream.backend._growth import (
+    ANSWERS_PER_STEP,
+    COLD_LIMIT,
+    FIRST_ANSWERS,
+)
 from ebonystream.backend._learning import chill_zone, make_starting_observer
 from ebonystream.backend._leaving import LEAVING_BOUND
 from ebonystream.backend._routing import make_placing, release_place
@@ -43,6 +47,7 @@
     TakeReport,
     make_report_taker,
 )
+from ebonystream.backend._wants import WANT_LENGTH, Wants
 from ebonystream.backend._warmth import ServerPhase, Warmth
 
 __all__ = (
@@ -51,10 +56,12 @@
     'COLD_LIMIT',
     'CUT',
     'FAILURES',
+    'FIRST_ANSWERS',
     'HANDOVER',
     'LEAVING_BOUND',
     'MAY_HAVE_RUN',
     'NOT_SENT',
+    'WANT_LENGTH',
     'WITHDRAWN',
     'Attempt',
     'AttemptKind',
@@ -76,6 +83,7 @@
     'StandingExchange',
     'StartingRules',
     'TakeReport',
+    'Wants',
     'Warmth',
     'check_starting',
     'chill_zone',
--- a/src/ebonystream/backend/_growth.py
+++ b/src/ebonystream/backend/_growth.py
@@ -7,8 +7,11 @@
 COLD_LIMIT = 1
 """Calls that a cold server is sent at the same time, over all entry hosts."""
 
-ANSWERS_PER_STEP = 24
-"""Answers in a row after which a starting server is sent one more at a time."""
+FIRST_ANSWERS = 24
+"""Answers in a row after which a cold server is sent more than the limit."""
+
+ANSWERS_PER_STEP = 8
+"""Answers in a row for each further call at a time."""
 
 FIRST_PAUSE = Seconds(0.1)
 """How long a starting server is left alone after its first failure."""
@@ -27,6 +30,7 @@
         failures: Failures in a row since the last answer.
         resting_until: When the next call may be tried after a failure.
         since: When the growth began.
+        answered_at: When the newest answer came.
     """
 
     limit: int = COLD_LIMIT
@@ -34,6 +38,7 @@
     failures: int = 0
     resting_until: Monotonic = Monotonic(0)
     since: Monotonic = Monotonic(0)
+    answered_at: Monotonic = Monotonic(0)
 
     def restart(self, now: Monotonic) -> None:
         """Begin again from the cold limit."""
@@ -52,15 +57,19 @@
         self.failures += 1
         self.resting_until = Monotonic(now + pause)
 
-    def add_answer(self, slots: int) -> bool:
+    def add_answer(self, slots: int, now: Monotonic) -> bool:
         """Take an answer in; True where the server bears all its slots.
 
         Args:
             slots: Calls that the server works on at the same time.
+            now: The present time.
         """
         self.failures = 0
         self.answers += 1
-        if self.answers < ANSWERS_PER_STEP:
+        self.answered_at = now
+        is_first = self.limit == COLD_LIMIT
+        needed = FIRST_ANSWERS if is_first else ANSWERS_PER_STEP
+        if self.answers < needed:
             return False
         if self.limit >= slots:
             return True
--- a/src/ebonystream/composition/_control.py
+++ b/src/ebonystream/composition/_control.py
@@ -4,10 +4,10 @@
 
 import trio
 
+from ebonystream.composition._confirmations import list_confirmations
 from ebonystream.composition._moves import (
     finish_moves,
     judge_moves,
-    list_confirmations,
     watch_returns,
 )
 from ebonystream.composition._parts import Parts, convert_ms
--- a/src/ebonystream/composition/_serverwords.py
+++ b/src/ebonystream/composition/_serverwords.py
@@ -3,11 +3,12 @@
 from collections.abc import Iterable, Iterator
 
 from ebonystream._ids import HostId
-from ebonystream.backend import ServerPhase, Standing
+from ebonystream.backend import Directory, ServerPhase, Standing
 from ebonystream.composition._servers import ServerRules
 from ebonystream.membership import HeartbeatContents
 from ebonystream.peer import (
     Heartbeat,
+    ServerLoad,
     ServerStanding,
     VersionBrake,
     VersionEvidence,
@@ -15,13 +16,17 @@
 from ebonystream.version import Brake, RouteEvidence, Tally
 
 
-def fill_server_words(rules: ServerRules) -> HeartbeatContents:
+def fill_server_words(
+    rules: ServerRules, directory: Directory
+) -> HeartbeatContents:
     """Give what the next heartbeat tells of backend servers.
 
     Args:
         rules: The rules of this host.
+        directory: The servers that are known.
     """
     return HeartbeatContents(
+        loads=tuple(_list_loads(rules, directory)),
         brakes=tuple(
             VersionBrake(one.move, one.version, one.reason)
             for one in rules.evidence.list_brakes()
@@ -44,6 +49,17 @@
     )
 
 
+def _list_loads(
+    rules: ServerRules, directory: Directory
+) -> Iterator[ServerLoad]:
+    """Give the servers that have calls, and the starting ones wanted here."""
+    wanted = rules.list_wanted()
+    for server in directory.servers.values():
+        starting = server.warmth.is_starting and server.id in wanted
+        if server.in_flight or starting:
+            yield ServerLoad(server.id, server.in_flight)
+
+
 def take_server_words(rules: ServerRules, heartbeat: Heartbeat) -> None:
     """Learn what a peer's heartbeat tells of backend servers.
 
--- a/tests/server_fakes.py
+++ b/tests/server_fakes.py
@@ -26,13 +26,14 @@
     LoadReport,
     ServerAddress,
     ServerState,
+    Wants,
     make_dispatch,
     make_placing,
     release_place,
 )
 from ebonystream.call import Answer, Call, CallKind
+from ebonystream.composition._fleet import FleetView
 from ebonystream.composition._servers import (
-    FleetView,
     ServerRules,
     make_server_rules,
 )
@@ -223,6 +224,7 @@
             loads.get(server, 0) for loads in heard.values()
         ),
         tell_peers=lambda: None,
+        wants=Wants(TIMERS),
     )
     rules = make_server_rules(
         directory=directory,
@@ -255,16 +257,18 @@
 async def gossip(hosts, random, *, period=0.25, delay=0.05):
     """Carry heartbeats, as they are spelled, between all hosts for ever."""
 
-    async def carry(sent, loads, sender, receiver):
+    async def carry(sent, sender, receiver):
         await trio.sleep(random.uniform(0, delay))
         heartbeat = msgspec.msgpack.decode(sent, type=Heartbeat)
         take_server_words(receiver.rules, heartbeat)
-        receiver.heard[sender.name] = loads
+        receiver.heard[sender.name] = {
+            load.server: load.in_flight for load in heartbeat.loads
+        }
 
     async with trio.open_nursery() as nursery:
         while True:
             for sender in hosts:
-                words = fill_server_words(sender.rules)
+                words = fill_server_words(sender.rules, sender.directory)
                 heartbeat = Heartbeat(
                     host=sender.name,
                     incarnation=sender.name,
@@ -273,11 +277,7 @@
                     **msgspec.structs.asdict(words),
                 )
                 sent = msgspec.msgpack.encode(heartbeat)
-                loads = {
-                    server.id: server.in_flight
-                    for server in sender.directory.servers.values()
-                }
                 for receiver in hosts:
                     if receiver is not sender:
-                        nursery.start_soon(carry, sent, loads, sender, receiver)
+                        nursery.start_soon(carry, sent, sender, receiver)
             await trio.sleep(period)
--- a/tests/test_server_rules.py
+++ b/tests/test_server_rules.py
@@ -10,6 +10,7 @@
 from ebonystream.backend import (
     ANSWERS_PER_STEP,
     CUT,
+    FIRST_ANSWERS,
     HANDOVER,
     NOT_SENT,
     Directory,
@@ -19,6 +20,7 @@
     Standing,
     StandingExchange,
     StartingRules,
+    Wants,
     Warmth,
     check_starting,
     chill_zone,
@@ -43,6 +45,7 @@
         count_elsewhere=lambda server: elsewhere,
         slots=SLOTS,
         timers=TIMERS,
+        wants=Wants(TIMERS),
     )
     return rules, directory.servers[ServerId(names[0])]
 
@@ -61,8 +64,8 @@
 REFUSES = make_attempt(refused=True)
 REFUSES_COLD = make_attempt(ServerState.COLD, refused=True)
 REFUSES_DRAINING = make_attempt(ServerState.DRAINING, refused=True)
-STEP = ANSWERS_PER_STEP
-WARM = [OK] * 2 * STEP
+STEP = FIRST_ANSWERS
+WARM = [OK] * (STEP + ANSWERS_PER_STEP)
 
 
 @pytest.mark.parametrize(
@@ -71,6 +74,7 @@
         ([], COLD, 1, 0),
         ([OK] * (STEP - 1), COLD, 1, 0),
         ([OK] * STEP, WARMING, 2, 0),
+        (WARM[1:], WARMING, 2, 0),
         (WARM, SERVING, 1, 0),
         ([NO_BOOT] * 2 * STEP, SERVING, 1, 0),
         ([SAYS_COLD] * 3 * STEP, COLD, 1, 0),
@@ -144,6 +148,16 @@
     assert begin(call, server) is (taken or (preferred and phase is COLD))
 
 
+async def test_a_service_without_lookups_warms_up(autojump_clock):
+    rules, server = make_rules(names=('s', 'other'))
+    rules.directory.servers[ServerId('other')].warmth.phase = SERVING
+    gate = make_starting_gate(rules)
+    learn(rules, server, OK)
+    assert not gate(make_call(kind=CallKind.ONCE), server)
+    await trio.sleep(0.1)
+    assert gate(make_call(kind=CallKind.ONCE), server)
+
+
 async def test_any_call_goes_where_all_servers_are_cold(autojump_clock):
     rules, server = make_rules(names=('s', 'other'))
     gate = make_starting_gate(rules)
