--- a/src/ebonystream/backend/__init__.py
+++ b/src/ebonystream/backend/__init__.py
@@ -42,6 +42,7 @@
 from ebonystream.backend._growth import (
     ANSWERS_PER_STEP,
     COLD_LIMIT,
+    FIRST_ANSWERS,
 )
 from ebonystream.backend._hedging import make_hedged_run
 from ebonystream.backend._learning import (
@@ -66,6 +67,7 @@
     TakeReport,
     make_report_taker,
 )
+from ebonystream.backend._wants import WANT_LENGTH, Wants, note_wants
 from ebonystream.backend._warmth import (
     ServerPhase,
     Warmth,
@@ -78,10 +80,12 @@
     'CUT',
     'FAILURES',
     'FAILURE_RATIO',
+    'FIRST_ANSWERS',
     'HANDOVER',
     'LEAVING_BOUND',
     'MAY_HAVE_RUN',
     'NOT_SENT',
+    'WANT_LENGTH',
     'WITHDRAWN',
     'Attempt',
     'AttemptKind',
@@ -106,6 +110,7 @@
     'StartingRules',
     'TakeReport',
     'UsualTimes',
+    'Wants',
     'Warmth',
     'check_starting',
     'chill_zone',
@@ -116,4 +121,5 @@
     'make_starting_begin',
     'make_starting_gate',
     'make_starting_observer',
+    'note_wants',
 )
--- a/src/ebonystream/backend/_cold.py
+++ b/src/ebonystream/backend/_cold.py
@@ -10,12 +10,16 @@
 from ebonystream.backend._dispatch import Begin, MayTake
 from ebonystream.backend._leaving import check_leaving, is_leaving
 from ebonystream.backend._server import BackendServer
+from ebonystream.backend._wants import Wants
 from ebonystream.backend._warmth import ServerPhase
 from ebonystream.call import Call, CallKind
 
 FIRST_CALL_ROOM = Seconds(0.5)
 """What a call's deadline must leave to be among a cold server's first."""
 
+PREFERENCE_WAIT = Seconds(0.1)
+"""How long a starting server is kept for calls that are fit for its first."""
+
 CountElsewhere = Callable[[ServerId], int]
 """Tells the calls of all other entry hosts that a server has in hand."""
 
@@ -30,6 +34,7 @@
         count_elsewhere: Tells what other hosts have in flight there.
         slots: Calls that a server works on at the same time.
         timers: Tells the time.
+        wants: Notes the starting servers that this host has calls for.
     """
 
     directory: Directory
@@ -37,6 +42,7 @@
     count_elsewhere: CountElsewhere
     slots: int
     timers: Timers
+    wants: Wants
 
 
 def make_starting_gate(rules: StartingRules) -> MayTake:
@@ -52,9 +58,10 @@
             return False
         if not warmth.is_starting:
             return True
+        rules.wants.note(server.id)
         if not _has_room(rules, server) or not rules.is_held(server):
             return False
-        return _is_fit_for_first(rules, call)
+        return _is_fit_for_first(rules, call) or _is_idle(rules, server)
 
     return may_take
 
@@ -73,6 +80,12 @@
     return not _is_served(rules.directory, call.service)
 
 
+def _is_idle(rules: StartingRules, server: BackendServer) -> bool:
+    growth = server.warmth.growth
+    called_at = max(growth.since, growth.answered_at)
+    return rules.timers.now() - called_at >= PREFERENCE_WAIT
+
+
 def _is_served(directory: Directory, service: ServiceName) -> bool:
     return any(
         server.warmth.phase is ServerPhase.SERVING and not is_leaving(server)
--- a/src/ebonystream/backend/_warmth.py
+++ b/src/ebonystream/backend/_warmth.py
@@ -126,7 +126,7 @@
         """
         if not self.is_starting or began < self.growth.since:
             return
-        grown = self.growth.add_answer(slots)
+        grown = self.growth.add_answer(slots, now)
         if grown or self.phase is ServerPhase.CONFIRMING:
             self._enter(ServerPhase.SERVING, now)
         elif self.growth.limit > COLD_LIMIT:
--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -6,6 +6,7 @@
 from ebonystream.backend import (
     Dispatch,
     make_dispatch,
+    note_wants,
 )
 from ebonystream.call import (
     CallKind,
@@ -89,7 +90,11 @@
     rules = parts.server_rules
     return make_dispatch(
         place=rules.guard(
-            guard_place(parts.policy.place, parts.zones_in_flight)
+            note_wants(
+                guard_place(parts.policy.place, parts.zones_in_flight),
+                parts.directory,
+                rules.view.wants,
+            )
         ),
         send=make_sender(pool=parts.pool, timers=parts.timers),
         observers=(
--- a/src/ebonystream/composition/_members.py
+++ b/src/ebonystream/composition/_members.py
@@ -6,9 +6,13 @@
 import msgspec
 import trio
 
-from ebonystream._ids import HostId
+from ebonystream._ids import HostId, Incarnation
 from ebonystream.composition._parts import Parts
 from ebonystream.composition._policy import take_policy_report
+from ebonystream.composition._serverwords import (
+    fill_server_words,
+    take_server_words,
+)
 from ebonystream.composition._slots import make_note_taker
 from ebonystream.membership import (
     FillHeartbeat,
@@ -126,7 +130,8 @@
 
 def _make_fill(parts: Parts) -> FillHeartbeat:
     def fill() -> HeartbeatContents:
-        return HeartbeatContents(
+        return msgspec.structs.replace(
+            fill_server_words(parts.server_rules),
             control_next=parts.control.next,
             keys_next=parts.grants.next,
             zones_in_flight=dict(parts.zones_in_flight.calls),
@@ -138,15 +143,29 @@
 
 
 def _make_take(parts: Parts) -> TakeHeartbeat:
+    lives: dict[HostId, Incarnation] = {}
+    rules = parts.server_rules
+
     def take(heartbeat: Heartbeat) -> None:
         parts.peers.membership.take_heartbeat(heartbeat, parts.timers.now())
-        table = parts.peers.membership.table
-        if table.find_host(heartbeat.incarnation) == heartbeat.host:
-            take_policy_report(parts.policy, heartbeat)
+        if not _is_believed(parts, heartbeat):
+            return
+        take_server_words(rules, heartbeat)
+        take_policy_report(parts.policy, heartbeat)
+        if lives.get(heartbeat.host) != heartbeat.incarnation:
+            lives[heartbeat.host] = heartbeat.incarnation
+            rules.standings.tell_all()
 
     return take
 
 
+def _is_believed(parts: Parts, heartbeat: Heartbeat) -> bool:
+    table = parts.peers.membership.table
+    member = table.peers.get(heartbeat.host)
+    life = None if member is None else member.life
+    return life is not None and life.newest is heartbeat
+
+
 async def _announce_leaving(parts: Parts) -> None:
     await parts.stopping.wait()
     parts.peers.membership.leave()
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -1,6 +1,5 @@
 """The parts that one entry host is made of."""
 
-import secrets
 import time
 from random import Random
 
@@ -11,11 +10,11 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import MS_PER_SECOND, Timers, start_timers
 from ebonystream.backend import Directory
-from ebonystream.composition._peers import Peers, make_peers
+from ebonystream.composition._fleet import make_fleet_view
+from ebonystream.composition._peers import Peers, draw_incarnation, make_peers
 from ebonystream.composition._policy import Policy, make_policy
 from ebonystream.composition._servers import (
     ServerRules,
-    make_lone_view,
     make_moves_view,
     make_server_rules,
 )
@@ -33,9 +32,6 @@
 from ebonystream.settings import Settings
 from ebonystream.upstream import ConnectionPool, PoolLimits
 
-INCARNATION_BYTES = 9
-"""Short, since each heartbeat carries it twice, and still never drawn again."""
-
 
 @attrs.frozen(kw_only=True)
 class Parts:
@@ -79,7 +75,7 @@
     """
     timers = start_timers(wall_clock=time.time)
     peer_traffic = Traffic()
-    incarnation = Incarnation(secrets.token_urlsafe(INCARNATION_BYTES))
+    incarnation = draw_incarnation()
     directory = Directory()
     control = Control()
     peers = make_peers(
@@ -87,7 +83,7 @@
     )
     server_rules = make_server_rules(
         directory=directory,
-        view=make_lone_view(),
+        view=make_fleet_view(peers.membership.table, timers),
         moves=make_moves_view(control),
         slots=settings.backends.slots,
         timers=timers,
@@ -99,7 +95,7 @@
         directory=directory,
         control=control,
         peers=peers,
-        may_take=server_rules.may_take,
+        rules=server_rules,
     )
     return Parts(
         settings=settings,
--- a/src/ebonystream/composition/_peers.py
+++ b/src/ebonystream/composition/_peers.py
@@ -1,5 +1,6 @@
 """Wires the ways to the other entry hosts; nothing runs yet."""
 
+import secrets
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from random import Random
@@ -19,6 +20,9 @@
 )
 from ebonystream.settings import PeerSettings, Settings
 
+INCARNATION_BYTES = 9
+"""Short, since each heartbeat carries it twice, and still never drawn again."""
+
 
 @attrs.frozen(kw_only=True)
 class Peers:
@@ -93,3 +97,8 @@
         period=Seconds(peers.heartbeat_ms / MS_PER_SECOND),
         silence=Seconds(peers.unreachable_after_ms / MS_PER_SECOND),
     )
+
+
+def draw_incarnation() -> Incarnation:
+    """Draw the name of this run of the host."""
+    return Incarnation(secrets.token_urlsafe(INCARNATION_BYTES))
--- a/src/ebonystream/composition/_policy.py
+++ b/src/ebonystream/composition/_policy.py
@@ -8,14 +8,17 @@
 from ebonystream.backend import (
     BackendServer,
     Directory,
-    MayTake,
     Observe,
     Place,
     UsualTimes,
 )
 from ebonystream.call import Call
 from ebonystream.composition._peers import Peers
-from ebonystream.composition._slots import make_exchange, make_registry
+from ebonystream.composition._servers import ServerRules
+from ebonystream.composition._slots import (
+    make_exchange,
+    make_registry,
+)
 from ebonystream.configuration import Control
 from ebonystream.peer import Heartbeat
 from ebonystream.plan import Guarantees, make_ranking
@@ -71,7 +74,7 @@
     directory: Directory,
     control: Control,
     peers: Peers,
-    may_take: MayTake,
+    rules: ServerRules,
 ) -> Policy:
     """Make the policy of one entry host; nothing runs yet.
 
@@ -81,11 +84,11 @@
         directory: The servers that are known.
         control: The configuration in force.
         peers: The other entry hosts.
-        may_take: Tells whether a server bears a call.
+        rules: What servers bear, and who may use starting ones.
     """
 
     def may_route(call: Call, server: BackendServer) -> bool:
-        return not control.is_out(server.zone) and may_take(call, server)
+        return not control.is_out(server.zone) and rules.may_take(call, server)
 
     usual = UsualTimes()
     guarantees = Guarantees()
@@ -101,7 +104,9 @@
         timers=timers,
         control=control,
         exchange=exchange,
-        registry=make_registry(settings, exchange, directory, peers),
+        registry=make_registry(
+            settings, exchange, directory, peers, rules.view.find_sponsor
+        ),
         guarantees=guarantees,
         usual=usual,
         prober=_make_prober(settings, directory, peers),
--- a/src/ebonystream/composition/_servers.py
+++ b/src/ebonystream/composition/_servers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ebonystream._ids import Seconds, ServerId
+from ebonystream._ids import Seconds
 from ebonystream._timers import Timers
 from ebonystream.backend import (
     BackendServer,
@@ -23,6 +23,7 @@
     make_starting_observer,
 )
 from ebonystream.call import Call
+from ebonystream.composition._fleet import FleetView
 from ebonystream.configuration import Control
 from ebonystream.crash import (
     CrashRules,
@@ -48,35 +49,6 @@
 SPONSOR_CHECK_PERIOD = Seconds(0.5)
 
 
-@attrs.frozen(kw_only=True)
-class FleetView:
-    """What the rules on servers ask of the other entry hosts.
-
-    Attributes:
-        is_sponsor: Tells whether this host is a server's sponsor. It looks at
-            the host list alone, so that hosts which do not reach one another
-            still agree.
-        is_alone: Tells whether no other entry host is listed.
-        count_elsewhere: Tells the calls of other hosts at a server.
-        tell_peers: Wakes the heartbeats.
-    """
-
-    is_sponsor: Callable[[ServerId], bool]
-    is_alone: Callable[[], bool]
-    count_elsewhere: Callable[[ServerId], int]
-    tell_peers: Callable[[], None]
-
-
-def make_lone_view() -> FleetView:
-    """Make the view of an entry host that has no peers."""
-    return FleetView(
-        is_sponsor=lambda server: True,
-        is_alone=lambda: True,
-        count_elsewhere=lambda server: 0,
-        tell_peers=lambda: None,
-    )
-
-
 def make_moves_view(control: Control) -> MovesView:
     """Make the view of what the control stream says of versions.
 
@@ -107,6 +79,7 @@
         sponsorship: Which servers this host is the sponsor of.
         standings: Tells peers of servers, and learns from them.
         suspects: Tells peers of crashes, and learns from them.
+        view: What is asked of the other entry hosts.
         guard: Makes a placing that refuses requests which crash servers.
         traffic: The version moves of this host.
         evidence: Tells peers of version moves, and learns from them.
@@ -118,6 +91,7 @@
     sponsorship: Sponsorship
     standings: StandingExchange
     suspects: SuspectExchange
+    view: FleetView
     guard: Callable[[Place], Place]
     traffic: VersionTraffic
     evidence: EvidenceExchange
@@ -149,6 +123,7 @@
         count_elsewhere=view.count_elsewhere,
         slots=slots,
         timers=timers,
+        wants=view.wants,
     )
     crash = CrashRules(
         suspects=SuspectTable(timers),
@@ -183,6 +158,7 @@
         sponsorship=sponsorship,
         standings=StandingExchange(directory, timers, random),
         suspects=SuspectExchange(crash.suspects, timers, random),
+        view=view,
         guard=partial(make_crash_guard, crash),
         traffic=versions.traffic,
         evidence=EvidenceExchange(versions.traffic),
--- a/src/ebonystream/composition/_serverwords.py
+++ b/src/ebonystream/composition/_serverwords.py
@@ -22,6 +22,7 @@
         rules: The rules of this host.
     """
     return HeartbeatContents(
+        wants=rules.view.wants.list_wanted(),
         brakes=tuple(
             VersionBrake(one.move, one.version, one.reason)
             for one in rules.evidence.list_brakes()
--- a/src/ebonystream/composition/_slots.py
+++ b/src/ebonystream/composition/_slots.py
@@ -24,6 +24,9 @@
 )
 from ebonystream.settings import Settings
 
+FindHome = Callable[[ServerId], HostId | None]
+"""Gives the entry host that is home to a server's slots."""
+
 SILENCE = 3
 """Seconds without news after which a slot is made again.
 
@@ -70,6 +73,7 @@
     exchange: SlotExchange,
     directory: Directory,
     peers: Peers,
+    find_sponsor: FindHome,
 ) -> SlotRegistry:
     """Make the registry of the slots that this host is home to.
 
@@ -78,11 +82,19 @@
         exchange: The slots of this host.
         directory: The servers that are known.
         peers: The other entry hosts.
+        find_sponsor: Gives the sponsor of a starting server, which alone may
+            use its slots and so is home to them.
     """
     table = peers.membership.table
 
+    def find_home(server_id: ServerId) -> HostId | None:
+        server = directory.servers.get(server_id)
+        if server is not None and server.warmth.is_starting:
+            return find_sponsor(server_id)
+        return table.find_owner(server_id)
+
     def get_confirmed(server: ServerId) -> Monotonic:
-        home = table.peers.get(table.find_owner(server) or table.own.host)
+        home = table.peers.get(find_home(server) or table.own.host)
         life = None if home is None else home.life
         return Monotonic(-1) if life is None else life.echoed_at
 
@@ -91,7 +103,7 @@
         directory=directory,
         slots=settings.backends.slots,
         overlap=settings.backends.queue,
-        find_home=table.find_owner,
+        find_home=find_home,
         get_confirmed=get_confirmed,
         get_silence=lambda: Seconds(SILENCE if table.peers else 0),
     )
--- a/src/ebonystream/membership/_contents.py
+++ b/src/ebonystream/membership/_contents.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ebonystream._ids import CustomerId, Offset, ZoneName
+from ebonystream._ids import CustomerId, Offset, ServerId, ZoneName
 from ebonystream.peer import (
     ServerLoad,
     ServerStanding,
@@ -27,6 +27,7 @@
         suspects: Fingerprints of requests that it saw end a server.
         standings: How far it would use backend servers, some of them.
         evidence: What it has seen of version moves.
+        wants: Starting servers that it has calls for.
         demands: Calls a second that come to it, by customer.
     """
 
@@ -38,6 +39,7 @@
     suspects: tuple[str, ...] = ()
     standings: tuple[ServerStanding, ...] = ()
     evidence: tuple[VersionEvidence, ...] = ()
+    wants: tuple[ServerId, ...] = ()
     demands: dict[CustomerId, float] = msgspec.field(default_factory=dict)
 
 
--- a/src/ebonystream/membership/_membership.py
+++ b/src/ebonystream/membership/_membership.py
@@ -110,6 +110,7 @@
             suspects=contents.suspects,
             standings=contents.standings,
             evidence=contents.evidence,
+            wants=contents.wants,
             demands=contents.demands,
         )
 
--- a/src/ebonystream/peer/_messages.py
+++ b/src/ebonystream/peer/_messages.py
@@ -109,6 +109,7 @@
         suspects: Fingerprints of requests that it saw end a server.
         standings: How far it would use backend servers, some of them.
         evidence: What it has seen of version moves.
+        wants: Starting servers that it has calls for.
         demands: Calls a second that come to it, by customer.
     """
 
@@ -127,6 +128,7 @@
     suspects: tuple[str, ...] = ()
     standings: tuple[ServerStanding, ...] = ()
     evidence: tuple[VersionEvidence, ...] = ()
+    wants: tuple[ServerId, ...] = ()
     demands: dict[CustomerId, float] = msgspec.field(default_factory=dict)
 
 
--- a/src/ebonystream/version/_progress.py
+++ b/src/ebonystream/version/_progress.py
@@ -18,10 +18,6 @@
 """
 
 
-NEAR_END = 0.95
-"""The part of the time to move after which a doubt no longer blocks it."""
-
-
 @attrs.define
 class RouteProgress:
     """One route of a move.
@@ -58,14 +54,6 @@
         """Whether the evidence suffices once the time to move is over."""
         return self.failures.is_late_alarm or self.latency.is_late_alarm
 
-    def is_blocked(self, elapsed: float) -> bool:
-        """Tell whether the evidence keeps the share from growing.
-
-        Args:
-            elapsed: The part of the time to move that is over.
-        """
-        return self.is_bad_at_end if elapsed >= NEAR_END else self.is_held
-
     def add(self, tally: Tally) -> None:
         """Take groups in, of this host or of a peer."""
         self.stage.groups += tally.groups
@@ -166,7 +154,7 @@
         elapsed = (now_ms - self.asked_ms) / length
         self.elapsed = elapsed
         for route in self.routes.values():
-            if not route.is_blocked(elapsed):
+            if not route.is_held:
                 route.stage.advance(elapsed)
         bad = _list_bad_at_end(self)
         if elapsed >= 1 and bad:
--- a/tests/server_fakes.py
+++ b/tests/server_fakes.py
@@ -26,11 +26,12 @@
     LoadReport,
     ServerAddress,
     ServerState,
+    Wants,
     make_dispatch,
 )
 from ebonystream.call import Answer, Call, CallKind
+from ebonystream.composition._fleet import FleetView
 from ebonystream.composition._servers import (
-    FleetView,
     ServerRules,
     make_server_rules,
 )
@@ -39,7 +40,7 @@
     take_server_words,
 )
 from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
-from ebonystream.peer import Heartbeat
+from ebonystream.peer import Heartbeat, ServerLoad
 from ebonystream.version import MovesView
 
 SERVICE = ServiceName('passes')
@@ -239,12 +240,14 @@
     directory = Directory()
     heard = {}
     view = FleetView(
+        find_sponsor=lambda server: name if is_sponsor(server) else None,
         is_sponsor=is_sponsor,
         is_alone=is_alone,
         count_elsewhere=lambda server: sum(
             loads.get(server, 0) for loads in heard.values()
         ),
         tell_peers=lambda: None,
+        wants=Wants(TIMERS),
     )
     rules = make_server_rules(
         directory=directory,
@@ -272,16 +275,24 @@
 async def gossip(hosts, random, *, period=0.25, delay=0.05):
     """Carry heartbeats, as they are spelled, between all hosts for ever."""
 
-    async def carry(sent, loads, sender, receiver):
+    async def carry(sent, sender, receiver):
         await trio.sleep(random.uniform(0, delay))
         heartbeat = msgspec.msgpack.decode(sent, type=Heartbeat)
         take_server_words(receiver.rules, heartbeat)
-        receiver.heard[sender.name] = loads
+        receiver.heard[sender.name] = {
+            load.server: load.in_flight for load in heartbeat.loads
+        }
 
     async with trio.open_nursery() as nursery:
         while True:
             for sender in hosts:
-                words = fill_server_words(sender.rules)
+                words = msgspec.structs.replace(
+                    fill_server_words(sender.rules),
+                    loads=tuple(
+                        ServerLoad(server.id, server.in_flight)
+                        for server in sender.directory.servers.values()
+                    ),
+                )
                 heartbeat = Heartbeat(
                     host=sender.name,
                     incarnation=sender.name,
@@ -290,11 +301,7 @@
                     **msgspec.structs.asdict(words),
                 )
                 sent = msgspec.msgpack.encode(heartbeat)
-                loads = {
-                    server.id: server.in_flight
-                    for server in sender.directory.servers.values()
-                }
                 for receiver in hosts:
                     if receiver is not sender:
-                        nursery.start_soon(carry, sent, loads, sender, receiver)
+                        nursery.start_soon(carry, sent, sender, receiver)
             await trio.sleep(period)
--- a/tests/server_mutations.py
+++ b/tests/server_mutations.py
@@ -62,8 +62,8 @@
     ),
     'time grows what a server bears': Mutation(
         'backend/_growth.py',
-        'if self.answers < ANSWERS_PER_STEP:',
-        'if False:',
+        'return False\n        if self.limit',
+        'self.answers = 0\n        if self.limit',
         RULES,
     ),
     'a new run is not seen': Mutation(
