Assert that no call gets a slot past its deadline

Cause: the promise was kept by a look at the clock and asserted nowhere. Change: an assertion where a call gets its slot, and a test of its own, for the long runs do not come to that moment.

--- a/src/ebonystream/routing/_exchange.py
+++ b/src/ebonystream/routing/_exchange.py
@@ -181,14 +181,15 @@
     def _admit(
         self, slots: ServiceSlots, free: list[Slot], waiting: Waiting
     ) -> bool:
-        if waiting.call.deadline <= self.timers.now():
+        now = self.timers.now()
+        if waiting.call.deadline <= now:
             slots.line.leave(waiting)
             waiting.refuse(EbonystreamError(ErrorKind.DEADLINE_EXPIRED))
             return True
-        choice = self.choose(free, waiting, self.timers.now())
+        choice = self.choose(free, waiting, now)
         if choice is None:
             return False
-        slots.admit(waiting, choice.slot)
+        slots.admit(waiting, choice.slot, now)
         return True
 
     def _give(
--- a/src/ebonystream/routing/_service.py
+++ b/src/ebonystream/routing/_service.py
@@ -52,11 +52,11 @@
         self.ask_at = Monotonic(now + self.ask_wait)
         self.ask_wait = Seconds(min(LONGEST_ASK_WAIT, 2 * self.ask_wait))
 
-    def admit(self, waiting: Waiting, slot: Slot) -> None:
+    def admit(self, waiting: Waiting, slot: Slot, now: Monotonic) -> None:
         """Give a free slot to a call that waits."""
         self.line.leave(waiting)
         self.held.begin(slot)
-        waiting.admit(slot)
+        waiting.admit(slot, now)
 
     def give(self, slot: Slot, ask: PeerAsk, now: Monotonic) -> GrantSlot:
         """Hand a free slot over to a peer, and make the message for it.
--- a/src/ebonystream/routing/_waiting.py
+++ b/src/ebonystream/routing/_waiting.py
@@ -37,8 +37,9 @@
         """Give what decides who goes first: plan, deadline, arrival."""
         return self.rank, self.call.deadline, self.since
 
-    def admit(self, slot: Slot) -> None:
+    def admit(self, slot: Slot, now: Monotonic) -> None:
         """End the wait with a slot."""
+        assert now < self.call.deadline, 'a call is placed past its deadline'
         self.slot = slot
         self.wake()
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -26,6 +26,7 @@
     SlotExchange,
     SlotPeer,
     SlotRegistry,
+    Waiting,
     make_choosing,
     make_learning,
     make_placing,
@@ -357,3 +358,27 @@
             kind = error.kind
         assert kind is (None if placed else ErrorKind.DEADLINE_EXPIRED)
         nursery.cancel_scope.cancel()
+
+
+async def test_a_slot_that_comes_past_the_deadline_is_not_taken(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        world = World(nursery, hosts=1, servers=1, seed=1)
+        nursery.start_soon(world.gossip)
+        await trio.sleep(4)
+        for _ in range(SLOTS):
+            nursery.start_soon(world.call, 'h0', 1)
+        await trio.sleep(0.1)
+        waiting = Waiting(
+            call=make_call(trio.current_time() + 0.5),
+            tried=frozenset(),
+            rank=0,
+            since=trio.current_time(),
+            wake=lambda: None,
+        )
+        exchange = world.hosts['h0'][0]
+        exchange.shed = lambda slots, now: None
+        exchange.get_service('s').line.join(waiting)
+        await trio.sleep(2)
+        assert waiting.slot is None
+        assert waiting.error.kind is ErrorKind.DEADLINE_EXPIRED
+        nursery.cancel_scope.cancel()
