--- a/tests/test_peer_processes.py
+++ b/tests/test_peer_processes.py
@@ -17,7 +17,11 @@
 from standins.demoplan import make_lists
 from standins.operation import publish
 from standins.processes import start_program
-from standins.startup import _spell_entries, _spell_platform
+from standins.startup import (
+    _spell_backends,
+    _spell_entries,
+    _spell_platform,
+)
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 A, B, C = (f'entry-{zone}' for zone in ZONES)
@@ -71,6 +75,12 @@
             return None
         return answer.json()
 
+    async def read_metrics(self, name):
+        """Read the metrics of a host, without the labels."""
+        async with httpx.AsyncClient() as client:
+            answer = await client.get(f'{self.admins[name]}/metrics')
+        return answer.text.replace('{}', '')
+
     async def wait_for(self, name, path, is_reached):
         """Poll until an answer is as wanted; the number of polls is bounded."""
         told = None
@@ -102,12 +112,12 @@
 
 
 @asynccontextmanager
-async def open_processes(directory):
+async def open_processes(directory, services=()):
     laid_out = lay_out(
-        directory, zones=ZONES, services=(), limits=BackendSettings()
+        directory, zones=ZONES, services=services, limits=BackendSettings()
     )
     async with trio.open_nursery() as nursery:
-        for program in _spell_platform(laid_out):
+        for program in (*_spell_platform(laid_out), *_spell_backends(laid_out)):
             await start_program(nursery, program, directory)
         hosts = Hosts(laid_out)
         try:
@@ -130,6 +140,7 @@
     """Paused, killed and started anew, and asked to stop."""
     async with open_processes(tmp_path) as hosts:
         first = await hosts.wait_for_states(A, b='reachable')
+        assert 'ebonystream_hosts_fit 3' in await hosts.read_metrics(A)
         hosts.running[B].send_signal(signal.SIGSTOP)
         await hosts.wait_for_states(A, b='unreachable', c='reachable')
         hosts.running[B].send_signal(signal.SIGCONT)
