--- /dev/null
+++ b/features/steps/keys.py
@@ -0,0 +1,99 @@
+"""Steps for calls that must run once, on one owner and virtual time."""
+
+from random import Random
+
+import msgspec
+import trio
+import trio.testing
+from behave import given, then, when
+
+from ebonystream._timers import Timers
+from ebonystream.backend import CUT, Attempt, AttemptKind
+from ebonystream.call import Answer
+from ebonystream.errors import Outcome
+from ebonystream.ownership import (
+    SLICES,
+    Claim,
+    Grants,
+    Ledger,
+    Owner,
+    Span,
+    make_key,
+    make_owned_run,
+)
+from ebonystream.platform import LogRecord
+from standins.keyhosts import EPOCH_S, make_booking, read_epoch_ms
+
+DONE = Answer(outcome=Outcome.RAN, status=200, headers=(), body=b'booked')
+ENDS = {
+    'answers': Attempt(AttemptKind.ANSWERED, DONE),
+    'refuses': Attempt(AttemptKind.REFUSED),
+    'runs and cuts off': CUT,
+}
+
+
+@given('a backend server that {ends} the call')
+def set_backend(context, ends):
+    context.attempt = ENDS[ends]
+    context.ran = 0
+    context.answers = []
+
+
+@when('the booking is sent {sends:d} times under one key {how}')
+def send(context, sends, how):
+    pause = 1.0 if how == 'in turn' else 0.0
+    trio.run(
+        send_all,
+        context,
+        sends,
+        pause,
+        clock=trio.testing.MockClock(autojump_threshold=0),
+    )
+
+
+async def send_all(context, sends, pause):
+    async with trio.open_nursery() as nursery:
+        run = make_owned_run(make_owner(context, nursery))
+        key = make_key(read_epoch_ms(), Random(0))
+        for _ in range(sends):
+            nursery.start_soon(send_one, context, run, key)
+            await trio.sleep(pause)
+
+
+async def send_one(context, run, key):
+    context.answers.append(await run(make_booking(key, timeout_s=9)))
+
+
+def make_owner(context, nursery):
+    now = read_epoch_ms()
+    grants = Grants(keep_ms=1000)
+    spans = tuple(Span(n, now - 1000, now + 60_000) for n in range(SLICES))
+    claim = msgspec.json.encode(Claim('me', spans))
+    grants.fold(LogRecord(0, now, claim))
+
+    async def dispatch(call, tried):
+        tried.add(len(tried))
+        context.ran += context.attempt.kind is not AttemptKind.REFUSED
+        await trio.sleep(0.2)
+        return context.attempt
+
+    return Owner(
+        incarnation='me',
+        grants=grants,
+        ledger=Ledger(max_bytes=9999),
+        dispatch=dispatch,
+        timers=Timers(epoch_at_zero=EPOCH_S),
+        running=nursery,
+    )
+
+
+@then('the backend server ran it {runs:d} times')
+def check_runs(context, runs):
+    assert context.ran == runs, context.ran
+
+
+@then('each send reads the outcome "{outcome}"')
+def check_outcomes(context, outcome):
+    told = {answer.outcome.value for answer in context.answers}
+    assert told == {outcome}, told
+    assert len({answer.body for answer in context.answers}) == 1
--- /dev/null
+++ b/features/steps/publishing.py
@@ -0,0 +1,48 @@
+"""Steps for operators who publish."""
+
+import msgspec
+from behave import given, then, when
+
+from ebonystream.configuration import Control, Publish
+from ebonystream.platform import LogRecord
+
+LISTS = {'customers': [], 'plans': []}
+
+
+def publish(context, request, based_on):
+    body = msgspec.json.encode(Publish(request, based_on, LISTS))
+    offset = context.control.next
+    context.control.fold(LogRecord(offset=offset, at=1 + offset, body=body))
+
+
+@given('version {version:d} of the lists is in force')
+def set_version(context, version):
+    context.control = Control()
+    for based_on in range(version):
+        publish(context, f'earlier {based_on}', based_on)
+
+
+@when('{operator} publishes based on version {version:d}')
+def publish_lists(context, operator, version):
+    publish(context, operator, version)
+
+
+@then('version {version:d} of the lists is in force')
+def check_version(context, version):
+    assert context.control.version == version
+
+
+@then('the losers are "{losers}"')
+def check_losers(context, losers):
+    check_rejected(context, losers.split())
+
+
+@then('the losers are ""')
+def check_no_losers(context):
+    check_rejected(context, [])
+
+
+def check_rejected(context, losers):
+    decided = context.control.folded.decisions.by_request
+    rejected = [name for name, one in decided.items() if not one.accepted]
+    assert sorted(rejected) == losers, rejected
