List each field of the two lists with its default and range

Cause: operators write the two lists by hand, and no page named their fields. Ruled out: leaving it to the OpenAPI description: it gives the lists as an object of any shape.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -89,6 +89,12 @@
 
 def spell_range(rules):
     rules = rules.get('anyOf', [rules])[0]
+    if rules.get('type') == 'boolean':
+        return 'true or false'
+    if 'enum' in rules:
+        return ', '.join(f'`{one}`' for one in rules['enum'])
+    if 'exclusiveMinimum' in rules:
+        return f'above {rules["exclusiveMinimum"]} to {rules["maximum"]}'
     if 'minimum' in rules:
         return f'{rules["minimum"]} to {rules.get("maximum", "")}'.strip()
     if 'minLength' in rules:
@@ -100,7 +106,8 @@
 def spell_default(rules):
     if 'default' not in rules:
         return 'required'
-    return 'none' if rules['default'] is None else str(rules['default'])
+    default = rules['default']
+    return 'none' if default is None else str(default).lower()
 
 
 def test_each_error_is_in_the_table():
@@ -138,6 +145,29 @@
     ]
 
 
+def list_fields(shape, prefix=''):
+    """Give the fields of the two lists, by the path that leads to them."""
+    schema = Lists.model_json_schema()
+    for name, rules in shape['properties'].items():
+        target = rules.get('items', rules).get('$ref', '').split('/')[-1]
+        found = schema['$defs'].get(target, rules)
+        if 'properties' in found:
+            yield from list_fields(found, f'{prefix}{name}[].')
+        else:
+            yield f'{prefix}{name}', found
+
+
+def test_each_field_of_the_lists_is_in_the_table():
+    told = [
+        (row[0].removeprefix('| '), *row[1:3])
+        for row in list_rows(REFERENCE, 'field')
+    ]
+    assert told == [
+        (f'`{name}`', spell_default(rules), spell_range(rules))
+        for name, rules in list_fields(Lists.model_json_schema())
+    ]
+
+
 def list_commands(group, prefix):
     for name, command in group.commands.items():
         if hasattr(command, 'commands'):
