--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -6,7 +6,6 @@
 from ebonystream.backend import (
     Dispatch,
     make_dispatch,
-    make_idempotent_run,
 )
 from ebonystream.call import (
     CallKind,
@@ -16,9 +15,11 @@
     make_serving,
 )
 from ebonystream.caller import CallerLimits, CallerListener
+from ebonystream.composition._bought import make_bought_run
 from ebonystream.composition._moves import guard_place, make_zone_observer
 from ebonystream.composition._ownership import Ownership
 from ebonystream.composition._parts import Parts, convert_ms
+from ebonystream.composition._probes import make_hearing
 from ebonystream.configuration import PlanClass
 from ebonystream.http1 import ReaderLimits
 from ebonystream.observation import log_attempt, observe_run, observe_serve
@@ -57,10 +58,8 @@
     parts: Parts, dispatch: Dispatch, ownership: Ownership
 ) -> Serve:
     runs = {
-        CallKind.IDEMPOTENT: make_idempotent_run(
-            dispatch=dispatch,
-            timers=parts.timers,
-            count_retries=lambda call: 0,
+        CallKind.IDEMPOTENT: make_bought_run(
+            parts.policy, dispatch, parts.control
         ),
         CallKind.ONCE: ownership.run,
     }
@@ -95,6 +94,7 @@
         send=make_sender(pool=parts.pool, timers=parts.timers),
         observers=(
             parts.policy.learn,
+            make_hearing(parts.policy.prober, parts.timers),
             make_zone_observer(parts.zones_in_flight),
             parts.metrics.count_attempt,
             log_attempt,
