--- a/src/ebonystream/configuration/__init__.py
+++ b/src/ebonystream/configuration/__init__.py
@@ -11,6 +11,7 @@
 from ebonystream.configuration._lists import (
     CustomerPlan,
     Lists,
+    Method,
     PlanAllowance,
     PlanClass,
     Route,
@@ -42,6 +43,7 @@
     'Decision',
     'Following',
     'Lists',
+    'Method',
     'PlanAllowance',
     'PlanClass',
     'PlanTable',
--- a/tools/standins/load.py
+++ b/tools/standins/load.py
@@ -15,6 +15,7 @@
 import trio
 from uuid6 import uuid7
 
+from ebonystream.configuration import Method
 from standins.backend import Echo
 from standins.client import Client, ConnectionLost, Reply, connect, fetch
 
@@ -59,7 +60,7 @@
     customer: str
     route: str
     service: str
-    method: str
+    method: Method
     target: str
     once: bool
     share: int
