Spend less on control: remember what every heartbeat says and who sponsors

Cause: a profile of one of 16 idle hosts: a third of its time chose sponsors anew for each slot and each peer, a sixth spelled the same heartbeat for each peer, and the platform was polled more often than anything needs. Ruled out: fewer heartbeats: the leases of slots would run out between them. Change: a choice of sponsor is remembered for 100 ms and the contents of a heartbeat for 10 ms; reads at the end of a stream wait 5 s; the host list is read every second; claims are looked at every second.

--- a/src/ebonystream/composition/_fleet.py
+++ b/src/ebonystream/composition/_fleet.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ebonystream._ids import HostId, Seconds, ServerId
+from ebonystream._memo import Memo
 from ebonystream._timers import Timers
 from ebonystream.backend import Wants
 from ebonystream.membership import MemberState, MemberTable, choose_first
@@ -16,6 +17,10 @@
 Until then hosts agree on sponsors by the host list, whomever they reach.
 """
 
+SPONSOR_AGE = Seconds(0.1)
+"""How long a choice of sponsor is remembered: far less than a new sponsor
+waits before its first call."""
+
 STOPPING = frozenset((MemberState.LEAVING, MemberState.GONE))
 
 
@@ -54,7 +59,7 @@
     """
     wants = Wants(timers)
 
-    def find_sponsor(server: ServerId) -> HostId | None:
+    def choose_sponsor(server: ServerId) -> HostId | None:
         peers = list(_list_sponsoring(table, timers))
         fit = peers if table.leaving else [table.own.host, *peers]
         wanting = _list_wanting(table, server)
@@ -64,6 +69,8 @@
             fit = [host for host in fit if host in wanting] or fit
         return choose_first(fit, f'server {server}')
 
+    sponsors = Memo(ask=choose_sponsor, length=SPONSOR_AGE, timers=timers)
+
     def count_elsewhere(server: ServerId) -> int:
         return sum(
             load.in_flight
@@ -77,8 +84,8 @@
             member.wake.notify()
 
     return FleetView(
-        find_sponsor=find_sponsor,
-        is_sponsor=lambda server: find_sponsor(server) == table.own.host,
+        find_sponsor=sponsors.get,
+        is_sponsor=lambda server: sponsors.get(server) == table.own.host,
         is_alone=lambda: (
             not any(member.listed for member in table.peers.values())
         ),
--- a/src/ebonystream/composition/_members.py
+++ b/src/ebonystream/composition/_members.py
@@ -6,7 +6,9 @@
 import msgspec
 import trio
 
-from ebonystream._ids import HostId, Incarnation
+from ebonystream._ids import HostId, Incarnation, Seconds
+from ebonystream._memo import Memo
+from ebonystream._timers import MS_PER_SECOND
 from ebonystream.composition._parts import Parts
 from ebonystream.composition._policy import take_policy_report
 from ebonystream.composition._serverwords import (
@@ -30,6 +32,9 @@
 
 TakeHeartbeat = Callable[[Heartbeat], None]
 
+CONTENTS_AGE = Seconds(10 / MS_PER_SECOND)
+"""How old the contents of a heartbeat may be when it is sent."""
+
 
 async def keep_peers(parts: Parts, answer_call: AnswerCall) -> None:
     """Keep up with the other entry hosts, for ever.
@@ -129,7 +134,7 @@
 
 
 def _make_fill(parts: Parts) -> FillHeartbeat:
-    def fill() -> HeartbeatContents:
+    def fill(own: HostId) -> HeartbeatContents:
         return msgspec.structs.replace(
             fill_server_words(parts.server_rules),
             control_next=parts.control.next,
@@ -139,7 +144,9 @@
             demands=parts.policy.guarantees.report(),
         )
 
-    return fill
+    # Heartbeats to all peers go out together and say the same.
+    contents = Memo(ask=fill, length=CONTENTS_AGE, timers=parts.timers)
+    return lambda: contents.get(parts.settings.host.id)
 
 
 def _make_take(parts: Parts) -> TakeHeartbeat:
--- a/src/ebonystream/ownership/_claims.py
+++ b/src/ebonystream/ownership/_claims.py
@@ -22,7 +22,7 @@
 )
 from ebonystream.platform import LogService
 
-CLAIM_PERIOD = Seconds(0.5)
+CLAIM_PERIOD = Seconds(1.0)
 
 REACH_BACK_MS = MAX_BACK_MS // 2
 """How far a claim reaches back, for callers whose clocks are behind."""
--- a/src/ebonystream/settings/_settings.py
+++ b/src/ebonystream/settings/_settings.py
@@ -132,7 +132,7 @@
         StreamName('keys')
     )
     timeout_ms: Milliseconds = 2000
-    poll_wait_ms: Milliseconds = 1000
+    poll_wait_ms: Milliseconds = 5000
     retention_ms: Annotated[int, Field(ge=60_000)] = 86_400_000
 
 
@@ -140,7 +140,7 @@
     """The platform's host list."""
 
     url: Annotated[str, Field(pattern='^https?://[^/]+$')]
-    refresh_ms: Milliseconds = 500
+    refresh_ms: Milliseconds = 1000
     timeout_ms: Milliseconds = 2000
 
 
