--- a/src/ebonystream/routing/_registry.py
+++ b/src/ebonystream/routing/_registry.py
@@ -16,7 +16,6 @@
     Seconds,
     ServerId,
     ServiceName,
-    SlotNumber,
 )
 from ebonystream.backend import (
     BackendServer,
@@ -25,6 +24,11 @@
 from ebonystream.peer import GrantSlot, ServerLoad, SlotClaim
 from ebonystream.routing._exchange import SlotExchange
 from ebonystream.routing._service import LONGEST_LEASE
+from ebonystream.routing._sightings import (
+    Sighting,
+    list_keys,
+    list_servers,
+)
 from ebonystream.routing._slots import Slot, SlotKey
 
 NO_HOST = HostId('')
@@ -37,19 +41,6 @@
 """How far a slot that is made again is ahead of its lost copy."""
 
 
-@attrs.define
-class Sighting:
-    """When a slot was last known to be held.
-
-    Attributes:
-        at: When that was, or when this host became home to it.
-        sequence: How often it had changed hands.
-    """
-
-    at: Monotonic
-    sequence: int = -1
-
-
 @attrs.define(kw_only=True)
 class SlotRegistry:
     """What this host knows of slots that it is home to.
@@ -91,7 +82,7 @@
             if _is_home(self, server.id):
                 self._make_missing(server)
             else:
-                for key in _list_keys(server, self.slots + self.overlap):
+                for key in list_keys(server, self.slots + self.overlap):
                     self.sightings.pop(key, None)
 
     def report(self) -> tuple[ServerLoad, ...]:
@@ -112,7 +103,7 @@
                 held=tuple(claims[server.id]),
                 known=tuple(known[server.id]),
             )
-            for server in _list_servers(
+            for server in list_servers(
                 self.directory, claims.keys() | known.keys()
             )
         )
@@ -163,7 +154,7 @@
     def _make_missing(self, server: BackendServer) -> None:
         now = self.exchange.timers.now()
         held = self.exchange.get_service(server.service).held
-        for key in _list_keys(server, self.slots + self.overlap):
+        for key in list_keys(server, self.slots + self.overlap):
             slot = held.slots.get(key)
             if slot is not None:
                 slot.until = Monotonic(now + LONGEST_LEASE)
@@ -220,17 +211,6 @@
         self.exchange.send(home, grant)
 
 
-def _list_servers(
-    directory: Directory, names: Iterable[ServerId]
-) -> list[BackendServer]:
-    servers = directory.servers
-    return [servers[name] for name in sorted(names) if name in servers]
-
-
-def _list_keys(server: BackendServer, count: int) -> list[SlotKey]:
-    return [(server.id, SlotNumber(number)) for number in range(count)]
-
-
 def _is_useless(registry: SlotRegistry, server: BackendServer) -> bool:
     """Tell whether this host should hand a server's free slots to its home.
 
