Compare one whole session byte for byte

Cause: the users ask for golden files of whole sessions. Ruled out: recording over processes: clocks and ports differ.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,9 @@
 measure: install
 	$(PY) -m measure --plots docs/plots
 
+golden: install
+	GOLDEN=regenerate $(PY) -m pytest tests/test_golden_session.py
+
 soak: install
 	SEEDS=$(SEEDS) $(PY) -m pytest -s tests/test_once_everywhere.py \
 		tests/test_control_run.py::test_run
