Log why each call went where it went, and show what probes cost

Cause: operators were promised the reason of each decision and the cost of measuring; the reason was made and dropped, the cost only counted. Change: a line "placing" in each call's action with server, reason, rank and wait; a gauge of the server time that probes cost. Ruled out: the reason on the attempt: an attempt does not know it. Each placed call of the slot tests now has its reason.

--- a/src/ebonystream/composition/_gauges.py
+++ b/src/ebonystream/composition/_gauges.py
@@ -31,6 +31,7 @@
         'ebonystream_platform_sent_bytes': 'Bytes sent to the platform.',
         'ebonystream_platform_received_bytes': 'Bytes got from the platform.',
         'ebonystream_connections_opened': 'Connections opened to servers.',
+        'ebonystream_probe_milliseconds': 'Server time spent by probes.',
         'ebonystream_keys_remembered': 'Keys whose outcome is remembered.',
         'ebonystream_keys_bytes': 'Memory of remembered outcomes.',
         'ebonystream_configuration_version': 'The version in force.',
@@ -41,6 +42,7 @@
 def _list_gauges(parts: Parts) -> Mapping[str, ReadGauge]:
     peers = parts.peer_traffic
     platform = parts.platform_traffic
+    probes = parts.policy.prober.budget
     drops = parts.peers.exchange.drops
     membership = parts.peers.membership
     return {
@@ -54,6 +56,7 @@
         'ebonystream_platform_sent_bytes': lambda: platform.sent,
         'ebonystream_platform_received_bytes': lambda: platform.received,
         'ebonystream_connections_opened': lambda: parts.pool.opened,
+        'ebonystream_probe_milliseconds': lambda: sum(probes.spent_ms.values()),
         'ebonystream_keys_remembered': lambda: len(parts.ledger.entries),
         'ebonystream_keys_bytes': lambda: parts.ledger.used_bytes,
         'ebonystream_configuration_version': lambda: parts.control.version,
--- a/src/ebonystream/composition/_policy.py
+++ b/src/ebonystream/composition/_policy.py
@@ -1,5 +1,7 @@
 """Wires the policy under load: slots, routing and what is learned of both."""
 
+from functools import partial
+
 import attrs
 import trio
 
@@ -20,6 +22,7 @@
     make_registry,
 )
 from ebonystream.configuration import Control
+from ebonystream.observation import log_placing
 from ebonystream.peer import Heartbeat
 from ebonystream.plan import Guarantees, make_ranking
 from ebonystream.probe import ProbeBudget, Prober
@@ -115,6 +118,7 @@
             exchange=exchange,
             directory=directory,
             is_out=control.is_out,
+            note=partial(log_placing, timers),
             rank=make_ranking(
                 get_plans=control.get_plans,
                 guarantees=guarantees,
--- a/src/ebonystream/observation/__init__.py
+++ b/src/ebonystream/observation/__init__.py
@@ -2,6 +2,7 @@
 
 from ebonystream.observation._calls import (
     log_attempt,
+    log_placing,
     observe_run,
     observe_serve,
 )
@@ -19,6 +20,7 @@
     'Traffic',
     'count_transport',
     'log_attempt',
+    'log_placing',
     'make_traffic_hooks',
     'observe_run',
     'observe_serve',
--- a/src/ebonystream/routing/__init__.py
+++ b/src/ebonystream/routing/__init__.py
@@ -2,7 +2,6 @@
 
 from ebonystream.routing._choice import (
     Choice,
-    ChoiceReason,
     make_choosing,
 )
 from ebonystream.routing._exchange import (
@@ -17,6 +16,7 @@
     make_learning,
     make_placing,
 )
+from ebonystream.routing._reason import ChoiceReason
 from ebonystream.routing._registry import RETURNED, SlotRegistry
 from ebonystream.routing._service import (
     ServiceSlots,
--- a/src/ebonystream/routing/_choice.py
+++ b/src/ebonystream/routing/_choice.py
@@ -1,6 +1,5 @@
 """The choice of a slot for a call, with its reason."""
 
-import enum
 from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
@@ -11,6 +10,7 @@
     BackendServer,
     MayTake,
 )
+from ebonystream.routing._reason import ChoiceReason
 from ebonystream.routing._slots import Slot
 from ebonystream.routing._waiting import Waiting
 
@@ -18,18 +18,6 @@
 """How long a call waits for a slot before it may overlap, in seconds."""
 
 
-class ChoiceReason(enum.Enum):
-    """Why a call went where it went."""
-
-    OWN_ZONE = 'own_zone'
-    SPILLED = 'spilled'
-    OVERLAP = 'overlap'
-    """All slots are busy: the call fills the gap between two others."""
-
-    TRIAL = 'trial'
-    """A server that was slow gets one call to show that it recovered."""
-
-
 @attrs.frozen
 class Choice:
     """A slot for a call.
--- a/src/ebonystream/routing/_exchange.py
+++ b/src/ebonystream/routing/_exchange.py
@@ -189,6 +189,7 @@
         choice = self.choose(free, waiting, now)
         if choice is None:
             return False
+        waiting.reason = choice.reason
         slots.admit(waiting, choice.slot, now)
         return True
 
--- a/src/ebonystream/routing/_placing.py
+++ b/src/ebonystream/routing/_placing.py
@@ -26,12 +26,17 @@
 """Gives a call's place by plan; 0 goes first."""
 
 
+NotePlaced = Callable[[Waiting, BackendServer], None]
+"""Sees a call that got a slot at a server."""
+
+
 def make_placing(
     *,
     exchange: SlotExchange,
     directory: Directory,
     is_out: Callable[[ZoneName], bool],
     rank: Rank,
+    note: NotePlaced,
     timers: Timers,
 ) -> Place:
     """Make the function that finds a server for a call.
@@ -44,6 +49,7 @@
         directory: The servers that are known.
         is_out: Tells whether operators took a zone out.
         rank: Gives a call's place by plan.
+        note: Sees each call that got a slot, with the reason.
         timers: Tells the time.
     """
 
@@ -64,6 +70,7 @@
             join(exchange, waiting, directory, is_usable)
             server = await _wait_safely(exchange, waiting, event)
             if not is_out(server.zone):
+                note(waiting, server)
                 return server
             # The zone went out between the slot and this task's turn.
             exchange.end(server)
--- a/src/ebonystream/routing/_waiting.py
+++ b/src/ebonystream/routing/_waiting.py
@@ -8,6 +8,7 @@
 from ebonystream._ids import Monotonic, ServerId
 from ebonystream.call import Call
 from ebonystream.errors import EbonystreamError
+from ebonystream.routing._reason import ChoiceReason
 from ebonystream.routing._slots import Slot
 
 
@@ -22,6 +23,7 @@
         since: When it came.
         wake: Called once, when the wait has ended either way.
         slot: The slot that it got.
+        reason: Why it got that slot.
         error: Why it gets none.
     """
 
@@ -31,6 +33,7 @@
     since: Monotonic
     wake: Callable[[], None]
     slot: Slot | None = None
+    reason: ChoiceReason | None = None
     error: EbonystreamError | None = None
 
     def order(self) -> tuple[int, Monotonic, Monotonic]:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -133,6 +133,7 @@
             directory=directory,
             is_out=lambda zone: zone in self.out,
             rank=lambda call: 0,
+            note=self.note_placing,
             timers=self.timers,
         )
         learn = make_learning(
@@ -140,6 +141,10 @@
         )
         return exchange, registry, place, learn
 
+    def note_placing(self, waiting, server):
+        """Check that each call that got a slot tells why."""
+        assert waiting.reason is not None
+
     def may_take(self, call, server):
         """Tell whether servers bear a call yet."""
         return trio.current_time() >= self.bears_from
