Show over processes that a planned stop cuts no call

Cause: the promise was shown in memory only. Change: six callers send one call after another to a host that gets SIGTERM; each call that was sent gets its whole answer, the last with "close". Ruled out: one slow call in flight, which can't show the race with idle connections.

--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -6,6 +6,8 @@
 import trio
 from test_peer_processes import A, B, C, open_processes, spread_ports
 
+from standins.client import connect, fetch
+from standins.cluster import LOOPBACK
 from standins.demo import make_routed_send
 from standins.demoplan import JOBS, SERVICES, make_lists
 from standins.load import Outcome, run_load
@@ -18,6 +20,9 @@
 BOOKINGS = tuple(job for job in JOBS if job.once)
 RATE = 60
 PAUSE_S = 2
+CALLERS = 6
+OK = 200
+WARM_CALLS = 200
 
 
 async def pause(hosts):
@@ -87,3 +92,36 @@
         f'{fault.__name__}: {len(told)} keys, {len(ran)} ran, '
         f'{len(not_run)} not run, {len(told.keys() - ran - not_run)} unknown'
     )
+
+
+async def send_until_closed(port, answers, warm):
+    """Send one call after another until an answer closes the connection."""
+    client = await connect(LOOPBACK, port)
+    async with client.stream:
+        while True:
+            reply = await fetch(
+                client, 'GET', '/racks/7', headers={'x-customer': 'verein'}
+            )
+            answers.append(reply.status)
+            if answers.count(OK) >= WARM_CALLS:
+                warm.set()
+            if reply.headers.get('connection') == 'close':
+                return
+
+
+async def test_a_planned_stop_cuts_no_call(tmp_path):
+    """Each call that was sent gets its whole answer; then the host ends."""
+    answers = []
+    warm = trio.Event()
+    async with open_processes(tmp_path, SERVICES) as hosts:
+        await publish(hosts.cluster, make_lists())
+        await await_configuration(hosts.cluster, 1)
+        async with trio.open_nursery() as nursery:
+            for _ in range(CALLERS):
+                port = hosts.cluster.entries[0].caller_port
+                nursery.start_soon(send_until_closed, port, answers, warm)
+            await warm.wait()
+            hosts.running[A].terminate()
+        assert await hosts.running[A].wait() == 0
+    assert answers[-CALLERS:] == [OK] * CALLERS
+    print(f'{len(answers)} calls, {answers.count(OK)} with status 200')
