End a stopping host cleanly when a peer forwards late

Cause: `_serve_until_stopped` closes the nursery that runs calls which must run once, while peers still forward to this host until it is gone. A call that came in those 0.1 to 0.2 s was begun in a closed nursery; the RuntimeError ended the process with exit code 1 and cut what else it still answered. Ruled out: a grace that lapsed (the exit came at once), a claim on its way (the label was owned and below what was released). Change: the owner is closed when its nursery ends; a key that never came before is refused as `leaving`, "not run". It is true: nobody else owns the label, and this incarnation begins nothing any more. A key that came before keeps its answer. The new table fails on the old code, and a mutation breaks it. Conclusion: mended; the kind `leaving` has its use.

--- a/src/ebonystream/composition/_root.py
+++ b/src/ebonystream/composition/_root.py
@@ -81,6 +81,8 @@
         async with trio.open_nursery() as serving:
             serving.start_soon(listener.run, listeners, parts.stopping)
             serving.start_soon(leave_ownership, parts, ownership)
+        # Peers still forward calls, and a nursery that ended takes no task.
+        ownership.owner.close()
     await _finish_requests(parts)
 
 
--- a/src/ebonystream/errors.py
+++ b/src/ebonystream/errors.py
@@ -186,7 +186,7 @@
         ErrorKind.LEAVING: ErrorAnswer(
             HTTPStatus.SERVICE_UNAVAILABLE,
             Outcome.NOT_RUN,
-            'Send again through another entry host.',
+            'Send again under a fresh key, through another entry host.',
         ),
         ErrorKind.LOG_UNAVAILABLE: ErrorAnswer(
             HTTPStatus.SERVICE_UNAVAILABLE,
--- a/src/ebonystream/ownership/_owner.py
+++ b/src/ebonystream/ownership/_owner.py
@@ -40,6 +40,7 @@
         timers: Tells the time.
         running: Where calls run to their end, whatever their senders do.
         serves_until: The first label that this incarnation gave up.
+        closed: Whether no key is begun any more.
     """
 
     incarnation: Incarnation
@@ -49,6 +50,7 @@
     timers: Timers
     running: trio.Nursery
     serves_until: EpochMs | None = None
+    closed: bool = False
 
     def find_owner(self, key: IdempotencyKey) -> Incarnation | None:
         """Give the owner of a key, if one is known."""
@@ -70,6 +72,14 @@
         self.serves_until = EpochMs(max(since, self.ledger.ceiling + 1))
         return self.serves_until
 
+    def close(self) -> None:
+        """Begin no further key, ever.
+
+        Nobody else owns the labels that were not given up, so a key that
+        comes later has not run and never will.
+        """
+        self.closed = True
+
     def _gave_up(self, label: EpochMs) -> bool:
         return self.serves_until is not None and label >= self.serves_until
 
@@ -157,6 +167,8 @@
     digest = digest_call(call)
     entry = owner.ledger.find(key, digest)
     if entry is None:
+        if owner.closed:
+            raise EbonystreamError(ErrorKind.LEAVING, key)
         entry = owner.ledger.begin(key, digest)
         owner.running.start_soon(_execute, owner, call, entry)
     return entry
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -147,6 +147,12 @@
         'if False:',
         'tests/test_ownership_ledger.py',
     ),
+    'a key is begun after the last call ended': Mutation(
+        'ownership/_owner.py',
+        'if owner.closed:',
+        'if owner.closed is None:',
+        'tests/test_ownership_ledger.py',
+    ),
     'a leaving owner gives up labels that ran': Mutation(
         'ownership/_owner.py',
         'max(since, self.ledger.ceiling + 1)',
--- a/tests/test_ownership_ledger.py
+++ b/tests/test_ownership_ledger.py
@@ -282,6 +282,31 @@
     assert backend.ran == 0
 
 
+CLOSED = {
+    'a key that comes late never runs': (False, Outcome.NOT_RUN, 0),
+    'a key that ran before keeps its answer': (True, Outcome.RAN, 1),
+}
+
+
+@pytest.mark.parametrize(
+    ('before', 'outcome', 'ran'), CLOSED.values(), ids=CLOSED.keys()
+)
+async def test_what_comes_after_the_last_call_ended(
+    before, outcome, ran, autojump_clock
+):
+    """A peer that still knew the owner ended it with a RuntimeError."""
+    backend = Backend([])
+    call = make_call(key_at(NOW))
+    async with trio.open_nursery() as nursery:
+        owner = make_owner(backend, nursery)
+        if before:
+            await make_owned_run(owner)(call)
+        owner.close()
+    answers = [await make_owned_run(owner)(call) for _ in range(2)]
+    assert {answer.outcome for answer in answers} == {outcome}
+    assert backend.ran == ran
+
+
 GIVEN_UP = {
     'nothing ran ahead': (0, NOW + 5, NOW + 5),
     'a later label ran already': (100, NOW + 5, NOW + 101),
