--- a/src/ebonystream/routing/_choice.py
+++ b/src/ebonystream/routing/_choice.py
@@ -55,16 +55,17 @@
         free: Sequence[Slot], waiting: Waiting, now: Monotonic
     ) -> Choice | None:
         patient = now - waiting.since < OVERLAP_AFTER
-        fit = [
-            slot
-            for slot in free
-            if not (slot.overlap and patient)
-            and slot.server.id not in waiting.tried
-            and may_take(waiting.call, slot.server)
-        ]
+        ready = [slot for slot in free if not (slot.overlap and patient)]
+        # Slots of one server are alike to the rules, which cost far more.
+        servers = {slot.server.id: slot.server for slot in ready}
+        fit = {
+            server.id
+            for server in servers.values()
+            if server.id not in waiting.tried and may_take(waiting.call, server)
+        }
         if not fit:
             return None
-        slot = min(fit, key=weigh)
+        slot = min((one for one in ready if one.server.id in fit), key=weigh)
         return Choice(slot, _explain(slot, zone))
 
     return choose
--- a/src/ebonystream/routing/_exchange.py
+++ b/src/ebonystream/routing/_exchange.py
@@ -162,6 +162,9 @@
         self.settle(server.service)
 
     def _serve_next(self, slots: ServiceSlots, now: Monotonic) -> bool:
+        ask = slots.asks.find_first(now)
+        if ask is None and not slots.line.waiting:
+            return False
         free = [
             slot
             for slot in slots.held.list_free(now)
@@ -169,7 +172,6 @@
         ]
         if not free:
             return False
-        ask = slots.asks.find_first(now)
         for waiting in slots.line.waiting[:LOOK_AHEAD]:
             first = ask is not None and ask.precedes(waiting, now)
             if first and self._give(slots, free, ask):
--- a/src/ebonystream/routing/_slots.py
+++ b/src/ebonystream/routing/_slots.py
@@ -98,7 +98,11 @@
         Args:
             server: Where the call was; slots of one server are alike.
         """
-        slot = next(one for one in self.list_server(server.id) if one.busy)
+        slot = next(
+            one
+            for one in self.slots.values()
+            if one.busy and one.server.id == server.id
+        )
         slot.busy = False
         server.in_flight -= 1
         assert server.in_flight >= 0, f'too many ends at {server.id}'
@@ -112,11 +116,6 @@
         else:
             self.slots.pop(slot.key)
 
-    def list_server(self, server: ServerId) -> list[Slot]:
-        """Give the slots held of one server."""
-        every = self.slots.values()
-        return [slot for slot in every if slot.server.id == server]
-
     def list_free(self, now: Monotonic) -> list[Slot]:
         """Give the slots that may take a call now.
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,5 +1,6 @@
 """Slots of backend servers: bounded over all hosts, and none is lost."""
 
+from collections import Counter
 from random import Random
 
 import pytest
@@ -23,6 +24,7 @@
 from ebonystream.peer import AskSlots
 from ebonystream.routing import (
     RETURNED,
+    Slot,
     SlotExchange,
     SlotPeer,
     SlotRegistry,
@@ -403,3 +405,25 @@
         assert not world.hosts['h0'][0].get_service('s').held.slots
         assert world.count_slots() == 3 * SLOTS
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(('servers', 'slots'), [(1, 64), (4, 16), (30, 2)])
+def test_the_rules_are_asked_once_for_each_server(servers, slots):
+    """They cost far more than the rest, and slots of a server are alike."""
+    asked = Counter()
+
+    def may_take(call, server):
+        asked[server.id] += 1
+        return True
+
+    choose = make_choosing(zone=ZONES[0], may_take=may_take, random=Random(1))
+    free = [
+        Slot(server=server, number=number)
+        for server in list_servers(servers)
+        for number in range(slots)
+    ]
+    waiting = Waiting(
+        call=make_call(), tried=frozenset(), rank=0, since=0, wake=list
+    )
+    assert choose(free, waiting, 1)
+    assert asked == {server.id: 1 for server in list_servers(servers)}
