Tail a stream of the log in one way, and decode its JSON in one place

Cause: `tail_stream` repeated the arguments and the docstring of `tail_pages`, and `decode_state` repeated the limit on depth and the handling of errors in `decode_record`. Change: `take_each` makes what takes a page out of what folds one record, so `tail_pages` is the only tail; both decoders go through `_decode`. Measured: tests/test_control_fold.py, test_control_run.py, test_ownership_grants.py and test_once_everywhere.py pass unchanged.

--- a/src/ebonystream/composition/_ownership.py
+++ b/src/ebonystream/composition/_ownership.py
@@ -10,7 +10,7 @@
 from ebonystream.backend import Dispatch
 from ebonystream.call import Run
 from ebonystream.composition._parts import Parts, convert_ms
-from ebonystream.configuration import tail_stream
+from ebonystream.configuration import tail_pages, take_each
 from ebonystream.membership import MemberTable, choose_first
 from ebonystream.ownership import (
     SLICES,
@@ -79,11 +79,11 @@
 
 async def tail_keys(parts: Parts) -> None:
     """Fold the keys stream for ever."""
-    await tail_stream(
+    await tail_pages(
         log=parts.log,
         stream=parts.settings.log.keys_stream,
         get_next=lambda: parts.grants.next,
-        fold=parts.grants.fold,
+        take=take_each(parts.grants.fold),
         wait=convert_ms(parts.settings.log.poll_wait_ms),
         timers=parts.timers,
     )
--- a/src/ebonystream/configuration/__init__.py
+++ b/src/ebonystream/configuration/__init__.py
@@ -30,7 +30,7 @@
 )
 from ebonystream.configuration._settling import settle_control
 from ebonystream.configuration._table import PlanTable, index_lists
-from ebonystream.configuration._tail import tail_pages, tail_stream
+from ebonystream.configuration._tail import tail_pages, take_each
 
 __all__ = (
     'Ask',
@@ -55,6 +55,6 @@
     'make_publishing',
     'settle_control',
     'tail_pages',
-    'tail_stream',
+    'take_each',
     'write_checkpoints',
 )
--- a/src/ebonystream/configuration/_records.py
+++ b/src/ebonystream/configuration/_records.py
@@ -1,6 +1,6 @@
 """Records of the control stream, as JSON."""
 
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -21,6 +21,8 @@
 MAX_DEPTH = 32
 MAX_REQUEST = 128
 
+Shape = TypeVar('Shape')
+
 
 class Publish(msgspec.Struct, tag='publish', frozen=True):
     """Both lists, published together.
@@ -87,14 +89,7 @@
     Args:
         body: What the log has.
     """
-    # How deep a parser can go hangs on the stack it runs on; a limit of our
-    # own makes each host come to the same decision.
-    if measure_depth(body) > MAX_DEPTH:
-        return None
-    try:
-        return _decoder.decode(body)
-    except msgspec.MsgspecError:
-        return None
+    return _decode(_decoder, body)
 
 
 def decode_state(body: bytes) -> ControlState | None:
@@ -103,9 +98,15 @@
     Args:
         body: What the peer sent.
     """
+    return _decode(_state_decoder, body)
+
+
+def _decode(decoder: msgspec.json.Decoder[Shape], body: bytes) -> Shape | None:
+    # How deep a parser can go hangs on the stack it runs on; a limit of our
+    # own makes each host come to the same decision.
     if measure_depth(body) > MAX_DEPTH:
         return None
     try:
-        return _state_decoder.decode(body)
+        return decoder.decode(body)
     except msgspec.MsgspecError:
         return None
--- a/src/ebonystream/configuration/_tail.py
+++ b/src/ebonystream/configuration/_tail.py
@@ -38,35 +38,15 @@
         take(page)
 
 
-async def tail_stream(
-    *,
-    log: LogService,
-    stream: StreamName,
-    get_next: Callable[[], Offset],
-    fold: Callable[[LogRecord], None],
-    wait: Seconds,
-    timers: Timers,
-) -> None:
-    """Fold each record of a stream, for ever, through outages of the log.
+def take_each(fold: Callable[[LogRecord], None]) -> Callable[[LogPage], None]:
+    """Make what takes a page record by record.
 
     Args:
-        log: The log service.
-        stream: Which stream is read.
-        get_next: Gives the offset of the next record to fold.
         fold: Takes one record into a state.
-        wait: How long one read waits at the end of the stream, in seconds.
-        timers: Sleeps between failed reads.
     """
 
     def take(page: LogPage) -> None:
         for record in page.records:
             fold(record)
 
-    await tail_pages(
-        log=log,
-        stream=stream,
-        get_next=get_next,
-        take=take,
-        wait=wait,
-        timers=timers,
-    )
+    return take
--- a/tools/standins/keyhosts.py
+++ b/tools/standins/keyhosts.py
@@ -27,7 +27,7 @@
 from ebonystream._timers import MS_PER_SECOND, Timers
 from ebonystream.backend import CUT, Attempt, AttemptKind
 from ebonystream.call import Answer, Call, CallKind, Run
-from ebonystream.configuration import tail_stream
+from ebonystream.configuration import tail_pages, take_each
 from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
 from ebonystream.ownership import (
     SLICES,
@@ -245,11 +245,11 @@
     ) -> None:
         log = make_log_client(self.store, partial(self._pass_gate, host))
         tail = partial(
-            tail_stream,
+            tail_pages,
             log=log,
             stream=KEYS_STREAM,
             get_next=lambda: owner.grants.next,
-            fold=owner.grants.fold,
+            take=take_each(owner.grants.fold),
             wait=Seconds(1),
             timers=owner.timers,
         )
