Share the tests' sample call and their stream of calls

Cause: three test files each made the same call, and the runs of servers and of version moves each sent calls at random in the same way. Change: `make_call` stands in tests/call_samples.py, with a deadline that each test gives; `send_at_random` stands in tests/server_fakes.py. Assertions, cases, seeds and the order of random draws are as before. The calls of tests/test_plan.py name their customer `c` by default, as they all did. Left: the shapes in tests/test_membership.py are rows of one table, and those in tests/test_slots.py are scenarios of their own.

--- a/tests/server_fakes.py
+++ b/tests/server_fakes.py
@@ -49,6 +49,9 @@
 SPREAD = 0.35
 """What a heartbeat and its way take at most here, in seconds."""
 
+CALL_PAUSE = 0.02
+"""How long one host waits between calls on average, in seconds."""
+
 
 def fix_schedule(seed):
     """Let trio run its tasks in the same order each time."""
@@ -72,6 +75,14 @@
     )
 
 
+async def send_at_random(random, send, host):
+    """Send calls through one host at random for ever."""
+    async with trio.open_nursery() as nursery:
+        while True:
+            await trio.sleep(random.expovariate(1 / CALL_PAUSE))
+            nursery.start_soon(send, host)
+
+
 def make_listed(name, *, leaving=False, version='v1', port=1, zone='a'):
     return BackendServer(
         id=ServerId(name),
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+from call_samples import make_call
 
 from ebonystream._timers import Timers
 from ebonystream.backend import (
@@ -12,7 +13,7 @@
     make_hedged_run,
     make_idempotent_run,
 )
-from ebonystream.call import Answer, Call, CallKind, refuse
+from ebonystream.call import Answer, refuse
 from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
 from ebonystream.plan import Budget, BudgetShare
 
@@ -21,20 +22,6 @@
 UNKNOWN = refuse(EbonystreamError(ErrorKind.OUTCOME_LOST))
 
 
-def make_call():
-    return Call(
-        customer='c',
-        route='r',
-        service='s',
-        kind=CallKind.IDEMPOTENT,
-        method='GET',
-        target='/',
-        headers=(),
-        body=b'',
-        deadline=trio.current_time() + 10,
-    )
-
-
 @pytest.mark.parametrize(
     ('attempts', 'tokens', 'outcome', 'took', 'begun', 'cancelled'),
     [
@@ -69,7 +56,7 @@
         earn=budget.earn,
     )
     began = trio.current_time()
-    answer = await hedged(make_call())
+    answer = await hedged(make_call(deadline=trio.current_time() + 10))
     assert answer.outcome is outcome
     assert trio.current_time() - began == pytest.approx(took)
     assert len(attempts) - len(left) == begun
@@ -101,5 +88,5 @@
         count_retries=lambda call: bought,
         spend_retry=budget.spend,
     )
-    answer = await run(make_call(), set())
+    answer = await run(make_call(deadline=trio.current_time() + 10), set())
     assert (len(made), answer.outcome) == (attempts, outcome)
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from call_samples import make_call
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -11,7 +12,6 @@
 from ebonystream.backend import (
     UsualTimes,
 )
-from ebonystream.call import Call, CallKind
 from ebonystream.configuration import Lists, PlanClass, index_lists
 from ebonystream.errors import ErrorKind
 from ebonystream.plan import (
@@ -59,20 +59,6 @@
     )
 
 
-def make_call(customer, deadline=1.0):
-    return Call(
-        customer=customer,
-        route='r',
-        service='s',
-        kind=CallKind.IDEMPOTENT,
-        method='GET',
-        target='/',
-        headers=(),
-        body=b'',
-        deadline=deadline,
-    )
-
-
 @pytest.mark.parametrize(
     ('plan_class', 'first', 'beyond'),
     [
@@ -89,11 +75,11 @@
         guarantees=Guarantees(),
         timers=Timers(epoch_at_zero=0),
     )
-    ranks = [rank(make_call('c')) for _ in range(40)]
+    ranks = [rank(make_call(deadline=1)) for _ in range(40)]
     assert ranks[:20] == [first] * 20
     assert ranks[-1] is beyond
     await trio.sleep(0.1)
-    assert rank(make_call('c')) is first
+    assert rank(make_call(deadline=1)) is first
 
 
 @given(gaps=st.lists(st.floats(0, 2), max_size=200))
@@ -165,7 +151,7 @@
     service.held.slots = dict.fromkeys(range(slots))
     calls = [
         Waiting(
-            call=make_call('c'),
+            call=make_call(deadline=1),
             tried=frozenset(),
             rank=rank,
             since=0,
--- a/tests/test_server_runs.py
+++ b/tests/test_server_runs.py
@@ -15,6 +15,7 @@
     make_call,
     make_host,
     make_listed,
+    send_at_random,
 )
 
 from ebonystream._ids import ServerId
@@ -26,7 +27,6 @@
 LENGTH = 20.0
 QUIET = 12.0
 SEEDS = int(os.environ.get('SEEDS', '6'))
-CALL_PAUSE = 0.02
 
 
 class World:
@@ -66,10 +66,7 @@
 
     async def send_calls(self, host):
         """Send calls through one host at random for ever."""
-        async with trio.open_nursery() as nursery:
-            while True:
-                await trio.sleep(self.random.expovariate(1 / CALL_PAUSE))
-                nursery.start_soon(self._send_call, host)
+        await send_at_random(self.random, self._send_call, host)
 
     async def _send_call(self, host):
         try:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+from call_samples import make_call
 
 from ebonystream._ids import Seconds
 from ebonystream._timers import Timers
@@ -19,7 +20,7 @@
     UsualTimes,
     Warmth,
 )
-from ebonystream.call import Answer, Call, CallKind
+from ebonystream.call import Answer
 from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
 from ebonystream.peer import AskSlots
 from ebonystream.routing import (
@@ -44,20 +45,6 @@
 )
 
 
-def make_call(deadline=1e9):
-    return Call(
-        customer='c',
-        route='r',
-        service='s',
-        kind=CallKind.IDEMPOTENT,
-        method='GET',
-        target='/',
-        headers=(),
-        body=b'',
-        deadline=deadline,
-    )
-
-
 def list_servers(count):
     return [
         BackendServer(
@@ -192,7 +179,7 @@
     async def call(self, name, took, patience=1e9):
         """Run one call; the server itself counts what it has in hand."""
         _, _, place, learn = self.hosts[name]
-        call = make_call(trio.current_time() + patience)
+        call = make_call(deadline=trio.current_time() + patience)
         server = await place(call, set())
         assert trio.current_time() <= call.deadline
         self.in_hand[server.id] += 1
@@ -321,7 +308,7 @@
     async with trio.open_nursery() as nursery:
         world = World(nursery, hosts=1, servers=servers, seed=1)
         with pytest.raises(EbonystreamError) as caught:
-            await world.hosts['h0'][2](make_call(0.5), set(tried))
+            await world.hosts['h0'][2](make_call(deadline=0.5), set(tried))
         assert caught.value.kind is kind
 
 
@@ -359,7 +346,7 @@
         nursery.start_soon(world.gossip)
         await trio.sleep(4)
         world.bears_from = trio.current_time() + bears_after
-        call = make_call(trio.current_time() + patience)
+        call = make_call(deadline=trio.current_time() + patience)
         kind = None
         try:
             await world.hosts['h0'][2](call, set())
@@ -378,7 +365,7 @@
             nursery.start_soon(world.call, 'h0', 1)
         await trio.sleep(0.1)
         waiting = Waiting(
-            call=make_call(trio.current_time() + 0.5),
+            call=make_call(deadline=trio.current_time() + 0.5),
             tried=frozenset(),
             rank=0,
             since=trio.current_time(),
@@ -423,7 +410,11 @@
         for number in range(slots)
     ]
     waiting = Waiting(
-        call=make_call(), tried=frozenset(), rank=0, since=0, wake=list
+        call=make_call(deadline=1e9),
+        tried=frozenset(),
+        rank=0,
+        since=0,
+        wake=list,
     )
     assert choose(free, waiting, 1)
     assert asked == {server.id: 1 for server in list_servers(servers)}
--- a/tests/test_version_runs.py
+++ b/tests/test_version_runs.py
@@ -16,6 +16,7 @@
     make_call,
     make_host,
     make_listed,
+    send_at_random,
 )
 
 from ebonystream._ids import ServerId
@@ -27,7 +28,6 @@
 SERVERS = 4
 WARM_S = 10
 LENGTH_S = 30
-CALL_PAUSE = 0.02
 SEEDS = int(os.environ.get('SEEDS', '2'))
 ROUTES = ('check', 'check', 'check', 'sell')
 
@@ -96,12 +96,6 @@
         """Give the servers of the new version."""
         return [one for one in self.fakes.values() if one.name == 'v2']
 
-    async def _send_calls(self, host):
-        async with trio.open_nursery() as nursery:
-            while True:
-                await trio.sleep(self.random.expovariate(1 / CALL_PAUSE))
-                nursery.start_soon(self._send_call, host)
-
     async def _send_call(self, host):
         route = self.random.choice(ROUTES)
         call = make_call(now=TIMERS.now(), route=route)
@@ -118,7 +112,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(gossip, self.hosts, self.random)
             for host in self.hosts:
-                nursery.start_soon(self._send_calls, host)
+                nursery.start_soon(
+                    send_at_random, self.random, self._send_call, host
+                )
                 nursery.start_soon(
                     partial(
                         judge_version_moves,
