--- a/tools/standins/backend.py
+++ b/tools/standins/backend.py
@@ -72,11 +72,13 @@
         state: What the server says of itself.
         boot_id: Names this run of the server.
         in_flight: How many calls it has in hand.
+        answered: How many calls it answered since it started.
     """
 
     state: ServerState
     boot_id: str
     in_flight: int
+    answered: int
 
 
 class Echo(msgspec.Struct):
@@ -148,7 +150,12 @@
     def health(self) -> Health:
         """Tell the true state of the server."""
         server = self.server
-        return Health(server.state, self.boot_id, server.in_flight)
+        return Health(
+            state=server.state,
+            boot_id=self.boot_id,
+            in_flight=server.in_flight,
+            answered=server.answered,
+        )
 
     async def _probe(self) -> Response:
         await self.server.probe()
--- a/tools/standins/cluster.py
+++ b/tools/standins/cluster.py
@@ -16,6 +16,7 @@
 """Below the ports that the operating system hands out itself."""
 
 LAST_PORT = 30_000
+FIRST_VERSION = 'v1'
 
 
 @attrs.frozen(kw_only=True)
@@ -26,11 +27,20 @@
         name: Names the service.
         per_zone: How many backend servers it has in each zone.
         built: How each of them is built, but for its name and port.
+        version: The version that each of them runs.
     """
 
     name: str
     per_zone: int
     built: ServerSettings
+    version: str = FIRST_VERSION
+
+    @property
+    def stem(self) -> str:
+        """Begins the names of its backend servers."""
+        if self.version == FIRST_VERSION:
+            return self.name
+        return f'{self.name}-{self.version}'
 
 
 @attrs.frozen(kw_only=True)
@@ -65,11 +75,13 @@
         service: What it serves.
         zone: Its availability zone.
         built: How it is built.
+        version: The version that it runs.
     """
 
     service: str
     zone: str
     built: ServerSettings
+    version: str
 
 
 @attrs.frozen(kw_only=True)
@@ -159,10 +171,15 @@
     for zone in zones:
         for service in services:
             for number in range(1, service.per_zone + 1):
-                name = f'{service.name}-{zone}-{number}'
+                name = f'{service.stem}-{zone}-{number}'
                 built = msgspec.structs.replace(
                     service.built,
                     name=name,
                     port=next(ports),
                 )
-                yield Backend(service=service.name, zone=zone, built=built)
+                yield Backend(
+                    service=service.name,
+                    zone=zone,
+                    built=built,
+                    version=service.version,
+                )
--- a/tools/standins/startup.py
+++ b/tools/standins/startup.py
@@ -66,7 +66,7 @@
             port=backend.built.port,
             zone=backend.zone,
             service=backend.service,
-            version='v1',
+            version=backend.version,
         )
     for entry in cluster.entries:
         yield Host(
