Break what keeps a late answer from another call, and the probe budget

Cause: no mutation broke the closing of connections to backend servers whose exchange did not end whole, and no test of its own looked at it; none was recorded for the probe budget.

Three mutations: a connection is kept after a call that was given up, a probe takes nothing out of its budget, probes are spaced by their cost alone.

--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -180,6 +180,26 @@
         '        owner.running.cancel_scope.deadline = 0.05',
         'tests/test_ownership_ledger.py',
     ),
+    'a probe takes nothing out of its budget': Mutation(
+        'probe/_budget.py',
+        'self.next_at[server] = Monotonic(now + spacing)',
+        'self.next_at[server] = now',
+        'tests/test_probe.py::test_cost_is_never_beyond_the_budget',
+    ),
+    'probes are spaced by their cost alone': Mutation(
+        'probe/_budget.py',
+        'max(1, self.cost_ms / self.budget_ms)',
+        'self.cost_ms / MS_PER_SECOND',
+        'tests/test_probe.py::test_cost_is_never_beyond_the_budget',
+    ),
+    'a connection is kept after a call that was given up': Mutation(
+        'upstream/_exchange.py',
+        'if answer is None or not answer.keep_alive:\n'
+        '            await trio.aclose_forcefully(stream)',
+        'if answer is None:\n'
+        '            await pool.give_back(server.at, stream)',
+        'tests/test_upstream.py::test_no_late_answer_reaches_another_call',
+    ),
 }
 
 
