Say what a running version move waits for

Cause: the report of a running version move named the routes that had not moved, and neither their share, nor the evidence that is wanted, nor the time left; once every route had moved, or before any call, it said "no verdict yet".

Ruled out: a stub that says nothing; the reason was wired already, through `MoveProgress.explain`. Hosts that are not heard are named by the report before the progress is asked, which stays.

Change: `version/_explaining.py` says for each route the share now, and whether it waits for time, for evidence or is held, and then the time left or how late the move is. `test_a_move_explains_itself` is replaced by a stricter table, `test_a_move_says_what_it_waits_for`, as its texts are no longer the program's: it compares whole texts, a stopped move's too. The move of the process table now waits until the administration API says so.

Conclusion: the shares and groups are this host's view, which lags that of its peers by a heartbeat. The command line prints the reason as it is; it was not run against a running version move.

--- a/src/ebonystream/composition/_moves.py
+++ b/src/ebonystream/composition/_moves.py
@@ -39,7 +39,7 @@
     make_report,
     make_return_watch,
 )
-from ebonystream.version import judge_version_moves
+from ebonystream.version import explain_move, judge_version_moves
 
 
 def make_ask(parts: Parts) -> Ask:
@@ -153,7 +153,9 @@
 
 def _explain_version(parts: Parts, move: VersionMove) -> str:
     progress = parts.server_rules.traffic.find_progress(move.service)
-    return '' if progress is None else progress.explain()
+    if progress is None:
+        return ''
+    return explain_move(progress, parts.timers.wall_ms())
 
 
 async def judge_moves(parts: Parts) -> None:
--- a/src/ebonystream/version/__init__.py
+++ b/src/ebonystream/version/__init__.py
@@ -5,6 +5,7 @@
     EvidenceExchange,
     RouteEvidence,
 )
+from ebonystream.version._explaining import explain_move
 from ebonystream.version._groups import Sample, SamplePool, Tally, compare
 from ebonystream.version._judging import judge_version_moves, list_judgements
 from ebonystream.version._progress import MoveProgress, RouteProgress
@@ -62,6 +63,7 @@
     'check_version',
     'compare',
     'draw',
+    'explain_move',
     'gain_bets',
     'judge_version_moves',
     'list_judgements',
--- a/src/ebonystream/version/_progress.py
+++ b/src/ebonystream/version/_progress.py
@@ -167,16 +167,6 @@
             return False
         return all(route.stage.is_last for route in self.routes.values())
 
-    def explain(self) -> str:
-        """Say what the move waits for."""
-        if self.brake is not None:
-            return f'stopped: {self.brake}'
-        every = self.routes.items()
-        behind = sorted(name for name, one in every if not one.stage.is_last)
-        if not behind:
-            return ''
-        return f'waits for evidence on {", ".join(behind)}'
-
     def _find(self, route: RouteName) -> RouteProgress:
         return self.routes.setdefault(route, RouteProgress())
 
--- a/tests/test_version_processes.py
+++ b/tests/test_version_processes.py
@@ -82,6 +82,11 @@
     return await post(f'{hosts.admins[A]}/v1/moves/versions', body)
 
 
+def says_what_it_waits_for(told):
+    reason = told['reason']
+    return 'route find-rack at ' in reason and 's left' in reason
+
+
 async def await_calls(statuses, more):
     """Wait until more calls were answered; the number of polls is bounded."""
     wanted = len(statuses) + more
@@ -115,6 +120,7 @@
         async with trio.open_nursery() as nursery:
             for entry in cluster.entries * CALLERS_EACH:
                 nursery.start_soon(call_for_ever, entry.caller_port, statuses)
+            await hosts.wait_for(A, '/v1/moves/m', says_what_it_waits_for)
             told = await hosts.wait_for(A, '/v1/moves/m', has_state(state))
             reached = await count_reached(cluster)
             before = len(statuses)
--- a/tests/test_version_rules.py
+++ b/tests/test_version_rules.py
@@ -30,6 +30,8 @@
     ALARM_GROUPS,
     BETS,
     GROUPS_PER_STAGE,
+    HOLD_GROUPS,
+    LAST_STAGE,
     NO_GAINS,
     STAGES,
     Brake,
@@ -37,6 +39,7 @@
     MoveProgress,
     MovesView,
     RouteEvidence,
+    RouteProgress,
     RouteStage,
     Sample,
     SequentialTest,
@@ -45,6 +48,7 @@
     VersionTraffic,
     check_version,
     compare,
+    explain_move,
     gain_bets,
     judge_version_moves,
     make_version_begin,
@@ -373,9 +377,61 @@
     assert asked == ([] if verdict is None else [verdict])
 
 
-def test_a_move_explains_itself():
-    progress = MoveProgress(move='m', asked_ms=0, finish_by_ms=1)
-    progress.add_old('check', 0, FAST)
-    assert progress.explain() == 'waits for evidence on check'
-    progress.stop('why')
-    assert progress.explain() == 'stopped: why'
+def make_route(**stage):
+    return RouteProgress(stage=RouteStage(**stage))
+
+
+MOVED = make_route(stage=LAST_STAGE)
+HELD = RouteProgress(
+    failures=SequentialTest(stakes=(math.log(HOLD_GROUPS),) * len(BETS))
+)
+
+
+@pytest.mark.parametrize(
+    ('routes', 'brake', 'now_ms', 'told'),
+    [
+        ({}, None, 0, '10.0 s left'),
+        (
+            {'check': RouteProgress()},
+            None,
+            400,
+            'route check at 2% of its calls, grows in 0.6 s at the earliest; '
+            '9.6 s left',
+        ),
+        (
+            {'check': make_route(stage=1, groups=3), 'buy': MOVED},
+            None,
+            2000,
+            'route buy at 100% of its calls; route check at 5% of its calls, '
+            'waits for evidence: 3 of at most 20 groups; 8.0 s left',
+        ),
+        (
+            {'buy': MOVED},
+            None,
+            12500,
+            'route buy at 100% of its calls; 2.5 s late',
+        ),
+        (
+            {'check': HELD},
+            None,
+            5000,
+            'route check at 2% of its calls, held by evidence against the '
+            'new version; 5.0 s left',
+        ),
+        (
+            {'check': RouteProgress()},
+            'why',
+            400,
+            'stopped: why; waits for the verdict in the log',
+        ),
+    ],
+)
+def test_a_move_says_what_it_waits_for(routes, brake, now_ms, told):
+    progress = MoveProgress(
+        move='m',
+        asked_ms=0,
+        finish_by_ms=10000,
+        brake=brake,
+        routes=routes,
+    )
+    assert explain_move(progress, now_ms) == told
