Tell a peer only of loads that it does not know yet

Cause: each heartbeat to each peer spelled every server and slot (`loads`), though they rarely change between two heartbeats. Ruled out: changes for each server (a state to merge at the receiver) and servers numbered by an agreed table (the tables can differ). Change: each change of the loads gets the next revision of the incarnation. A heartbeat names the revision that it knows of its receiver, and a peer that named the newest is told it by number. The receiver fills the loads in before any rule reads them; where it can't, the heartbeat counts as lost and is not echoed, so that it is told all again. Proof: tests/test_telling.py (tables, a property over loss, doubling, delay and new runs) and four mutations. The property did not find the mutation "any loads that were heard are filled in"; sequences keep such a heartbeat out, and the table of test_what_is_filled_in finds it.

--- a/src/ebonystream/composition/_members.py
+++ b/src/ebonystream/composition/_members.py
@@ -22,6 +22,7 @@
     Helpers,
     Links,
     ListedPeer,
+    LoadRevisions,
     SharedState,
     catch_up,
     make_fetch_answer,
@@ -134,15 +135,17 @@
 
 
 def _make_fill(parts: Parts) -> FillHeartbeat:
+    revisions = LoadRevisions(parts.policy.registry.report)
+
     def fill(own: HostId) -> HeartbeatContents:
-        return msgspec.structs.replace(
+        contents = msgspec.structs.replace(
             fill_server_words(parts.server_rules),
             control_next=parts.control.next,
             keys_next=parts.grants.next,
             zones_in_flight=dict(parts.zones_in_flight.calls),
-            loads=parts.policy.registry.report(),
             demands=parts.policy.guarantees.report(),
         )
+        return revisions.fill(contents)
 
     # Heartbeats to all peers go out together and say the same.
     contents = Memo(ask=fill, length=CONTENTS_AGE, timers=parts.timers)
@@ -153,9 +156,10 @@
     lives: dict[HostId, Incarnation] = {}
     rules = parts.server_rules
 
-    def take(heartbeat: Heartbeat) -> None:
-        parts.peers.membership.take_heartbeat(heartbeat, parts.timers.now())
-        if not _is_believed(parts, heartbeat):
+    def take(sent: Heartbeat) -> None:
+        now = parts.timers.now()
+        heartbeat = parts.peers.membership.take_heartbeat(sent, now)
+        if heartbeat is None:
             return
         take_server_words(rules, heartbeat)
         take_policy_report(parts.policy, heartbeat)
@@ -166,13 +170,6 @@
     return take
 
 
-def _is_believed(parts: Parts, heartbeat: Heartbeat) -> bool:
-    table = parts.peers.membership.table
-    member = table.peers.get(heartbeat.host)
-    life = None if member is None else member.life
-    return life is not None and life.newest is heartbeat
-
-
 async def _announce_leaving(parts: Parts) -> None:
     await parts.stopping.wait()
     parts.peers.membership.leave()
--- a/src/ebonystream/membership/__init__.py
+++ b/src/ebonystream/membership/__init__.py
@@ -17,6 +17,7 @@
 )
 from ebonystream.membership._state import IgnoreReason, MemberState
 from ebonystream.membership._table import Identity, MemberTable
+from ebonystream.membership._telling import LoadRevisions
 from ebonystream.membership._tombstones import Tombstones
 from ebonystream.membership._views import MemberView
 from ebonystream.membership._watching import Links, watch_members
@@ -30,6 +31,7 @@
     'IgnoreReason',
     'Links',
     'ListedPeer',
+    'LoadRevisions',
     'Member',
     'MemberState',
     'MemberTable',
--- a/src/ebonystream/membership/_contents.py
+++ b/src/ebonystream/membership/_contents.py
@@ -29,6 +29,7 @@
         evidence: What it has seen of version moves.
         wants: Starting servers that it has calls for.
         demands: Calls a second that come to it, by customer.
+        revision: Numbers the loads; 0 where they are not numbered.
     """
 
     control_next: Offset = Offset(0)
@@ -41,6 +42,7 @@
     evidence: tuple[VersionEvidence, ...] = ()
     wants: tuple[ServerId, ...] = ()
     demands: dict[CustomerId, float] = msgspec.field(default_factory=dict)
+    revision: int = 0
 
 
 FillHeartbeat = Callable[[], HeartbeatContents]
--- a/src/ebonystream/membership/_hearing.py
+++ b/src/ebonystream/membership/_hearing.py
@@ -37,7 +37,7 @@
 
     Args:
         member: The peer.
-        heartbeat: Its heartbeat.
+        heartbeat: Its heartbeat, whole.
         hearing: What it is held against.
     """
     if heartbeat.incarnation in hearing.tombstones:
@@ -46,7 +46,7 @@
         return IgnoreReason.FALSE_ECHO
     if heartbeat.sequence <= _find_newest(member, heartbeat):
         return IgnoreReason.OLD
-    member.heard = (heartbeat.incarnation, heartbeat.sequence)
+    member.heard = heartbeat
     if member.believes(heartbeat.incarnation):
         member.take(heartbeat, hearing.now, echo=hearing.echo)
     elif _has_proved(member, heartbeat, hearing):
--- a/src/ebonystream/membership/_member.py
+++ b/src/ebonystream/membership/_member.py
@@ -53,7 +53,7 @@
         state: How it stands.
         life: Its incarnation that proved to be alive, if any.
         candidates: Incarnations that have yet to prove it.
-        heard: The incarnation that was heard last, and its sequence.
+        heard: The heartbeat that was heard last, of any incarnation, whole.
         sendings: The newest heartbeats that were sent to it.
         excused_at: When this host last came back from a pause of its own.
         watched: Whether a task sends heartbeats to it.
@@ -66,7 +66,7 @@
     state: MemberState = MemberState.LISTED
     life: Life | None = None
     candidates: dict[Incarnation, Candidate] = attrs.field(factory=dict)
-    heard: tuple[Incarnation, int] | None = None
+    heard: Heartbeat | None = None
     sendings: Sendings = attrs.field(factory=Sendings)
     excused_at: Monotonic = Monotonic(float('-inf'))
     watched: bool = False
--- a/src/ebonystream/membership/_membership.py
+++ b/src/ebonystream/membership/_membership.py
@@ -13,6 +13,7 @@
 from ebonystream.membership._pace import Pace, choose_pace
 from ebonystream.membership._state import IgnoreReason, MemberState
 from ebonystream.membership._table import MemberTable
+from ebonystream.membership._telling import complete, shorten
 from ebonystream.membership._tombstones import Tombstones
 from ebonystream.peer import Heartbeat
 
@@ -93,8 +94,8 @@
         """
         self.sequence += 1
         member.sendings.add(self.sequence, now)
-        recipient, heard = member.heard or (None, None)
-        return Heartbeat(
+        heard = member.heard
+        heartbeat = Heartbeat(
             host=self.table.own.host,
             incarnation=self.table.own.incarnation,
             zone=self.table.own.zone,
@@ -102,8 +103,8 @@
             leaving=self.table.leaving,
             control_next=contents.control_next,
             keys_next=contents.keys_next,
-            recipient=recipient,
-            heard=heard,
+            recipient=None if heard is None else heard.incarnation,
+            heard=None if heard is None else heard.sequence,
             loads=contents.loads,
             zones_in_flight=contents.zones_in_flight,
             brakes=contents.brakes,
@@ -112,10 +113,15 @@
             evidence=contents.evidence,
             wants=contents.wants,
             demands=contents.demands,
+            revision=contents.revision,
+            known=None if heard is None else heard.revision,
         )
+        return shorten(heartbeat, heard)
 
-    def take_heartbeat(self, heartbeat: Heartbeat, now: Monotonic) -> None:
-        """Learn from a peer's heartbeat.
+    def take_heartbeat(
+        self, heartbeat: Heartbeat, now: Monotonic
+    ) -> Heartbeat | None:
+        """Learn from a peer's heartbeat, and give it whole if it is believed.
 
         Args:
             heartbeat: What came; it is ignored where it can't be believed.
@@ -125,12 +131,14 @@
         reason = self._hear(heartbeat, now)
         if reason is not None:
             self.ignored[reason] += 1
-            return
+            return None
         member = self.table.peers[heartbeat.host]
-        if member.believes(heartbeat.incarnation):
-            if heartbeat.incarnation not in self.table.hosts:
-                self.table.index_lives()
-            self.judge(member, now)
+        if not member.believes(heartbeat.incarnation):
+            return None
+        if heartbeat.incarnation not in self.table.hosts:
+            self.table.index_lives()
+        self.judge(member, now)
+        return None if member.life is None else member.life.newest
 
     def judge(self, member: Member, now: Monotonic) -> None:
         """Bring the state of a member up to date.
@@ -183,7 +191,10 @@
             now=now,
             tombstones=self.tombstones,
         )
-        return hear(member, heartbeat, hearing)
+        whole = complete(heartbeat, member.heard)
+        if whole is None:
+            return IgnoreReason.UNKNOWN_LOADS
+        return hear(member, whole, hearing)
 
     def _excuse_after_pause(self, now: Monotonic) -> None:
         if now - self.active_at > PAUSE_PERIODS * self.pace.period:
--- a/src/ebonystream/membership/_state.py
+++ b/src/ebonystream/membership/_state.py
@@ -37,5 +37,8 @@
     OLD = 'old'
     """A newer one of the same incarnation came before: late or doubled."""
 
+    UNKNOWN_LOADS = 'unknown_loads'
+    """It tells its loads by a revision that this host does not know."""
+
     FALSE_ECHO = 'false_echo'
     """It claims to have heard what was never sent."""
--- a/src/ebonystream/peer/_messages.py
+++ b/src/ebonystream/peer/_messages.py
@@ -103,7 +103,7 @@
         keys_next: The next offset of the keys stream it will fold.
         recipient: The incarnation of the receiver that it heard, if any.
         heard: The newest sequence it heard from that incarnation.
-        loads: What it does at backend servers, changed ones only.
+        loads: What it does at backend servers; left out where not whole.
         zones_in_flight: Calls that it has in hand in each zone.
         brakes: Versions that it stopped.
         suspects: Fingerprints of requests that it saw end a server.
@@ -111,6 +111,9 @@
         evidence: What it has seen of version moves.
         wants: Starting servers that it has calls for.
         demands: Calls a second that come to it, by customer.
+        revision: Numbers the loads within the incarnation; 0 for none.
+        known: The revision that it knows of the recipient, if any.
+        whole: Whether the loads are told, and not by their revision alone.
     """
 
     host: HostId
@@ -130,6 +133,9 @@
     evidence: tuple[VersionEvidence, ...] = ()
     wants: tuple[ServerId, ...] = ()
     demands: dict[CustomerId, float] = msgspec.field(default_factory=dict)
+    revision: int = 0
+    known: int | None = None
+    whole: bool = True
 
 
 class ForwardCall(msgspec.Struct, tag='call', frozen=True, array_like=True):
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -74,6 +74,30 @@
         'heartbeat.sequence < 0',
         'tests/test_membership_faults.py::test_any_mix_of_faults',
     ),
+    'any loads that were heard are filled in': Mutation(
+        'membership/_telling.py',
+        'if newest.revision != heartbeat.revision:',
+        'if newest.revision < 0:',
+        'tests/test_telling.py::test_what_is_filled_in',
+    ),
+    'loads of another run are filled in': Mutation(
+        'membership/_telling.py',
+        'newest.incarnation != heartbeat.incarnation',
+        'not newest.incarnation',
+        'tests/test_telling.py::test_what_is_filled_in',
+    ),
+    'loads that nobody knows are left out': Mutation(
+        'membership/_telling.py',
+        'if newest.known != heartbeat.revision:',
+        'if newest.known is None:',
+        'tests/test_telling.py::test_no_other_loads_are_believed',
+    ),
+    'a revision is used for other loads': Mutation(
+        'membership/_telling.py',
+        'if loads != self.loads or self.revision == UNNUMBERED:',
+        'if self.revision == UNNUMBERED:',
+        'tests/test_telling.py::test_no_other_loads_are_believed',
+    ),
     'what is gone comes back': Mutation(
         'membership/_hearing.py',
         'if heartbeat.incarnation in hearing.tombstones:',
