--- a/src/ebonystream/composition/_fleet.py
+++ b/src/ebonystream/composition/_fleet.py
@@ -8,7 +8,6 @@
 from ebonystream._memo import Memo
 from ebonystream._timers import Timers
 from ebonystream.backend import Wants
-from ebonystream.composition._wanting import Wanting
 from ebonystream.membership import MemberState, MemberTable, choose_first
 from ebonystream.peer import Heartbeat
 
@@ -49,10 +48,9 @@
 def make_fleet_view(table: MemberTable, timers: Timers) -> FleetView:
     """Make the view of the other entry hosts.
 
-    The usual sponsor of a starting server is the first, in its own order, of
-    all listed hosts. Where it has no calls for the server, the first of those
-    that have had some for a while takes its place, as long as this host
-    reaches all of them. While some two hosts do not reach
+    The sponsor of a starting server is the first, in its own order, of the
+    listed hosts that have calls for it, as long as this host reaches all of
+    them; else the first of all listed hosts. While some two hosts do not reach
     each other there may be one sponsor by either rule: two at most.
 
     Args:
@@ -60,7 +58,6 @@
         timers: Tells how long a host has been silent.
     """
     wants = Wants(timers)
-    settling = Wanting(timers)
 
     def choose_sponsor(server: ServerId) -> HostId | None:
         peers = list(_list_sponsoring(table, timers))
@@ -68,11 +65,8 @@
         wanting = _list_wanting(table, server)
         if wants.has(server):
             wanting.add(table.own.host)
-        settled = settling.list_settled(server, wanting)
-        usual = choose_first(fit, f'server {server}')
-        if usual in wanting or not _are_reachable(table, peers):
-            return usual
-        fit = [host for host in fit if host in settled] or fit
+        if _are_reachable(table, peers):
+            fit = [host for host in fit if host in wanting] or fit
         return choose_first(fit, f'server {server}')
 
     sponsors = Memo(ask=choose_sponsor, length=SPONSOR_AGE, timers=timers)
