Measure hedges that every plan bought

Cause: the measured policy left out second attempts that plans buy, so neither their gain nor their cost was known. Change: a race of attempts in the measured world, with the product's own budget and delay; the loser's connection is closed, which stops it at its server one hop later. Runs at 70 %, with and without faults, beside those without hedges. Retries are not in: no attempt of the measured world is cut.

--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -10,7 +10,7 @@
 import typer
 
 from measure.plots import draw_plots
-from measure.run import POLICIES, run_policy
+from measure.run import HEDGED, POLICIES, run_policy
 from measure.table import make_tables
 from measure.world import SITES, Load
 
@@ -18,6 +18,7 @@
 HOSTS = (13, 17)
 PROCESSES = 4
 ZONE_LOAD = 0.7
+HEDGE_LOAD = 0.7
 
 Job = tuple[str, Load]
 
@@ -34,7 +35,14 @@
         ('product', Load(site, hosts, ZONE_LOAD, calls, seed, zone_out=True))
         for site, hosts in itertools.product(SITES, HOSTS)
     ]
-    return jobs + zones
+    hedged = [
+        (
+            HEDGED,
+            Load(site, hosts, HEDGE_LOAD, calls, seed, noisy=bad, slow=bad),
+        )
+        for site, hosts, bad in itertools.product(SITES, HOSTS, (False, True))
+    ]
+    return jobs + zones + hedged
 
 
 def run_job(job: Job) -> dict[str, Any]:
--- a/tools/measure/hosts.py
+++ b/tools/measure/hosts.py
@@ -16,7 +16,13 @@
 from ebonystream.call import Call
 from ebonystream.configuration import PlanTable, index_lists
 from ebonystream.peer import AskSlots, GrantSlot
-from ebonystream.plan import Guarantees, get_patience, make_ranking
+from ebonystream.plan import (
+    Budget,
+    BudgetShare,
+    Guarantees,
+    get_patience,
+    make_ranking,
+)
 from ebonystream.routing import (
     SlotExchange,
     SlotPeer,
@@ -55,6 +61,8 @@
         guarantees: What is left of the guaranteed rates.
         plans: The plans in force.
         rank: Gives a call's place by plan.
+        usual: How long calls usually take.
+        hedges: The budget of hedges.
         ticking: Whether a look at the waiting calls is due.
     """
 
@@ -67,6 +75,8 @@
     guarantees: Guarantees
     plans: PlanTable
     rank: Callable[[Call], int]
+    usual: UsualTimes
+    hedges: Budget = attrs.field(factory=lambda: Budget(BudgetShare.HEDGE))
     ticking: bool = False
 
 
@@ -123,6 +133,7 @@
         may_take=may_take,
         guarantees=guarantees,
         plans=plans,
+        usual=usual,
         rank=make_ranking(
             get_plans=lambda: plans, guarantees=guarantees, timers=timers
         ),
--- a/tools/measure/product.py
+++ b/tools/measure/product.py
@@ -1,5 +1,6 @@
 """The product's own routing, on the measured world."""
 
+from collections.abc import Callable
 from functools import partial
 from random import Random
 
@@ -8,25 +9,14 @@
 from ebonystream._ids import (
     HostId,
     Monotonic,
-    Seconds,
+    ServerId,
     ZoneName,
 )
-from ebonystream.backend import (
-    ABANDONED,
-    Attempt,
-    AttemptKind,
-)
-from ebonystream.call import Answer
-from ebonystream.errors import EbonystreamError, Outcome
 from ebonystream.peer import AskSlots, GrantSlot
-from ebonystream.routing import (
-    Waiting,
-    abandon,
-    join,
-)
 from measure.hosts import SERVICE, Host, make_host
 from measure.loop import Loop
-from measure.wire import Finish, Wire
+from measure.race import Race, begin_attempt, plan_hedge
+from measure.wire import Finish, Stop, Wire
 from measure.world import (
     DEADLINE,
     ZONES,
@@ -45,11 +35,6 @@
 BEAT = 0.25
 """Seconds between heartbeats."""
 
-GOOD = Attempt(
-    AttemptKind.ANSWERED,
-    answer=Answer(outcome=Outcome.RAN, status=200, headers=(), body=b''),
-)
-
 
 @attrs.define(eq=False)
 class Product:
@@ -61,6 +46,7 @@
         servers: The servers.
         wire: Sends calls to them.
         finish: Notes the end of a call.
+        hedging: Whether all plans bought hedges.
         hosts: The entry hosts.
         messages: Messages between hosts so far.
         last_in_zone: When the last call went to the zone before its return.
@@ -71,6 +57,7 @@
     servers: list[Server]
     wire: Wire
     finish: Finish
+    hedging: bool = False
     hosts: list[Host] = attrs.field(factory=list)
     messages: int = 0
     last_in_zone: float = 0
@@ -120,56 +107,32 @@
 
     def submit(self, arrival: Arrival) -> None:
         """Bring a call to its host."""
-        host = self.hosts[arrival.host]
-        deadline = arrival.at + DEADLINE
-        call = make_call(arrival, deadline)
-        waiting = Waiting(
-            call=call,
-            tried=frozenset(),
-            rank=host.rank(call),
-            since=Monotonic(self.loop.now),
-            wake=lambda: self._wake(arrival, host, waiting),
+        race = Race(
+            arrival=arrival,
+            host=self.hosts[arrival.host],
+            call=make_call(arrival, arrival.at + DEADLINE),
+        )
+        self._begin(race)
+        if self.hedging:
+            plan_hedge(race, self.loop, self._begin)
+
+    def _begin(self, race: Race) -> None:
+        begin_attempt(
+            race,
+            loop=self.loop,
+            send=self._send_call,
+            finish=self.finish,
+            tick=self._tick,
         )
-        try:
-            is_usable = partial(host.may_take, call)
-            join(host.exchange, waiting, host.directory, is_usable)
-        except EbonystreamError as error:
-            self.finish(arrival, error.kind.value)
-            return
-        if waiting.slot is None and waiting.error is None:
-            self.loop.call_after(
-                max(0, deadline - self.loop.now),
-                lambda: self._expire(arrival, host, waiting),
-            )
-            self._tick(host)
 
-    def _wake(self, arrival: Arrival, host: Host, waiting: Waiting) -> None:
-        if waiting.slot is None:
-            kind = waiting.error.kind.value if waiting.error else 'late'
-            self.finish(arrival, kind)
-            return
-        self._dispatch(arrival, host, waiting)
-
-    def _expire(self, arrival: Arrival, host: Host, waiting: Waiting) -> None:
-        if waiting.slot is None and waiting.error is None:
-            abandon(host.exchange, waiting)
-            self.finish(arrival, 'late')
-
-    def _dispatch(self, arrival: Arrival, host: Host, waiting: Waiting) -> None:
-        assert waiting.slot is not None
-        view = waiting.slot.server
-        server = next(one for one in self.servers if one.id == view.id)
-        began = self.loop.now
-
-        def ended(whole: bool) -> None:
-            attempt = GOOD if whole else ABANDONED
-            took = Seconds(self.loop.now - began)
-            host.learn(waiting.call, view, attempt, took)
-            self.finish(arrival, 'ran' if whole else 'late')
-
-        if server.zone == ZONES[0] and began < OUT_UNTIL * self.load.length:
-            self.last_in_zone = began
-        self.wire.send(arrival, server, ended)
+    def _send_call(
+        self, race: Race, at: ServerId, ended: Callable[[bool], None]
+    ) -> Stop:
+        server = next(one for one in self.servers if one.id == at)
+        now = self.loop.now
+        if server.zone == ZONES[0] and now < OUT_UNTIL * self.load.length:
+            self.last_in_zone = now
+        return self.wire.send(race.arrival, server, ended)
 
     def _tick(self, host: Host) -> None:
         if host.ticking:
--- a/tools/measure/run.py
+++ b/tools/measure/run.py
@@ -85,8 +85,9 @@
     finish: Finish,
 ) -> tuple[Submit, Wire, Product | None]:
     wire = Wire(loop)
-    if policy == 'product':
-        product = Product(load, loop, servers, wire, finish)
+    if policy in PRODUCTS:
+        hedging = policy == HEDGED
+        product = Product(load, loop, servers, wire, finish, hedging)
         product.build()
         return product.submit, wire, product
     random = Random(f'{load.seed} policy')
@@ -100,6 +101,11 @@
     return make_baseline(pick, wire, finish, count), wire, None
 
 
+HEDGED = 'product_hedged'
+"""The product where every plan bought hedges."""
+
+PRODUCTS = ('product', HEDGED)
+
 POLICIES = ('product', 'oracle', 'two_choices', 'round_robin', 'random')
 
 
@@ -132,10 +138,20 @@
         'messages_per_call': round(product.messages / load.calls, 2)
         if product
         else 0,
+        'hedge_share': _share_hedges(product),
+        'busy_ms_per_call': round(1000 * busy / load.calls, 3),
         'last_new_call_s': _find_last_call(load, product),
     }
 
 
+def _share_hedges(product: Product | None) -> float:
+    if product is None or not product.hedging:
+        return 0
+    budgets = [host.hedges for host in product.hosts]
+    earned = sum(budget.earned for budget in budgets)
+    return round(sum(budget.spent for budget in budgets) / earned, 4)
+
+
 def _find_last_call(load: Load, product: Product | None) -> float | None:
     if product is None or not load.zone_out:
         return None
--- a/tools/measure/table.py
+++ b/tools/measure/table.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from measure.run import POLICIES
+from measure.run import HEDGED, POLICIES, PRODUCTS
 
 Run = dict[str, Any]
 
@@ -14,7 +14,9 @@
         for hosts in (13, 17)
         for faults in (False, True)
     ]
-    return '\n'.join((*parts, _make_classes(runs), _make_zones(runs)))
+    return '\n'.join(
+        (*parts, _make_classes(runs), _make_zones(runs), _make_hedges(runs))
+    )
 
 
 def _make_latencies(runs: list[Run], hosts: int, faults: bool) -> str:
@@ -77,6 +79,38 @@
     return '\n'.join((*lines, ''))
 
 
+def _make_hedges(runs: list[Run]) -> str:
+    lines = [
+        'Hedges bought by no plan and by all: p50 / p99 / p99.9 in ms, and '
+        'refused + late of all',
+        '',
+        '| site | hosts | load | faults | p99 of the oracle | no hedges | '
+        'hedges | share hedged | back-end ms a call, without and with |',
+        f'|{" --- |" * 9}',
+    ]
+    rows: dict[tuple[str, int, float, bool], dict[str, Run]] = {}
+    for run in runs:
+        if not run['zone_out']:
+            key = (run['site'], run['hosts'], run['load'], run['faults'])
+            rows.setdefault(key, {})[run['policy']] = run
+    for key, row in rows.items():
+        if HEDGED in row:
+            lines.append(_show_hedges(key, row))
+    return '\n'.join((*lines, ''))
+
+
+def _show_hedges(key: tuple[str, int, float, bool], row: dict[str, Run]) -> str:
+    site, hosts, load, faults = key
+    ends = [_show_class(row[one]['classes']['all']) for one in PRODUCTS]
+    costs = [str(row[one]['busy_ms_per_call']) for one in PRODUCTS]
+    oracle = row['oracle']['classes']['all']['p99']
+    return (
+        f'| {site} | {hosts} | {load:.0%} | {faults} | {oracle} | '
+        f'{" | ".join(ends)} | {row[HEDGED]["hedge_share"]:.2%} | '
+        f'{" / ".join(costs)} |'
+    )
+
+
 def _show_classes(run: Run) -> str:
     return ' | '.join(
         _show_class(run['classes'][name])
--- a/tools/measure/wire.py
+++ b/tools/measure/wire.py
@@ -18,6 +18,9 @@
 Finish = Callable[[Arrival, str], None]
 """Notes the end of a call: `ran`, `late` or the kind of a refusal."""
 
+Stop = Callable[[], None]
+"""Closes the connection of a call under way."""
+
 Submit = Callable[[Arrival], None]
 """Brings a call to its entry host."""
 
@@ -40,8 +43,12 @@
         arrival: Arrival,
         server: Server,
         ended: Callable[[bool], None],
-    ) -> None:
-        """Send a call and tell its host whether its answer is whole."""
+    ) -> Stop:
+        """Send a call and tell its host whether its answer is whole.
+
+        Returns:
+            Closes the connection, which stops the call at its server.
+        """
         pair = (arrival.host, server.id)
         work = arrival.work
         idle = self._idle.get(pair, 0)
@@ -61,3 +68,4 @@
 
         job = Job(arrival, arrival.at + DEADLINE, done, work)
         self.loop.call_after(way, lambda: server.take(job))
+        return lambda: self.loop.call_after(way, lambda: server.drop(job))
--- a/tools/measure/world.py
+++ b/tools/measure/world.py
@@ -85,12 +85,23 @@
 
 @attrs.define(eq=False)
 class Job:
-    """One attempt of a call at a server."""
+    """One attempt of a call at a server.
+
+    Attributes:
+        arrival: The call.
+        deadline: When it is of no more use, in seconds.
+        done: Told, at the server, whether its answer is whole.
+        work: Its time at a server of usual speed, in seconds.
+        until: When its slot is free again, once it has begun.
+        ended: Whether the server is done with it.
+    """
 
     arrival: Arrival
     deadline: float
     done: Callable[[bool], None]
     work: float
+    until: float = math.nan
+    ended: bool = False
 
 
 @attrs.define(eq=False)
@@ -123,11 +134,25 @@
         self.queue.append(job)
         self._start_next()
 
+    def drop(self, job: Job) -> None:
+        """Stop a call whose host has closed its connection."""
+        if job.ended:
+            return
+        job.ended = True
+        self.on_way -= 1
+        if job in self.queue:
+            self.queue.remove(job)
+            return
+        self.busy -= 1
+        self.busy_seconds -= job.until - self.loop.now
+        self._start_next()
+
     def _start_next(self) -> None:
         while self.queue and self.busy < SLOTS:
             job = self.queue.popleft()
             left = job.deadline - self.loop.now
             if left <= 0:
+                job.ended = True
                 job.done(False)
                 continue
             self._start(job, left)
@@ -137,9 +162,13 @@
         needed = job.work * self.slowness
         spent = min(needed, left)
         self.busy_seconds += spent
+        job.until = self.loop.now + spent
         self.loop.call_after(spent, lambda: self._end(job, needed <= left))
 
     def _end(self, job: Job, whole: bool) -> None:
+        if job.ended:
+            return
+        job.ended = True
         self.busy -= 1
         job.done(whole)
         self._start_next()
