Revert "Try: spare promised calls the trials of slow servers"

It is not whole: a slow server must be tried again where all calls are promised, for example once a second after its rest, and that is not measured yet.

--- a/src/ebonystream/routing/_choice.py
+++ b/src/ebonystream/routing/_choice.py
@@ -17,11 +17,6 @@
 OVERLAP_AFTER = 0.003
 """How long a call waits for a slot before it may overlap, in seconds."""
 
-TRIAL_WAIT = 0.1
-TRIAL_SHARE = 0.1
-"""How long a promised call waits before it tries a slow server, in seconds,
-and as the most of its time."""
-
 
 @attrs.frozen
 class Choice:
@@ -60,13 +55,7 @@
         free: Sequence[Slot], waiting: Waiting, now: Monotonic
     ) -> Choice | None:
         patient = now - waiting.since < OVERLAP_AFTER
-        spared = _is_spared(waiting, now)
-        ready = [
-            slot
-            for slot in free
-            if not (slot.overlap and patient)
-            and not (spared and slot.server.evidence.is_slow())
-        ]
+        ready = [slot for slot in free if not (slot.overlap and patient)]
         # Slots of one server are alike to the rules, which cost far more.
         servers = {slot.server.id: slot.server for slot in ready}
         fit = {
@@ -103,13 +92,6 @@
     )
 
 
-def _is_spared(waiting: Waiting, now: Monotonic) -> bool:
-    """Tell whether other calls are to try slow servers in a call's place."""
-    whole = waiting.call.deadline - waiting.since
-    longest = min(TRIAL_WAIT, TRIAL_SHARE * whole)
-    return waiting.rank == 0 and now - waiting.since < longest
-
-
 def _is_of_use(server: BackendServer) -> bool:
     return not server.evidence.is_slow() and not server.warmth.is_starting
 
