Find untold loads by a fixed example, not by chance

Cause: the mutation 'loads that nobody knows are left out' went red in one run and stayed green in the next: the property found it at random only. Change: the property also takes one fixed run, in which loads change once the peer knows them. Nothing is eased; the random runs stay as they were.

--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 import trio
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from ebonystream.membership import (
@@ -129,7 +129,13 @@
 )
 
 
+# Loads that change once the peer knows them: found at random, but not always.
+CHANGED = [('pass', one) for one in 'abababab']
+CHANGED += [('change', 'a'), ('pass', 'a')]
+
+
 @given(st.lists(STEPS, max_size=60))
+@example(CHANGED)
 def test_no_other_loads_are_believed(steps):
     """Lost, doubled, late, and of any run; then the two agree in some turns."""
     pair = Pair()
