Run two faults of different kinds at the same time

Ruled out: a new world; the one of version moves has hosts, servers and heartbeats, and needs a request that ends servers, a log that may be down and a host that is cut off. Change: a table of all pairs out of six faults, during a version move.

--- a/tests/server_mutations.py
+++ b/tests/server_mutations.py
@@ -24,6 +24,7 @@
 CRASHES = 'tests/test_crash_rules.py'
 CRASH_RUNS = 'tests/test_crash_runs.py'
 VERSIONS = 'tests/test_version_rules.py'
+PAIRS = 'tests/test_paired_faults.py::test_bounds_hold_under_two_faults'
 RULES = 'tests/test_server_rules.py'
 
 SERVER_MUTATIONS = {
@@ -111,6 +112,12 @@
         'if against:',
         CRASH_RUNS,
     ),
+    'crashes are not told to peers while servers drain': Mutation(
+        'crash/_notes.py',
+        'for sent in notes:',
+        'for sent in ():',
+        f'{PAIRS}[crash-drain-0]',
+    ),
     'crashes are not told to peers': Mutation(
         'crash/_notes.py', 'for sent in notes:', 'for sent in ():', CRASH_RUNS
     ),
--- a/tests/test_version_runs.py
+++ b/tests/test_version_runs.py
@@ -80,6 +80,8 @@
                 for name in self.fakes
             )
 
+        self.talking = list(self.hosts)
+
     def _is_sponsor(self, index, server):
         return list(self.fakes).index(server) % HOSTS == index
 
@@ -110,7 +112,7 @@
     async def run(self, break_version):
         """Run a move to a little after its end."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(gossip, self.hosts, self.random)
+            nursery.start_soon(gossip, self.talking, self.random)
             for host in self.hosts:
                 nursery.start_soon(
                     send_at_random, self.random, self._send_call, host
