--- a/src/ebonystream/peer/_transport.py
+++ b/src/ebonystream/peer/_transport.py
@@ -20,6 +20,14 @@
 DisconnectPeer = Callable[[HostId], None]
 """Closes the way to a peer; what is queued for it is dropped."""
 
+CountLost = Callable[[], int]
+"""Tells how many messages the transport dropped so far."""
+
+
+def count_nothing() -> int:
+    """Tell that nothing was dropped, for a transport that drops nothing."""
+    return 0
+
 
 @attrs.frozen(kw_only=True)
 class Transport:
@@ -30,9 +38,11 @@
         receive: Waits for what any peer sent.
         connect: Opens the way to a peer.
         disconnect: Closes it.
+        count_lost: Tells how many messages were dropped here.
     """
 
     send: SendBytes
     receive: ReceiveBytes
     connect: ConnectPeer
     disconnect: DisconnectPeer
+    count_lost: CountLost = count_nothing
--- a/src/ebonystream/peer/_zmq.py
+++ b/src/ebonystream/peer/_zmq.py
@@ -94,6 +94,7 @@
             receive=self.receive,
             connect=self.connect,
             disconnect=self.disconnect,
+            count_lost=lambda: self.unsent + self.misshapen,
         )
 
     def send(self, host: HostId, sent: bytes) -> None:
--- a/tests/test_zmq_transport.py
+++ b/tests/test_zmq_transport.py
@@ -65,6 +65,7 @@
         unsent = one.unsent
         one.send('two', b'third')
         assert one.unsent == unsent + 1
+        assert one.share().count_lost() == unsent + 1
 
 
 CLOSED = {
