--- a/tests/test_measured_hedges.py
+++ b/tests/test_measured_hedges.py
@@ -1,9 +1,10 @@
 """Hedges in the measured world keep to their budget and cancel the loser."""
 
 import pytest
+from measure.load import Load
 from measure.loop import Loop
 from measure.run import run_policy
-from measure.world import SITES, Job, Load, make_servers
+from measure.world import SITES, Job, make_servers
 
 FIRST_SHARE = 3 * 13 / 1000
 """What the budgets of 13 hosts start with, against 1,000 calls."""
--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -9,10 +9,11 @@
 
 import typer
 
+from measure.load import Load
 from measure.plots import draw_plots
 from measure.run import HEDGED, POLICIES, run_policy
 from measure.table import make_tables
-from measure.world import SITES, Load
+from measure.world import SITES
 
 LOADS = (0.5, 0.7, 0.85, 0.95, 1.5)
 HOSTS = (13, 17)
--- a/tools/measure/hosts.py
+++ b/tools/measure/hosts.py
@@ -32,8 +32,9 @@
     make_shedding,
 )
 from measure.lists import make_lists
+from measure.load import Load
 from measure.loop import Loop, make_timers
-from measure.world import SLOTS, ZONES, Load, Server, make_view, name_host
+from measure.world import SLOTS, ZONES, Server, make_view, name_host
 
 OVERLAP = 1
 """Calls that may wait at a server beyond its slots."""
--- a/tools/measure/lists.py
+++ b/tools/measure/lists.py
@@ -4,7 +4,8 @@
 from types import MappingProxyType
 
 from ebonystream.configuration import Lists
-from measure.world import CUSTOMERS, SLOTS, Load
+from measure.load import CUSTOMERS, Load
+from measure.world import SLOTS
 
 GUARANTEES: Mapping[str, float] = MappingProxyType(
     {
--- a/tools/measure/product.py
+++ b/tools/measure/product.py
@@ -14,6 +14,7 @@
 )
 from ebonystream.peer import AskSlots, GrantSlot
 from measure.hosts import SERVICE, Host, make_host
+from measure.load import Load
 from measure.loop import Loop
 from measure.race import Race, begin_attempt, plan_hedge
 from measure.wire import Finish, Stop, Wire
@@ -21,7 +22,6 @@
     DEADLINE,
     ZONES,
     Arrival,
-    Load,
     Server,
     hop,
     make_call,
--- a/tools/measure/run.py
+++ b/tools/measure/run.py
@@ -14,17 +14,11 @@
     make_round_robin,
     make_two_choices,
 )
+from measure.load import Load, draw_arrivals, plan_slowness
 from measure.loop import Loop
 from measure.product import OUT_FROM, Product
 from measure.wire import Finish, Submit, Wire
-from measure.world import (
-    Arrival,
-    Load,
-    Server,
-    draw_arrivals,
-    make_servers,
-    plan_slowness,
-)
+from measure.world import Arrival, Server, make_servers
 
 WARM_UP = 0.1
 """The first share of the calls is not counted."""
