Let one command run more seeds of every randomised run

Cause: `make soak SEEDS=a-b` ran two of six files; the others read SEEDS as a number and would have ended with an error on a range. Ruled out: a second variable. The whole of `make soak` with its 100 seeds was not run.

--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,9 @@
 
 soak: install
 	SEEDS=$(SEEDS) $(PY) -m pytest -s tests/test_once_everywhere.py \
-		tests/test_control_run.py::test_run
+		tests/test_control_run.py::test_run tests/test_server_runs.py \
+		tests/test_crash_runs.py tests/test_version_runs.py \
+		tests/test_paired_faults.py
 
 mutations: install
 	$(PY) -m pytest -m mutations tests/test_mutations.py
--- a/tests/test_control_run.py
+++ b/tests/test_control_run.py
@@ -3,12 +3,12 @@
 Longer runs: `make soak SEEDS=0-99`. One seed: `make soak SEEDS=17-17`.
 """
 
-import os
 import re
 
 import control_run
 import pytest
 import trio
+from seeds import read_seeds
 from trio.testing import MockClock
 
 from ebonystream.configuration import _asking, _checkpointing
@@ -44,12 +44,7 @@
     return trio.run(control_run.run_world, seed, clock=clock)
 
 
-def list_seeds():
-    first, _, last = os.environ.get('SEEDS', CI_SEEDS).partition('-')
-    return range(int(first), int(last or first) + 1)
-
-
-@pytest.mark.parametrize('seed', list_seeds())
+@pytest.mark.parametrize('seed', read_seeds(CI_SEEDS))
 def test_run(seed):
     try:
         counts = run(seed)
--- a/tests/test_crash_runs.py
+++ b/tests/test_crash_runs.py
@@ -1,15 +1,14 @@
 """Randomised runs with a request that ends each server that runs it."""
 
-import os
-
 import pytest
 import trio
+from seeds import read_seeds
 from server_fakes import SPREAD, TIMERS, gossip, make_call
 from test_server_runs import HOSTS, World
 
 from ebonystream.errors import EbonystreamError, ErrorKind
 
-SEEDS = int(os.environ.get('SEEDS', '6'))
+SEEDS = read_seeds('0-5')
 SENDS = 12
 BAD = b'bad'
 
@@ -66,7 +65,7 @@
             await trio.sleep(world.random.uniform(0, 0.1))
 
 
-@pytest.mark.parametrize('seed', range(SEEDS))
+@pytest.mark.parametrize('seed', SEEDS)
 @pytest.mark.parametrize(
     ('misbehave', 'most'), [(send_again, 2), (send_at_once, 2 * HOSTS)]
 )
--- a/tests/test_once_everywhere.py
+++ b/tests/test_once_everywhere.py
@@ -3,12 +3,12 @@
 Longer runs: `make soak SEEDS=0-99`. One seed: `make soak SEEDS=17-17`.
 """
 
-import os
 from collections import Counter
 from random import Random
 
 import pytest
 import trio
+from seeds import read_seeds
 
 from ebonystream.errors import Outcome
 from ebonystream.ownership import make_key
@@ -29,11 +29,6 @@
 CI_SEEDS = '0-5'
 
 
-def list_seeds():
-    first, _, last = os.environ.get('SEEDS', CI_SEEDS).partition('-')
-    return range(int(first), int(last) + 1)
-
-
 async def cause_faults(hosts, random, counts):
     """Break something, and mend something, again and again."""
     while True:
@@ -174,7 +169,7 @@
     return counts
 
 
-@pytest.mark.parametrize('seed', list_seeds())
+@pytest.mark.parametrize('seed', read_seeds(CI_SEEDS))
 async def test_each_key_runs_at_most_once(seed, autojump_clock):
     counts = await run_hosts(seed, seconds=180)
     print(f'seed {seed}: {dict(counts)}')
--- a/tests/test_paired_faults.py
+++ b/tests/test_paired_faults.py
@@ -1,10 +1,10 @@
 """Faults of two kinds at the same time, while a version moves."""
 
 import itertools
-import os
 
 import pytest
 import trio
+from seeds import read_seeds
 from server_fakes import SPREAD, TIMERS, make_call
 from test_version_runs import (
     HOSTS,
@@ -17,7 +17,7 @@
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.move import VerdictKind
 
-SEEDS = int(os.environ.get('SEEDS', '1'))
+SEEDS = read_seeds('0-0')
 BAD = b'bad'
 OUTAGE_S = 25
 CUT_S = 3.0
@@ -93,7 +93,7 @@
 FAULTS = (fail_at_once, crash, relapse, drain, lose_log, cut_host)
 
 
-@pytest.mark.parametrize('seed', range(SEEDS))
+@pytest.mark.parametrize('seed', SEEDS)
 @pytest.mark.parametrize(
     'pair',
     list(itertools.combinations(FAULTS, 2)),
--- a/tests/test_server_runs.py
+++ b/tests/test_server_runs.py
@@ -1,11 +1,11 @@
 """Randomised runs of several entry hosts on one set of backend servers."""
 
-import os
 from random import Random
 
 import pytest
 import trio
 import trio.lowlevel
+from seeds import read_seeds
 from server_fakes import (
     SPREAD,
     TIMERS,
@@ -26,7 +26,7 @@
 SERVERS = 5
 LENGTH = 20.0
 QUIET = 12.0
-SEEDS = int(os.environ.get('SEEDS', '6'))
+SEEDS = read_seeds('0-5')
 
 
 class World:
@@ -127,7 +127,7 @@
             nursery.cancel_scope.cancel()
 
 
-@pytest.mark.parametrize('seed', range(SEEDS))
+@pytest.mark.parametrize('seed', SEEDS)
 async def test_cold_servers_get_one_call_at_a_time(autojump_clock, seed):
     world = World(seed)
     await world.run()
@@ -174,6 +174,6 @@
     return latest
 
 
-@pytest.mark.parametrize('seed', range(SEEDS))
+@pytest.mark.parametrize('seed', SEEDS)
 async def test_a_relapse_that_latency_alone_shows(autojump_clock, seed):
     assert await measure_relapse(seed) <= 1.5
--- a/tests/test_version_runs.py
+++ b/tests/test_version_runs.py
@@ -1,11 +1,11 @@
 """Whole version moves on several hosts: who is finished, who taken back."""
 
-import os
 from functools import partial
 from random import Random
 
 import pytest
 import trio
+from seeds import read_seeds
 from server_fakes import (
     SERVICE,
     SPREAD,
@@ -28,7 +28,7 @@
 SERVERS = 4
 WARM_S = 10
 LENGTH_S = 30
-SEEDS = int(os.environ.get('SEEDS', '2'))
+SEEDS = read_seeds('0-1')
 ROUTES = ('check', 'check', 'check', 'sell')
 
 
@@ -158,7 +158,7 @@
 FINISHED, TAKEN_BACK = VerdictKind.FINISHED, VerdictKind.TAKEN_BACK
 
 
-@pytest.mark.parametrize('seed', range(SEEDS))
+@pytest.mark.parametrize('seed', SEEDS)
 @pytest.mark.parametrize(
     ('break_version', 'verdict'),
     [
