Look for free ports over the whole range in each run

Cause: a fixture moved the first port by the process number, while the ports are drawn at random from the first to the last one anyway. The range became as small as 16 ports, too few for a run of three hosts, and runs side by side met in what was left of it. Seen: two tests of three parallel runs red, with addresses in use and the answers of another run's hosts; their ports lay within 28,221 and 30,000. With the fixture's offset at 9,984 no ports are found at all ("generator raised StopIteration"). Ruled out: ports left over by the test before; each run of one at a time was green. Change: the fixture is gone; nothing that was checked is. Conclusion: runs may still meet by chance, now one pair in a hundred or so; a block of ports that each run holds would end it.

--- a/tests/test_crash_processes.py
+++ b/tests/test_crash_processes.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 from test_once_processes import BOOKINGS
-from test_peer_processes import ZONES, open_processes, spread_ports
+from test_peer_processes import ZONES, open_processes
 from test_version_processes import list_controls, make_faulty, publish_lists
 from uuid6 import uuid7
 
@@ -18,8 +18,6 @@
 from standins.load import Outcome, run_load
 from standins.operation import read_counts
 
-__all__ = ('spread_ports',)
-
 pytestmark = pytest.mark.processes
 
 PER_ZONE = 2
--- a/tests/test_move_processes.py
+++ b/tests/test_move_processes.py
@@ -4,12 +4,10 @@
 
 import httpx
 import pytest
-from test_peer_processes import A, C, open_processes, spread_ports
+from test_peer_processes import A, C, open_processes
 
 from standins.cluster import LOOPBACK
 
-__all__ = ('spread_ports',)
-
 pytestmark = pytest.mark.processes
 
 
--- a/tests/test_once_processes.py
+++ b/tests/test_once_processes.py
@@ -4,7 +4,7 @@
 
 import pytest
 import trio
-from test_peer_processes import A, B, C, open_processes, spread_ports
+from test_peer_processes import A, B, C, open_processes
 
 from standins.client import connect, fetch
 from standins.cluster import LOOPBACK
@@ -13,8 +13,6 @@
 from standins.load import Outcome, run_load
 from standins.operation import await_configuration, publish, read_counts
 
-__all__ = ('spread_ports',)
-
 pytestmark = pytest.mark.processes
 
 BOOKINGS = tuple(job for job in JOBS if job.once)
--- a/tests/test_peer_processes.py
+++ b/tests/test_peer_processes.py
@@ -1,6 +1,5 @@
 """Entry hosts as processes see one another through signals and outages."""
 
-import os
 import signal
 import subprocess
 import sys
@@ -12,7 +11,6 @@
 import trio
 
 from ebonystream.settings import BackendSettings
-from standins import cluster
 from standins.cluster import LOOPBACK, lay_out
 from standins.demoplan import make_lists
 from standins.operation import publish
@@ -28,9 +26,6 @@
 MAX_POLLS = 600
 POLL_S = 0.05
 
-SPACING = 64
-"""Ports that one run may use, so that runs side by side seldom meet."""
-
 pytestmark = pytest.mark.processes
 
 
@@ -103,14 +98,6 @@
         return {one['host']: one['incarnation'] for one in told['hosts']}
 
 
-@pytest.fixture(autouse=True)
-def spread_ports(monkeypatch):
-    """Begin to look for free ports at another place in each run."""
-    first, last = cluster.FIRST_PORT, cluster.LAST_PORT
-    offset = os.getpid() * SPACING % (last - first)
-    monkeypatch.setattr(cluster, 'FIRST_PORT', first + offset)
-
-
 @asynccontextmanager
 async def open_processes(directory, services=()):
     laid_out = lay_out(
--- a/tests/test_version_processes.py
+++ b/tests/test_version_processes.py
@@ -6,15 +6,13 @@
 import pytest
 import trio
 from test_move_processes import has_state, post
-from test_peer_processes import ZONES, A, open_processes, spread_ports
+from test_peer_processes import ZONES, A, open_processes
 
 from standins.client import connect, fetch
 from standins.cluster import LOOPBACK, Service
 from standins.demoplan import LOOKUP, SERVICES, make_lists
 from standins.operation import await_configuration
 
-__all__ = ('spread_ports',)
-
 pytestmark = pytest.mark.processes
 
 MOVED = 'inspections'
