Ask for the brake's reason again in the run over processes

Cause: the check was loosened to take the reason of the move's end too, and nothing as strict stood in its place. Ruled out: a move of 15 s, whose end may come first on a slow machine. Change: the bad row's move is 60 s long, longer than its state is polled for, so that only the brake can take the version back; its reason alone is taken. Conclusion: as strict as at first.

--- a/tests/test_version_processes.py
+++ b/tests/test_version_processes.py
@@ -21,9 +21,6 @@
 PACE_S = 0.02
 CALLS_AFTER = 300
 MAX_POLLS = 6000
-AGAINST = ('it fails more often', 'evidence against it at the end')
-"""The brake's reason, or that of the end where a slow machine's calls were
-too few for the brake; which of them depends on real time."""
 OK = 200
 
 
@@ -99,15 +96,15 @@
 
 
 @pytest.mark.parametrize(
-    ('length_s', 'faults', 'state', 'reasons', 'goes_on'),
+    ('length_s', 'faults', 'state', 'reason', 'goes_on'),
     [
-        (15, {'error_rate': 1}, 'taken_back', AGAINST, False),
-        (6, {}, 'finished', ('',), True),
+        (60, {'error_rate': 1}, 'taken_back', 'it fails more often', False),
+        (6, {}, 'finished', '', True),
     ],
     ids=['bad', 'good'],
 )
 async def test_a_move_under_load(
-    tmp_path, length_s, faults, state, reasons, goes_on
+    tmp_path, length_s, faults, state, reason, goes_on
 ):
     statuses = []
     async with open_processes(tmp_path, (*SERVICES, NEW)) as hosts:
@@ -128,7 +125,7 @@
             await await_calls(statuses, CALLS_AFTER)
             later = await count_reached(cluster)
             nursery.cancel_scope.cancel()
-    assert any(reason in told['reason'] for reason in reasons)
+    assert reason in told['reason']
     assert reached
     assert (later > reached) == goes_on
     # Each caller may have had one call in hand when the report came.
