Part the log's client, addresses and headers from what a host needs not

Cause: platform/ is to hold the users' platform alone, and an entry host on it must not import pydantic, httpx and the ownership of keys just to read a header (50 MB and 0.58 s for the whole import, 25 MB and 0.17 s for the links). Change: the client of the product's own log service moves to logservice/; ServerAddress, Header and CallKind move to small shared modules; kept connections and one exchange on each move to link/; routes by host and prefix begin in route/. Ruled out: lazy imports within the existing packages; they would hide the weight and not remove it.

--- a/features/steps/keys.py
+++ b/features/steps/keys.py
@@ -21,7 +21,7 @@
     make_key,
     make_owned_run,
 )
-from ebonystream.platform import LogRecord
+from ebonystream.logservice import LogRecord
 from standins.keyhosts import EPOCH_S, make_booking, read_epoch_ms
 
 DONE = Answer(outcome=Outcome.RAN, status=200, headers=(), body=b'booked')
--- a/features/steps/publishing.py
+++ b/features/steps/publishing.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from ebonystream.configuration import Control, Publish
-from ebonystream.platform import LogRecord
+from ebonystream.logservice import LogRecord
 
 LISTS = {'customers': [], 'plans': []}
 
--- a/src/ebonystream/backend/_server.py
+++ b/src/ebonystream/backend/_server.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from ebonystream._address import ServerAddress
 from ebonystream._ids import (
     Monotonic,
     ServerId,
@@ -14,19 +15,6 @@
 from ebonystream.backend._warmth import Warmth
 
 
-@attrs.frozen
-class ServerAddress:
-    """Where a backend server listens.
-
-    Attributes:
-        address: Its IP number.
-        port: Its TCP port.
-    """
-
-    address: str
-    port: int
-
-
 @attrs.define(kw_only=True)
 class BackendServer:
     """One backend server and this host's view of it.
--- a/src/ebonystream/call/__init__.py
+++ b/src/ebonystream/call/__init__.py
@@ -1,12 +1,13 @@
 """The call aggregate: one caller's request, its deadline and its outcome."""
 
+from ebonystream._calls import CallKind, Header, Headers
 from ebonystream.call._admission import (
     ONCE_PATIENCE,
     Admit,
     ParseKey,
     make_admission,
 )
-from ebonystream.call._call import Answer, Call, CallKind, Header, Headers
+from ebonystream.call._call import Answer, Call
 from ebonystream.call._received import (
     CUSTOMER_HEADER,
     KEY_HEADER,
--- a/src/ebonystream/call/_admission.py
+++ b/src/ebonystream/call/_admission.py
@@ -9,7 +9,8 @@
     Seconds,
 )
 from ebonystream._timers import MS_PER_SECOND
-from ebonystream.call._call import NO_PATIENCE, Call, CallKind
+from ebonystream._calls import CallKind
+from ebonystream.call._call import NO_PATIENCE, Call
 from ebonystream.call._received import (
     CUSTOMER_HEADER,
     KEY_HEADER,
--- a/src/ebonystream/call/_call.py
+++ b/src/ebonystream/call/_call.py
@@ -1,9 +1,8 @@
 """A call and its answer, whatever front end carries them."""
 
-import enum
-
 import attrs
 
+from ebonystream._calls import CallKind, Headers
 from ebonystream._ids import (
     CustomerId,
     IdempotencyKey,
@@ -16,19 +15,6 @@
 
 NO_PATIENCE = Seconds(0)
 
-Header = tuple[bytes, bytes]
-"""One header field: its lower-case name and its value."""
-
-Headers = tuple[Header, ...]
-"""Header fields in the order they came."""
-
-
-class CallKind(enum.Enum):
-    """Whether a call may run more than once."""
-
-    IDEMPOTENT = 'idempotent'
-    ONCE = 'once'
-
 
 @attrs.frozen(kw_only=True)
 class Call:
--- a/src/ebonystream/call/_received.py
+++ b/src/ebonystream/call/_received.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ebonystream._ids import Monotonic
-from ebonystream.call._call import Header, Headers
+from ebonystream._calls import Header, Headers
 
 CUSTOMER_HEADER = b'x-customer'
 KEY_HEADER = b'idempotency-key'
--- a/src/ebonystream/composition/_members.py
+++ b/src/ebonystream/composition/_members.py
@@ -29,7 +29,7 @@
     watch_members,
 )
 from ebonystream.peer import AnswerCall, Handlers, Heartbeat
-from ebonystream.platform import HostRole, HostState, ListedHost
+from ebonystream.logservice import HostRole, HostState, ListedHost
 
 TakeHeartbeat = Callable[[Heartbeat], None]
 
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -23,7 +23,7 @@
 from ebonystream.observation import Metrics, Traffic, count_transport
 from ebonystream.ownership import Grants, Ledger
 from ebonystream.peer import Transport
-from ebonystream.platform import (
+from ebonystream.logservice import (
     LogService,
     ReadHosts,
     make_host_reader,
--- a/src/ebonystream/composition/_tasks.py
+++ b/src/ebonystream/composition/_tasks.py
@@ -10,7 +10,7 @@
 from ebonystream.composition._parts import Parts, convert_ms
 from ebonystream.configuration import tail_pages
 from ebonystream.errors import EbonystreamError
-from ebonystream.platform import HostRole, HostState, ListedHost
+from ebonystream.logservice import HostRole, HostState, ListedHost
 
 IDLE_CHECK_PERIOD = Seconds(1)
 
--- a/src/ebonystream/configuration/_asking.py
+++ b/src/ebonystream/configuration/_asking.py
@@ -14,7 +14,7 @@
 )
 from ebonystream.configuration._records import Asked
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.platform import LogService
+from ebonystream.logservice import LogService
 
 Ask = Callable[[Asked], Awaitable[Decision]]
 """Asks the control stream to take a record and gives what became of it.
--- a/src/ebonystream/configuration/_checkpointing.py
+++ b/src/ebonystream/configuration/_checkpointing.py
@@ -11,7 +11,7 @@
 from ebonystream.configuration._records import Checkpoint
 from ebonystream.configuration._state import dump_folded
 from ebonystream.errors import EbonystreamError
-from ebonystream.platform import LogService
+from ebonystream.logservice import LogService
 
 DUE_SHARE = 0.5
 """The share of the retention after which a checkpoint is due. The other half
--- a/src/ebonystream/configuration/_control.py
+++ b/src/ebonystream/configuration/_control.py
@@ -21,7 +21,7 @@
 from ebonystream.configuration._state import dump_folded, load_folded
 from ebonystream.configuration._table import PlanTable
 from ebonystream.move import RecordPlace
-from ebonystream.platform import LogPage, LogRecord
+from ebonystream.logservice import LogPage, LogRecord
 
 
 @attrs.define
--- a/src/ebonystream/configuration/_tail.py
+++ b/src/ebonystream/configuration/_tail.py
@@ -5,7 +5,7 @@
 from ebonystream._ids import Offset, Seconds, StreamName
 from ebonystream._timers import Timers
 from ebonystream.errors import EbonystreamError
-from ebonystream.platform import LogPage, LogRecord, LogService
+from ebonystream.logservice import LogPage, LogRecord, LogService
 
 RETRY_PAUSE = Seconds(0.1)
 
--- a/src/ebonystream/http1/_collector.py
+++ b/src/ebonystream/http1/_collector.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ebonystream.call import Headers
+from ebonystream._calls import Headers
 from ebonystream.errors import EbonystreamError, ErrorKind
 
 FIELD_BYTES = 4
--- a/src/ebonystream/http1/_spelling.py
+++ b/src/ebonystream/http1/_spelling.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 from types import MappingProxyType
 
-from ebonystream.call import Header
+from ebonystream._calls import Header
 
 LINE_END = b'\r\n'
 PHRASES = MappingProxyType(
--- /dev/null
+++ b/src/ebonystream/link/_exchange.py
@@ -0,0 +1,154 @@
+"""One exchange on a kept connection: a request out, its own answer in."""
+
+import enum
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ebonystream._address import ServerAddress
+from ebonystream._calls import Headers
+from ebonystream._ids import Seconds
+from ebonystream.errors import EbonystreamError
+from ebonystream.http1 import (
+    RECEIVE_BYTES,
+    Message,
+    Reader,
+    ReaderLimits,
+    make_response_reader,
+)
+from ebonystream.link._pool import ConnectionPool
+
+MAX_HEAD_BYTES = 65_536
+MAX_BODY_BYTES = 16_777_216
+ANSWER_LIMITS = ReaderLimits(
+    head_bytes=MAX_HEAD_BYTES, body_bytes=MAX_BODY_BYTES
+)
+MAX_FOREIGN_ANSWERS = 4
+"""Answers to other requests that are skipped before a connection is given up."""
+
+KEEP_ALIVE_HEADER = b'keep-alive'
+KEEP_ALIVE_MARGIN = Seconds(1)
+"""A connection is not used in the last second before its server closes it."""
+
+CUTS = (
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    EbonystreamError,
+)
+
+
+class Refused(enum.Enum):
+    """Why an exchange brought no answer."""
+
+    UNREACHABLE = 'unreachable'
+    """No connection came about; nothing was sent."""
+
+    CUT = 'cut'
+    """The connection ended, or what came was no answer, after the send."""
+
+
+Reply = Message | Refused
+"""A whole answer, or why there is none."""
+
+IsOwn = Callable[[Headers], bool]
+"""Tells from its header fields whether an answer belongs to the request."""
+
+Exchange = Callable[[ServerAddress, bytes, IsOwn], Awaitable[Reply]]
+"""Sends the bytes of one request and gives its answer.
+
+A cancel closes the connection, so that a late answer reaches nobody.
+"""
+
+
+def make_exchange(*, pool: ConnectionPool) -> Exchange:
+    """Make the function that exchanges on the connections of a pool.
+
+    Args:
+        pool: Where connections come from and go back to.
+    """
+
+    async def exchange(
+        at: ServerAddress, request: bytes, is_own: IsOwn
+    ) -> Reply:
+        stream = await pool.take(at)
+        if stream is None:
+            return Refused.UNREACHABLE
+        reply: Reply = Refused.CUT
+        usable = False
+        try:
+            reply, usable = await exchange_on(stream, request, is_own)
+        finally:
+            if not usable:
+                await trio.aclose_forcefully(stream)
+        if isinstance(reply, Message) and usable:
+            await pool.give_back(at, stream, idle=_read_idle(reply.headers))
+        return reply
+
+    return exchange
+
+
+async def exchange_on(
+    stream: trio.abc.Stream, request: bytes, is_own: IsOwn
+) -> tuple[Reply, bool]:
+    """Send a request and wait for its answer.
+
+    Args:
+        stream: A connection on which nothing is outstanding.
+        request: The bytes of the request.
+        is_own: Tells its answer from others.
+
+    Returns:
+        The reply, and whether the connection can carry another request.
+    """
+    reader = make_response_reader(ANSWER_LIMITS)
+    try:
+        await stream.send_all(request)
+        message = await _receive_own(stream, reader, is_own)
+    except CUTS:
+        return Refused.CUT, False
+    if message is None:
+        return Refused.CUT, False
+    return message, message.keep_alive and not reader.is_begun()
+
+
+async def _receive_own(
+    stream: trio.abc.Stream, reader: Reader, is_own: IsOwn
+) -> Message | None:
+    for _ in range(MAX_FOREIGN_ANSWERS):
+        message = await _receive(stream, reader)
+        if message is None:
+            return None
+        if is_own(message.headers):
+            return message
+        if not message.keep_alive:
+            return None
+    return None
+
+
+async def _receive(stream: trio.abc.Stream, reader: Reader) -> Message | None:
+    """Read one whole answer; None where the server left before its end."""
+    message = reader.take()
+    while message is None:
+        arrived = await stream.receive_some(RECEIVE_BYTES)
+        if not arrived:
+            return reader.end()
+        reader.feed(bytes(arrived))
+        message = reader.take()
+    return message
+
+
+def _read_idle(headers: Headers) -> Seconds | None:
+    """Read how long the server keeps an unused connection, if it says so."""
+    for name, field in headers:
+        if name == KEEP_ALIVE_HEADER:
+            return _parse_timeout(field)
+    return None
+
+
+def _parse_timeout(field: bytes) -> Seconds | None:
+    for part in field.split(b','):
+        key, _, figure = part.strip().partition(b'=')
+        if key.lower() == b'timeout' and figure.strip().isdigit():
+            whole = int(figure.strip())
+            return Seconds(max(0, whole - KEEP_ALIVE_MARGIN))
+    return None
--- a/src/ebonystream/upstream/_pool.py
+++ b/src/ebonystream/link/_pool.py
@@ -7,7 +7,7 @@
 
 from ebonystream._ids import Monotonic, Seconds
 from ebonystream._timers import Timers
-from ebonystream.backend import ServerAddress
+from ebonystream._address import ServerAddress
 
 
 @attrs.frozen
@@ -28,7 +28,7 @@
 @attrs.frozen
 class _Kept:
     stream: trio.SocketStream
-    since: Monotonic
+    until: Monotonic
 
 
 @attrs.define
@@ -37,7 +37,7 @@
 
     Attributes:
         limits: How many are kept, and how long.
-        timers: Tells how long a connection was unused.
+        timers: Tells when an unused connection is too old.
         opened: Connections opened so far; each one costs a server time.
     """
 
@@ -61,17 +61,25 @@
         return await self._open(at)
 
     async def give_back(
-        self, at: ServerAddress, stream: trio.SocketStream
+        self,
+        at: ServerAddress,
+        stream: trio.SocketStream,
+        *,
+        idle: Seconds | None = None,
     ) -> None:
         """Keep a connection for the next call, or close it.
 
         Args:
             at: Where the backend server listens.
             stream: A connection on which nothing is outstanding.
+            idle: How long the server keeps it open unused, in seconds, where
+                it says so and that is shorter than the pool's own limit.
         """
         kept = self._kept.setdefault(at, deque())
+        length = self.limits.idle if idle is None else idle
+        until = self.timers.now() + min(length, self.limits.idle)
         if len(kept) < self.limits.idle_connections:
-            kept.append(_Kept(stream, self.timers.now()))
+            kept.append(_Kept(stream, Monotonic(until)))
             return
         await trio.aclose_forcefully(stream)
 
@@ -84,7 +92,7 @@
                 self._kept.pop(at, None)
 
     def _is_fresh(self, kept: _Kept) -> bool:
-        return self.timers.now() - kept.since < self.limits.idle
+        return self.timers.now() < kept.until
 
     def _is_usable(self, kept: _Kept) -> bool:
         # A readable unused connection is one that the server has closed.
--- a/src/ebonystream/platform/__init__.py
+++ b/src/ebonystream/logservice/__init__.py
@@ -1,20 +1,20 @@
 """The platform's services: the log and the host list, over HTTP."""
 
-from ebonystream.platform._hostlist import (
+from ebonystream.logservice._hostlist import (
     HostRole,
     HostState,
     ListedHost,
     ReadHosts,
     make_host_reader,
 )
-from ebonystream.platform._log import (
+from ebonystream.logservice._log import (
     Append,
     LogPage,
     LogRecord,
     LogService,
     ReadLog,
 )
-from ebonystream.platform._loghttp import make_http_log
+from ebonystream.logservice._loghttp import make_http_log
 
 __all__ = (
     'Append',
--- a/src/ebonystream/platform/_loghttp.py
+++ b/src/ebonystream/logservice/_loghttp.py
@@ -8,7 +8,7 @@
 from ebonystream._ids import EpochMs, Offset, Seconds, StreamName
 from ebonystream._timers import MS_PER_SECOND
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.platform._log import LogPage, LogRecord, LogService
+from ebonystream.logservice._log import LogPage, LogRecord, LogService
 
 PAGE_RECORDS = 1000
 
--- a/src/ebonystream/ownership/_claims.py
+++ b/src/ebonystream/ownership/_claims.py
@@ -20,7 +20,7 @@
     Release,
     Span,
 )
-from ebonystream.platform import LogService
+from ebonystream.logservice import LogService
 
 CLAIM_PERIOD = Seconds(1.0)
 
--- a/src/ebonystream/ownership/_grants.py
+++ b/src/ebonystream/ownership/_grants.py
@@ -24,7 +24,7 @@
     Release,
     Span,
 )
-from ebonystream.platform import LogRecord
+from ebonystream.logservice import LogRecord
 
 FIRST_OFFSET = Offset(0)
 NO_LABEL = EpochMs(0)
--- /dev/null
+++ b/src/ebonystream/route/__init__.py
@@ -0,0 +1,21 @@
+"""Routes: which service answers a request, and on which terms."""
+
+from ebonystream.route._configuration import (
+    RequestLimits,
+    RouteConfiguration,
+    ServiceTerms,
+    index_routes,
+    match_route,
+)
+from ebonystream.route._route import Route, Share, pick_service
+
+__all__ = (
+    'RequestLimits',
+    'Route',
+    'RouteConfiguration',
+    'ServiceTerms',
+    'Share',
+    'index_routes',
+    'match_route',
+    'pick_service',
+)
--- a/src/ebonystream/upstream/_exchange.py
+++ b/src/ebonystream/upstream/_exchange.py
@@ -21,7 +21,7 @@
     make_response_reader,
 )
 from ebonystream.upstream._message import decode_answer, encode_call
-from ebonystream.upstream._pool import ConnectionPool
+from ebonystream.link import ConnectionPool
 
 MAX_HEAD_BYTES = 65_536
 MAX_BODY_BYTES = 16_777_216
--- a/tests/control_records.py
+++ b/tests/control_records.py
@@ -11,7 +11,7 @@
     VerdictKind,
     ZoneDirection,
 )
-from ebonystream.platform import LogRecord
+from ebonystream.logservice import LogRecord
 
 LISTS = {
     'customers': [{'customer': 'verein', 'plan': 'gold'}],
--- a/tests/control_run.py
+++ b/tests/control_run.py
@@ -40,7 +40,7 @@
     finish_zone_moves,
     make_return_watch,
 )
-from ebonystream.platform import LogPage, LogRecord, LogService
+from ebonystream.logservice import LogPage, LogRecord, LogService
 from standins.logstore import (
     AnswerLost,
     Conduct,
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -13,7 +13,7 @@
 from ebonystream.composition._parts import make_parts
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.observation import Traffic
-from ebonystream.platform import LogPage, LogRecord, LogService
+from ebonystream.logservice import LogPage, LogRecord, LogService
 from ebonystream.settings import Settings
 from standins.network import Network
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -45,7 +45,7 @@
     parse_key,
     serve_keys,
 )
-from ebonystream.platform import LogRecord
+from ebonystream.logservice import LogRecord
 from ebonystream.settings import Settings
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_golden_session.py
+++ b/tests/test_golden_session.py
@@ -34,7 +34,7 @@
     parse_key,
     serve_keys,
 )
-from ebonystream.platform import LogRecord
+from ebonystream.logservice import LogRecord
 from standins.demoplan import make_lists
 
 GOLDEN = Path(__file__).parent / 'golden' / 'session.txt'
--- a/tests/test_host_reader.py
+++ b/tests/test_host_reader.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.platform import make_host_reader
+from ebonystream.logservice import make_host_reader
 from standins.hostlist import Host, HostHandler, HostList, Role
 from standins.http import Request
 
--- a/tests/test_ownership_grants.py
+++ b/tests/test_ownership_grants.py
@@ -13,7 +13,7 @@
     Release,
     Span,
 )
-from ebonystream.platform import LogRecord
+from ebonystream.logservice import LogRecord
 
 NOW = 10_000_000
 KEEP_MS = 600_000
--- a/tests/test_ownership_ledger.py
+++ b/tests/test_ownership_ledger.py
@@ -25,7 +25,7 @@
     parse_key,
     read_label,
 )
-from ebonystream.platform import LogRecord
+from ebonystream.logservice import LogRecord
 
 NOW = 1_000_000
 REFUSED = Attempt(AttemptKind.REFUSED)
--- a/tools/slopes/control.py
+++ b/tools/slopes/control.py
@@ -11,7 +11,7 @@
     RequestId,
 )
 from ebonystream.configuration import Control, Publish
-from ebonystream.platform import LogPage, LogRecord
+from ebonystream.logservice import LogPage, LogRecord
 from slopes.fit import Line, fit_line
 from slopes.meter import time_work, weigh_state
 
--- a/tools/slopes/keys.py
+++ b/tools/slopes/keys.py
@@ -16,7 +16,7 @@
     Span,
     make_key,
 )
-from ebonystream.platform import LogRecord
+from ebonystream.logservice import LogRecord
 from slopes.fit import Line, fit_line
 from slopes.meter import time_work, weigh_state
 
--- a/tools/slopes/upstreams.py
+++ b/tools/slopes/upstreams.py
@@ -12,7 +12,7 @@
     ZoneName,
 )
 from ebonystream.backend import BackendServer, Directory, ServerAddress
-from ebonystream.platform import HostRole, HostState, ListedHost
+from ebonystream.logservice import HostRole, HostState, ListedHost
 from slopes.fit import Line, fit_line
 from slopes.meter import time_work, weigh_state
 
--- a/tools/standins/logclient.py
+++ b/tools/standins/logclient.py
@@ -6,7 +6,7 @@
 
 from ebonystream._ids import EpochMs, Offset, Seconds, StreamName
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.platform import LogPage, LogRecord, LogService
+from ebonystream.logservice import LogPage, LogRecord, LogService
 from standins.logstore import (
     MS_PER_SECOND,
     AnswerLost,
