Serve requests on the users' platform, from a route to an answer

Cause: nothing of the product spoke the users' platform. Change: platform/ decodes the settings, the store, the servers' entries and the header fields, and decides nothing; entryhost/ wires one program from small aggregates: roster (servers known), orders (what operators ordered), route, placement (a few servers are asked just before the send), dispatch (attempts, the budget of second attempts) and ingress (connections). Ruled out: the front end for plans and keys on this path. Here an attempt has a name of its own and meets one host only, so nothing has to be owned or forwarded. Open: version moves, what hosts tell one another, tests of the new parts.

--- a/src/ebonystream/_ids.py
+++ b/src/ebonystream/_ids.py
@@ -45,6 +45,9 @@
 RequestId = NewType('RequestId', str)
 """Names one record that operators or hosts ask the control stream to take."""
 
+AttemptId = NewType('AttemptId', str)
+"""Names one attempt of a caller; each of its retries has another one."""
+
 IdempotencyKey = NewType('IdempotencyKey', str)
 """The canonical spelling of a caller's UUIDv7 idempotency key."""
 
--- a/src/ebonystream/call/_admission.py
+++ b/src/ebonystream/call/_admission.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from ebonystream._calls import CallKind
 from ebonystream._ids import (
     CustomerId,
     IdempotencyKey,
@@ -9,7 +10,6 @@
     Seconds,
 )
 from ebonystream._timers import MS_PER_SECOND
-from ebonystream._calls import CallKind
 from ebonystream.call._call import NO_PATIENCE, Call
 from ebonystream.call._received import (
     CUSTOMER_HEADER,
--- a/src/ebonystream/call/_received.py
+++ b/src/ebonystream/call/_received.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from ebonystream._ids import Monotonic
 from ebonystream._calls import Header, Headers
+from ebonystream._ids import Monotonic
 
 CUSTOMER_HEADER = b'x-customer'
 KEY_HEADER = b'idempotency-key'
--- a/src/ebonystream/call/_serving.py
+++ b/src/ebonystream/call/_serving.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 
-from ebonystream.call._admission import Admit
 from ebonystream._calls import CallKind
+from ebonystream.call._admission import Admit
 from ebonystream.call._call import Answer, Call
 from ebonystream.call._received import KEY_HEADER, Received
 from ebonystream.call._refusal import refuse
--- a/src/ebonystream/composition/_members.py
+++ b/src/ebonystream/composition/_members.py
@@ -16,6 +16,7 @@
     take_server_words,
 )
 from ebonystream.composition._slots import make_note_taker
+from ebonystream.logservice import HostRole, HostState, ListedHost
 from ebonystream.membership import (
     FillHeartbeat,
     HeartbeatContents,
@@ -29,7 +30,6 @@
     watch_members,
 )
 from ebonystream.peer import AnswerCall, Handlers, Heartbeat
-from ebonystream.logservice import HostRole, HostState, ListedHost
 
 TakeHeartbeat = Callable[[Heartbeat], None]
 
--- a/src/ebonystream/composition/_parts.py
+++ b/src/ebonystream/composition/_parts.py
@@ -19,16 +19,16 @@
     make_server_rules,
 )
 from ebonystream.configuration import Control
-from ebonystream.move import ZonesInFlight
-from ebonystream.observation import Metrics, Traffic, count_transport
-from ebonystream.ownership import Grants, Ledger
-from ebonystream.peer import Transport
 from ebonystream.logservice import (
     LogService,
     ReadHosts,
     make_host_reader,
     make_http_log,
 )
+from ebonystream.move import ZonesInFlight
+from ebonystream.observation import Metrics, Traffic, count_transport
+from ebonystream.ownership import Grants, Ledger
+from ebonystream.peer import Transport
 from ebonystream.settings import Settings
 from ebonystream.upstream import ConnectionPool, PoolLimits
 
--- a/src/ebonystream/configuration/_control.py
+++ b/src/ebonystream/configuration/_control.py
@@ -20,8 +20,8 @@
 )
 from ebonystream.configuration._state import dump_folded, load_folded
 from ebonystream.configuration._table import PlanTable
-from ebonystream.move import RecordPlace
 from ebonystream.logservice import LogPage, LogRecord
+from ebonystream.move import RecordPlace
 
 
 @attrs.define
--- /dev/null
+++ b/src/ebonystream/dispatch/__init__.py
@@ -0,0 +1,22 @@
+"""Dispatch: a request's way to a backend server and back."""
+
+from ebonystream.dispatch._attempt import Attempt, Send, make_send
+from ebonystream.dispatch._budget import RepeatBudget, RepeatTerms
+from ebonystream.dispatch._run import (
+    ListConfiguration,
+    Observe,
+    Serve,
+    make_serve,
+)
+
+__all__ = (
+    'Attempt',
+    'ListConfiguration',
+    'Observe',
+    'RepeatBudget',
+    'RepeatTerms',
+    'Send',
+    'Serve',
+    'make_send',
+    'make_serve',
+)
--- /dev/null
+++ b/src/ebonystream/dispatch/_budget.py
@@ -0,0 +1,80 @@
+"""The budget of second attempts: this host's part of a shared bound."""
+
+from collections import deque
+
+import attrs
+
+from ebonystream._ids import Monotonic, Seconds, ServiceName
+
+SAFETY = 0.8
+"""The share of the bound that is used, as windows of hosts don't agree."""
+
+
+@attrs.frozen(kw_only=True)
+class RepeatTerms:
+    """The bound that all hosts share, for each service.
+
+    Attributes:
+        ratio: Second attempts for each first one.
+        slack: Second attempts beside these, in each window.
+        window: The length of a window, in seconds.
+    """
+
+    ratio: float
+    slack: float
+    window: Seconds
+
+
+@attrs.define
+class _Window:
+    firsts: deque[Monotonic] = attrs.field(factory=deque)
+    repeats: deque[Monotonic] = attrs.field(factory=deque)
+
+    def forget(self, before: float) -> None:
+        """Forget what is older than the window."""
+        for times in (self.firsts, self.repeats):
+            while times and times[0] < before:
+                times.popleft()
+
+
+@attrs.define
+class RepeatBudget:
+    """Counts first and second attempts of this host, by service.
+
+    Attributes:
+        terms: The bound that all hosts share.
+        hosts: Over how many hosts the slack is spread.
+    """
+
+    terms: RepeatTerms
+    hosts: int
+    _windows: dict[ServiceName, _Window] = attrs.field(factory=dict)
+
+    def count_first(self, service: ServiceName, now: Monotonic) -> None:
+        """Count a request's first attempt.
+
+        Args:
+            service: Where it goes.
+            now: The time.
+        """
+        self._get(service, now).firsts.append(now)
+
+    def take(self, service: ServiceName, now: Monotonic) -> bool:
+        """Take a second attempt from the budget, if there is one.
+
+        Args:
+            service: Where it goes.
+            now: The time.
+        """
+        window = self._get(service, now)
+        slack = self.terms.slack / max(1, self.hosts)
+        allowed = SAFETY * (self.terms.ratio * len(window.firsts) + slack)
+        if len(window.repeats) + 1 > allowed:
+            return False
+        window.repeats.append(now)
+        return True
+
+    def _get(self, service: ServiceName, now: Monotonic) -> _Window:
+        window = self._windows.setdefault(service, _Window())
+        window.forget(now - self.terms.window)
+        return window
--- /dev/null
+++ b/src/ebonystream/entryhost/_callers.py
@@ -0,0 +1,178 @@
+"""What answers on a host's addresses: callers' requests and readiness."""
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import trio
+
+from ebonystream._ids import Monotonic, Seconds
+from ebonystream.dispatch import Serve
+from ebonystream.entryhost._parts import HostParts
+from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.http1 import Message, ReaderLimits, spell_response
+from ebonystream.ingress import (
+    ConnectionLimits,
+    OpenConnections,
+    Presence,
+    Respond,
+    Spoken,
+    serve_connection,
+)
+from ebonystream.request import Dialect, Request, Response, refuse_request
+
+OK = 200
+NOT_READY = 503
+READINESS_LIMITS = ConnectionLimits(
+    message=ReaderLimits(head_bytes=8192, body_bytes=8192),
+    receive=Seconds(2),
+    idle=Seconds(30),
+)
+EARLY_LIMITS = ConnectionLimits(
+    message=ReaderLimits(head_bytes=16_384, body_bytes=1_048_576),
+    receive=Seconds(3),
+    idle=Seconds(15),
+)
+"""What may be sent before a configuration says so."""
+
+Handle = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+def make_caller_handler(
+    parts: HostParts, serve: Serve, dialect: Dialect
+) -> Handle:
+    """Make the function that serves one caller's connection.
+
+    Args:
+        parts: The state of the host.
+        serve: Answers a request.
+        dialect: Translates messages.
+    """
+
+    async def respond(
+        message: Message, arrived: Monotonic, presence: Presence
+    ) -> Spoken:
+        request = dialect.read_request(message, arrived)
+        try:
+            response = await _serve_checked(request, presence, serve)
+        except Exception as error:
+            parts.note('internal_error', id=request.attempt, why=repr(error))
+            raise
+        _note_response(parts, request, response)
+        close = parts.connections.closing or not message.keep_alive
+        close = close or response.close
+        return Spoken(dialect.spell_response(response, close), close)
+
+    def refuse(error: EbonystreamError) -> bytes:
+        parts.note('request_refused', error=error.kind.value, why=error.detail)
+        return dialect.spell_response(refuse_request(error), True)
+
+    async def handle(stream: trio.SocketStream) -> None:
+        await _handle_logged(
+            parts,
+            partial(
+                serve_connection,
+                stream,
+                respond=respond,
+                refuse=refuse,
+                limits=_get_limits(parts),
+                timers=parts.timers,
+                connections=parts.connections,
+            ),
+        )
+
+    return handle
+
+
+def make_readiness_handler(parts: HostParts) -> Handle:
+    """Make the function that tells on a connection whether the host is ready.
+
+    Args:
+        parts: The state of the host.
+    """
+
+    async def respond(
+        message: Message, arrived: Monotonic, presence: Presence
+    ) -> Spoken:
+        await trio.lowlevel.checkpoint()
+        status = OK if parts.is_ready() else NOT_READY
+        close = not message.keep_alive
+        headers = ((b'connection', b'close'),) if close else ()
+        return Spoken(spell_response(status, headers, b''), close)
+
+    return _make_plain_handler(parts, respond)
+
+
+def _make_plain_handler(parts: HostParts, respond: Respond) -> Handle:
+    connections = OpenConnections()
+
+    async def handle(stream: trio.SocketStream) -> None:
+        await _handle_logged(
+            parts,
+            partial(
+                serve_connection,
+                stream,
+                respond=respond,
+                refuse=_refuse_plainly,
+                limits=READINESS_LIMITS,
+                timers=parts.timers,
+                connections=connections,
+            ),
+        )
+
+    return handle
+
+
+async def _handle_logged(
+    parts: HostParts, serve: Callable[[], Awaitable[None]]
+) -> None:
+    """Serve a connection; what goes wrong there ends no other connection."""
+    try:
+        await serve()
+    except Exception as error:
+        parts.note('connection_failed', why=repr(error))
+
+
+async def _serve_checked(
+    request: Request, presence: Presence, serve: Serve
+) -> Response:
+    if not (request.host and request.path.startswith('/')):
+        return refuse_request(
+            EbonystreamError(ErrorKind.MALFORMED_REQUEST, 'host or path'),
+            close=True,
+        )
+    return await serve(request, presence)
+
+
+def _get_limits(parts: HostParts) -> ConnectionLimits:
+    configuration = parts.orders.configuration
+    if configuration is None:
+        return EARLY_LIMITS
+    limits = configuration.limits
+    return ConnectionLimits(
+        message=ReaderLimits(
+            head_bytes=limits.head_bytes, body_bytes=limits.body_bytes
+        ),
+        receive=limits.receive,
+        idle=limits.idle,
+    )
+
+
+def _note_response(
+    parts: HostParts, request: Request, response: Response
+) -> None:
+    orders = parts.orders
+    configuration = orders.configuration
+    parts.note(
+        'answered',
+        id=request.attempt,
+        status=response.status,
+        error=response.error.value if response.error else None,
+        took_ms=round((parts.timers.now() - request.arrived) * 1000, 1),
+        retry_after=response.retry_after,
+        configuration=configuration.version if configuration else None,
+    )
+
+
+def _refuse_plainly(error: EbonystreamError) -> bytes:
+    headers = ((b'connection', b'close'),)
+    return spell_response(error.answer.status, headers, b'')
--- /dev/null
+++ b/src/ebonystream/entryhost/_parts.py
@@ -0,0 +1,52 @@
+"""What the tasks of an entry host share."""
+
+from random import Random
+
+import attrs
+import trio
+
+from ebonystream._timers import Timers
+from ebonystream.decisionlog import Note
+from ebonystream.entryhost._settings import HostSettings
+from ebonystream.ingress import OpenConnections
+from ebonystream.link import ConnectionPool
+from ebonystream.orders import Orders
+from ebonystream.placement import WorkTimes
+from ebonystream.roster import Roster
+
+
+@attrs.define(kw_only=True)
+class HostParts:
+    """The state of one entry host, and what its tasks use.
+
+    Attributes:
+        settings: Its settings.
+        timers: Tells the time.
+        random: The source of chance.
+        note: Writes the decision log.
+        background: Where tasks go on that nobody waits for.
+        roster: The backend servers that are known.
+        orders: What operators ordered.
+        work_times: The usual work of each route.
+        servers_pool: Connections to backend servers.
+        connections: Connections from callers.
+        leaving: Set once this host was told to stop.
+    """
+
+    settings: HostSettings
+    timers: Timers
+    random: Random
+    note: Note
+    background: trio.Nursery
+    servers_pool: ConnectionPool
+    roster: Roster = attrs.field(factory=Roster)
+    orders: Orders = attrs.field(factory=Orders)
+    work_times: WorkTimes = attrs.field(factory=WorkTimes)
+    connections: OpenConnections = attrs.field(factory=OpenConnections)
+    leaving: trio.Event = attrs.field(factory=trio.Event)
+
+    def is_ready(self) -> bool:
+        """Tell whether this host can serve callers."""
+        known = self.orders.configuration is not None
+        listed = self.roster.listed is not None
+        return known and listed and not self.leaving.is_set()
--- a/src/ebonystream/http1/_reader.py
+++ b/src/ebonystream/http1/_reader.py
@@ -45,15 +45,10 @@
         try:
             self.parser.feed_data(arrived)
         except httptools.HttpParserError as error:
-            self._raise_fault()
-            raise EbonystreamError(
-                ErrorKind.MALFORMED_REQUEST, str(error)
-            ) from error
-        except httptools.HttpParserUpgrade as error:
-            raise EbonystreamError(
-                ErrorKind.MALFORMED_REQUEST, 'upgrades are not supported'
-            ) from error
-        self._raise_fault()
+            self._note_fault(str(error))
+        except httptools.HttpParserUpgrade:
+            self._note_fault('upgrades are not supported')
+        self.check()
         self._check_unended_head(len(arrived))
 
     def take(self) -> Message | None:
@@ -76,6 +71,10 @@
         """Tell whether a part of a message has come, or a whole one."""
         return self.collector.begun or bool(self.collector.done)
 
+    def is_clean(self) -> bool:
+        """Tell whether nothing came beyond the messages that were taken."""
+        return not self.is_begun() and self.collector.fault is None
+
     def waits_for_continue(self) -> bool:
         """Tell whether the sender waits to be told to send the body."""
         collector = self.collector
@@ -83,10 +82,21 @@
             return False
         return any(_is_continue(field) for field in collector.headers)
 
-    def _raise_fault(self) -> None:
+    def check(self) -> None:
+        """Check that no byte so far was at fault.
+
+        Raises:
+            EbonystreamError: One was; the connection carries no more.
+        """
         if self.collector.fault is not None:
             raise self.collector.fault
 
+    def _note_fault(self, detail: str) -> None:
+        if self.collector.fault is None:
+            self.collector.fault = EbonystreamError(
+                ErrorKind.MALFORMED_REQUEST, detail
+            )
+
     def _check_unended_head(self, size: int) -> None:
         """Count the bytes of a head whose fields the parser can't report."""
         collector = self.collector
--- /dev/null
+++ b/src/ebonystream/ingress/__init__.py
@@ -0,0 +1,23 @@
+"""Connections from callers: whole requests in, whole answers out."""
+
+from ebonystream.ingress._connection import (
+    ConnectionLimits,
+    RefuseBytes,
+    Respond,
+    Spoken,
+    serve_connection,
+)
+from ebonystream.ingress._leaving import OpenConnections
+from ebonystream.ingress._listener import serve_listener
+from ebonystream.ingress._presence import Presence
+
+__all__ = (
+    'ConnectionLimits',
+    'OpenConnections',
+    'Presence',
+    'RefuseBytes',
+    'Respond',
+    'Spoken',
+    'serve_connection',
+    'serve_listener',
+)
--- /dev/null
+++ b/src/ebonystream/ingress/_presence.py
@@ -0,0 +1,37 @@
+"""Whether a caller still waits for its answer."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+import trio
+
+
+@attrs.define
+class Presence:
+    """A caller that waits for an answer, until it leaves.
+
+    Attributes:
+        gone: Whether it has left.
+    """
+
+    gone: bool = False
+    _scopes: list[trio.CancelScope] = attrs.field(factory=list)
+
+    def leave(self) -> None:
+        """Note that the caller has left, and end what may be ended."""
+        self.gone = True
+        for scope in self._scopes:
+            scope.cancel()
+
+    @contextmanager
+    def interruptible(self) -> Iterator[trio.CancelScope]:
+        """Run a block that ends when the caller leaves."""
+        with trio.CancelScope() as scope:
+            self._scopes.append(scope)
+            if self.gone:
+                scope.cancel()
+            try:
+                yield scope
+            finally:
+                self._scopes.remove(scope)
--- a/src/ebonystream/link/_exchange.py
+++ b/src/ebonystream/link/_exchange.py
@@ -108,7 +108,7 @@
         return Refused.CUT, False
     if message is None:
         return Refused.CUT, False
-    return message, message.keep_alive and not reader.is_begun()
+    return message, message.keep_alive and reader.is_clean()
 
 
 async def _receive_own(
@@ -132,11 +132,22 @@
         arrived = await stream.receive_some(RECEIVE_BYTES)
         if not arrived:
             return reader.end()
-        reader.feed(bytes(arrived))
-        message = reader.take()
+        message = _feed(reader, bytes(arrived))
     return message
 
 
+def _feed(reader: Reader, arrived: bytes) -> Message | None:
+    """Take bytes; what follows a whole answer belongs to no request."""
+    try:
+        reader.feed(arrived)
+    except EbonystreamError:
+        message = reader.take()
+        if message is None:
+            raise
+        return message
+    return reader.take()
+
+
 def _read_idle(headers: Headers) -> Seconds | None:
     """Read how long the server keeps an unused connection, if it says so."""
     for name, field in headers:
--- a/src/ebonystream/link/_pool.py
+++ b/src/ebonystream/link/_pool.py
@@ -5,9 +5,9 @@
 import attrs
 import trio
 
+from ebonystream._address import ServerAddress
 from ebonystream._ids import Monotonic, Seconds
 from ebonystream._timers import Timers
-from ebonystream._address import ServerAddress
 
 
 @attrs.frozen
--- a/src/ebonystream/ownership/_claims.py
+++ b/src/ebonystream/ownership/_claims.py
@@ -11,6 +11,7 @@
     StreamName,
 )
 from ebonystream.errors import EbonystreamError
+from ebonystream.logservice import LogService
 from ebonystream.ownership._grants import Grants
 from ebonystream.ownership._owner import Owner
 from ebonystream.ownership._records import (
@@ -20,7 +21,6 @@
     Release,
     Span,
 )
-from ebonystream.logservice import LogService
 
 CLAIM_PERIOD = Seconds(1.0)
 
--- a/src/ebonystream/ownership/_grants.py
+++ b/src/ebonystream/ownership/_grants.py
@@ -14,6 +14,7 @@
 
 from ebonystream._ids import EpochMs, Incarnation, Offset, SliceNumber
 from ebonystream._watch import Watch
+from ebonystream.logservice import LogRecord
 from ebonystream.ownership._intervals import Interval, Intervals
 from ebonystream.ownership._key import SLICES
 from ebonystream.ownership._records import (
@@ -24,7 +25,6 @@
     Release,
     Span,
 )
-from ebonystream.logservice import LogRecord
 
 FIRST_OFFSET = Offset(0)
 NO_LABEL = EpochMs(0)
--- /dev/null
+++ b/src/ebonystream/placement/_estimate.py
@@ -0,0 +1,103 @@
+"""How long a server's answer will take, from what it said."""
+
+import attrs
+
+from ebonystream._ids import RouteName, Seconds
+from ebonystream.placement._offer import Sighting
+from ebonystream.roster import LoadReport
+from ebonystream.route import Route
+
+FIRST_GUESS_SHARE = 0.37
+"""The share of its objective that a request's work takes, until measured."""
+
+LEARNING_WEIGHT = 0.1
+NEARLY_FULL = 0.8
+"""The share of busy slots from which a server works slower."""
+
+NEARLY_FULL_SLOWDOWN = 1.7
+COLD_SLOWDOWN = 2.0
+FAILURE_SLOWDOWN = 1.5
+"""How much worse each recent failure makes a server look."""
+
+UNKNOWN_LOAD = LoadReport(running=0, waiting=0, slots=1, pace=1.5)
+"""What stands in for the load of a server that tells none."""
+
+MIN_PACE = 0.05
+
+
+@attrs.define
+class WorkTimes:
+    """The usual work of each route, on a machine at its usual pace.
+
+    Attributes:
+        means: Seconds of work, by route.
+    """
+
+    means: dict[RouteName, Seconds] = attrs.field(factory=dict)
+
+    def get(self, route: Route) -> Seconds:
+        """Give the usual work of a route, in seconds.
+
+        Args:
+            route: The route.
+        """
+        guess = Seconds(route.objective * FIRST_GUESS_SHARE)
+        return self.means.get(route.name, guess)
+
+    def learn(self, route: Route, took: Seconds, pace: float) -> None:
+        """Learn from an answer.
+
+        Args:
+            route: The route.
+            took: How long the server took, in seconds.
+            pace: The pace of its machine when it began.
+        """
+        usual = took / max(pace, MIN_PACE)
+        mean = self.get(route)
+        self.means[route.name] = Seconds(
+            mean + LEARNING_WEIGHT * (usual - mean)
+        )
+
+
+def estimate_wait(load: LoadReport, work: Seconds, *, own: int) -> Seconds:
+    """Estimate how long a request waits at a server before it is begun.
+
+    Args:
+        load: What the server said.
+        work: The usual work of a request, in seconds.
+        own: Requests that this host sent there since.
+    """
+    ahead = load.running + load.waiting + own - load.slots + 1
+    return Seconds(max(0, ahead) * work * load.pace / load.slots)
+
+
+def estimate_work(
+    sighting: Sighting, work: Seconds, *, own: int, cold: bool
+) -> Seconds:
+    """Estimate how long a server works on a request.
+
+    Args:
+        sighting: What the server said.
+        work: The usual work of the request, in seconds.
+        own: Requests that this host sent there since.
+        cold: Whether the server is cold.
+    """
+    load = get_load(sighting)
+    busy = min(load.slots, load.running + own + 1)
+    slow = NEARLY_FULL_SLOWDOWN if busy >= NEARLY_FULL * load.slots else 1
+    cold_slow = COLD_SLOWDOWN if cold else 1
+    failing = FAILURE_SLOWDOWN ** sighting.server.weigh_failures(sighting.at)
+    return Seconds(work * load.pace * slow * cold_slow * failing)
+
+
+def get_load(sighting: Sighting) -> LoadReport:
+    """Give a server's load, or what stands in for it.
+
+    Args:
+        sighting: What it said.
+    """
+    report = sighting.report
+    if report is None or report.load is None:
+        waiting = sighting.server.in_flight
+        return attrs.evolve(UNKNOWN_LOAD, running=waiting)
+    return report.load
--- /dev/null
+++ b/src/ebonystream/placement/_offer.py
@@ -0,0 +1,51 @@
+"""What asking servers brought: a server with room, or when there is room."""
+
+import attrs
+
+from ebonystream._ids import Monotonic, Seconds
+from ebonystream.roster import HealthReport, KnownServer
+
+
+@attrs.frozen
+class Sighting:
+    """What one server said when it was asked.
+
+    Attributes:
+        server: The server.
+        report: What it said; None where it didn't answer in time.
+        at: When the question was sent.
+    """
+
+    server: KnownServer
+    report: HealthReport | None
+    at: Monotonic
+
+
+@attrs.frozen(kw_only=True)
+class Offer:
+    """A server that a request may be sent to now.
+
+    Attributes:
+        sighting: What it said.
+        expected: How long its answer will take, in seconds.
+        asked: How many servers were asked.
+    """
+
+    sighting: Sighting
+    expected: Seconds
+    asked: int
+
+
+@attrs.frozen(kw_only=True)
+class NoRoom:
+    """No server may take the request now.
+
+    Attributes:
+        after: When there may be room, in seconds from now.
+        asked: How many servers were asked.
+        why: What stood against it.
+    """
+
+    after: Seconds
+    asked: int
+    why: str
--- /dev/null
+++ b/src/ebonystream/platform/__init__.py
@@ -0,0 +1,34 @@
+"""The users' platform: its names, formats and calls, and nothing else."""
+
+from ebonystream.platform._fault import FormatError
+from ebonystream.platform._headers import make_dialect
+from ebonystream.platform._listing import (
+    NoteUnreadable,
+    decode_orders,
+    decode_servers,
+)
+from ebonystream.platform._settings import SETTINGS_VARIABLE, decode_settings
+from ebonystream.platform._store import (
+    OPERATOR_TOPIC,
+    SERVERS_TOPIC,
+    STATUS_TOPIC,
+    KeyedRecord,
+    Listing,
+    StoreClient,
+)
+
+__all__ = (
+    'OPERATOR_TOPIC',
+    'SERVERS_TOPIC',
+    'SETTINGS_VARIABLE',
+    'STATUS_TOPIC',
+    'FormatError',
+    'KeyedRecord',
+    'Listing',
+    'NoteUnreadable',
+    'StoreClient',
+    'decode_orders',
+    'decode_servers',
+    'decode_settings',
+    'make_dialect',
+)
--- /dev/null
+++ b/src/ebonystream/platform/_operator.py
@@ -0,0 +1,212 @@
+"""What operators write: the configuration and their orders."""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+import msgspec
+
+from ebonystream._calls import CallKind
+from ebonystream._ids import (
+    ConfigurationVersion,
+    RouteName,
+    Seconds,
+    ServiceName,
+    VersionName,
+    ZoneName,
+)
+from ebonystream.orders import VersionOrder
+from ebonystream.platform._fault import FormatError
+from ebonystream.platform._store import KeyedRecord
+from ebonystream.platform._units import parse_length
+from ebonystream.route import (
+    RequestLimits,
+    Route,
+    RouteConfiguration,
+    ServiceTerms,
+    Share,
+    index_routes,
+)
+
+Shape = TypeVar('Shape')
+
+CONFIGURATION_KEY = 'config'
+ROLLOUT_PREFIX = 'rollout/'
+EVACUATE_PREFIX = 'evacuate/'
+
+KINDS = {
+    'idempotent': CallKind.IDEMPOTENT,
+    'non_idempotent': CallKind.ONCE,
+}
+DEFAULT_LIMITS = RequestLimits(
+    head_bytes=16_384,
+    body_bytes=67_108_864,
+    receive=Seconds(3),
+    idle=Seconds(15),
+)
+
+
+class _Metadata(msgspec.Struct):
+    name: str = ''
+
+
+class _Resource(msgspec.Struct):
+    """One item of the configuration; its kind tells what its spec holds."""
+
+    resource_kind: str
+    metadata: _Metadata
+    spec: msgspec.Raw
+
+
+class _Resources(msgspec.Struct):
+    version: int
+    resources: tuple[_Resource, ...]
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    host: str
+    path_prefix: str
+    kind: str
+    timeout: str
+    target_latency: str
+    max_attempts: int
+    priority: int = 0
+    service: str | None = None
+    traffic_split: tuple[_Part, ...] = ()
+
+
+class _Service(msgspec.Struct):
+    health_path: str
+    max_conns: int
+    cold_start: str = '0ms'
+    cold_per_s: float = 0
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout: str
+    idle_timeout: str
+
+
+class _Rollout(msgspec.Struct):
+    service: str
+    target_version: str
+    duration: str
+
+
+def decode_configuration(content: bytes) -> RouteConfiguration:
+    """Read a configuration.
+
+    Args:
+        content: What stands in the store.
+
+    Raises:
+        FormatError: It can't be read whole.
+    """
+    sent = _decode(content, _Resources)
+    limits = [
+        _decode_limits(_decode(one.spec, _Limits))
+        for one in _filter(sent, 'limits')
+    ]
+    services = {
+        ServiceName(one.metadata.name): _decode_service(
+            _decode(one.spec, _Service)
+        )
+        for one in _filter(sent, 'services')
+    }
+    routes = [
+        _decode_route(one.metadata.name, _decode(one.spec, _Route))
+        for one in _filter(sent, 'routes')
+    ]
+    return RouteConfiguration(
+        version=ConfigurationVersion(sent.version),
+        routes=index_routes(routes),
+        services=services,
+        limits=limits[0] if limits else DEFAULT_LIMITS,
+    )
+
+
+def decode_zone_out(record: KeyedRecord) -> ZoneName | None:
+    """Read which zone an order takes out; None where it is another order.
+
+    Args:
+        record: A record that an operator wrote.
+    """
+    if record.key.startswith(EVACUATE_PREFIX):
+        return ZoneName(record.key.removeprefix(EVACUATE_PREFIX))
+    return None
+
+
+def decode_version_order(record: KeyedRecord) -> VersionOrder:
+    """Read an order to move a service to a version.
+
+    Args:
+        record: A record below `ROLLOUT_PREFIX`.
+
+    Raises:
+        FormatError: It can't be read.
+    """
+    sent = _decode(record.content, _Rollout)
+    return VersionOrder(
+        service=ServiceName(sent.service),
+        version=VersionName(sent.target_version),
+        within=parse_length(sent.duration),
+    )
+
+
+def _filter(sent: _Resources, kind: str) -> Iterable[_Resource]:
+    return (one for one in sent.resources if one.resource_kind == kind)
+
+
+def _decode_route(name: str, sent: _Route) -> Route:
+    if sent.kind not in KINDS:
+        raise FormatError(f'kind {sent.kind!r}')
+    shares = tuple(
+        Share(ServiceName(part.service), part.weight)
+        for part in sent.traffic_split
+    )
+    if sent.service is not None:
+        shares = (Share(ServiceName(sent.service), 1),)
+    if not shares:
+        raise FormatError(f'route {name!r} names no service')
+    return Route(
+        name=RouteName(name),
+        host=sent.host.lower(),
+        prefix=sent.path_prefix,
+        kind=KINDS[sent.kind],
+        timeout=parse_length(sent.timeout),
+        objective=parse_length(sent.target_latency),
+        attempts=sent.max_attempts,
+        rank=sent.priority,
+        shares=shares,
+    )
+
+
+def _decode_service(sent: _Service) -> ServiceTerms:
+    return ServiceTerms(
+        health_path=sent.health_path,
+        max_connections=sent.max_conns,
+        cold_start=parse_length(sent.cold_start),
+        cold_rate=sent.cold_per_s,
+    )
+
+
+def _decode_limits(sent: _Limits) -> RequestLimits:
+    return RequestLimits(
+        head_bytes=sent.max_header_bytes,
+        body_bytes=sent.max_body_bytes,
+        receive=parse_length(sent.header_timeout),
+        idle=parse_length(sent.idle_timeout),
+    )
+
+
+def _decode(content: bytes | msgspec.Raw, shape: type[Shape]) -> Shape:
+    try:
+        return msgspec.json.decode(content, type=shape)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise FormatError(str(error)) from error
--- /dev/null
+++ b/src/ebonystream/request/__init__.py
@@ -0,0 +1,19 @@
+"""A caller's request, a server's answer, and how they are spelled."""
+
+from ebonystream.request._dialect import Dialect
+from ebonystream.request._request import Request
+from ebonystream.request._response import (
+    Response,
+    ServerAnswer,
+    Verdict,
+    refuse_request,
+)
+
+__all__ = (
+    'Dialect',
+    'Request',
+    'Response',
+    'ServerAnswer',
+    'Verdict',
+    'refuse_request',
+)
--- /dev/null
+++ b/src/ebonystream/roster/_known.py
@@ -0,0 +1,87 @@
+"""One backend server as this host knows it."""
+
+import attrs
+
+from ebonystream._ids import Monotonic, Seconds
+from ebonystream.roster._entry import EntryState, ServerEntry
+
+FAILURE_HALF_LIFE = Seconds(3)
+"""How long until a failure counts half."""
+
+NEVER = Monotonic(float('-inf'))
+
+
+@attrs.define(kw_only=True)
+class KnownServer:
+    """An entry, and what this host has seen of its server.
+
+    Attributes:
+        entry: The newest entry.
+        since: When this run of the server was first listed here.
+        listed: When the entry was last seen in the store.
+        cold_until: When it is warm, as far as anybody said.
+        avoid_until: Until when nothing is sent to it but questions.
+        leaving: Whether it showed itself that it leaves.
+        in_flight: Requests of this host that it has in hand.
+        last_sent: When this host last sent a request to it.
+        failures: Failed requests, fewer as time passes.
+        failures_at: When the failures were last brought up to date.
+    """
+
+    entry: ServerEntry
+    since: Monotonic
+    listed: Monotonic
+    cold_until: Monotonic = NEVER
+    avoid_until: Monotonic = NEVER
+    leaving: bool = False
+    in_flight: int = 0
+    last_sent: Monotonic = NEVER
+    failures: float = 0
+    failures_at: Monotonic = NEVER
+
+    def is_usable(self, now: Monotonic) -> bool:
+        """Tell whether work may be sent to it.
+
+        Args:
+            now: The time.
+        """
+        serving = self.entry.state is EntryState.SERVING
+        return serving and not self.leaving and now >= self.avoid_until
+
+    def is_cold(self, now: Monotonic) -> bool:
+        """Tell whether it is cold.
+
+        Args:
+            now: The time.
+        """
+        return now < self.cold_until
+
+    def hear_cold(self, left: Seconds, now: Monotonic) -> None:
+        """Take over how much longer it says that it is cold.
+
+        Args:
+            left: How much longer, in seconds.
+            now: When it said so.
+        """
+        self.cold_until = Monotonic(now + left) if left > 0 else NEVER
+
+    def count_failure(self, now: Monotonic, weight: float = 1) -> None:
+        """Count a request that it failed.
+
+        Args:
+            now: The time.
+            weight: How much the failure tells.
+        """
+        self.failures = self.weigh_failures(now) + weight
+        self.failures_at = now
+
+    def weigh_failures(self, now: Monotonic) -> float:
+        """Weigh the failures that were counted, by their age.
+
+        Args:
+            now: The time.
+        """
+        if not self.failures:
+            return 0
+        half_lives = (now - self.failures_at) / FAILURE_HALF_LIFE
+        return self.failures / 2**half_lives
--- /dev/null
+++ b/src/ebonystream/roster/_report.py
@@ -0,0 +1,43 @@
+"""What a backend server says of its load and health when it is asked."""
+
+import attrs
+
+from ebonystream._ids import Seconds, ServerId
+
+
+@attrs.frozen(kw_only=True)
+class LoadReport:
+    """A server's load at one moment.
+
+    Attributes:
+        running: Requests that it works on.
+        waiting: Requests that wait there.
+        slots: Requests that it works on at a time.
+        pace: How long work takes there now, beside its usual time (1.0).
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float
+
+    def has_free_slot(self) -> bool:
+        """Tell whether a request would be begun at once."""
+        return self.running < self.slots and not self.waiting
+
+
+@attrs.frozen(kw_only=True)
+class HealthReport:
+    """What a server said when it was asked.
+
+    Attributes:
+        healthy: Whether it takes work, by its own word.
+        server: Which server it is, where it says so.
+        cold: How much longer it is cold, in seconds; None where untold.
+        load: Its load; None where it tells none.
+    """
+
+    healthy: bool
+    server: ServerId | None
+    cold: Seconds | None
+    load: LoadReport | None
--- /dev/null
+++ b/src/ebonystream/roster/_roster.py
@@ -0,0 +1,133 @@
+"""All backend servers that are known, kept in step with the store."""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from ebonystream._ids import Monotonic, Seconds, ServerId, ServiceName
+from ebonystream.roster._entry import EntryState, ServerEntry
+from ebonystream.roster._known import KnownServer
+
+LAPSE_GRACE = Seconds(2.3)
+"""How long after an outage of the store a missing entry is waited for."""
+
+
+@attrs.frozen
+class RosterChange:
+    """What one listing changed.
+
+    Attributes:
+        joined: Servers that are new, or started anew.
+        left: Servers that are gone.
+        leaving: Servers that say since now that they leave.
+    """
+
+    joined: tuple[ServerId, ...] = ()
+    left: tuple[ServerId, ...] = ()
+    leaving: tuple[ServerId, ...] = ()
+
+    def is_any(self) -> bool:
+        """Tell whether anything changed."""
+        return bool(self.joined or self.left or self.leaving)
+
+
+@attrs.define
+class Roster:
+    """The known backend servers.
+
+    Attributes:
+        servers: Each server by its name.
+        listed: When the store was last read whole.
+        away_until: Until when missing entries count as lapsed, not gone.
+    """
+
+    servers: dict[ServerId, KnownServer] = attrs.field(factory=dict)
+    listed: Monotonic | None = None
+    away_until: Monotonic = Monotonic(float('-inf'))
+
+    def note_outage(self, now: Monotonic) -> None:
+        """Note that the store could not be read.
+
+        Args:
+            now: The time.
+        """
+        self.away_until = Monotonic(now + LAPSE_GRACE)
+
+    def take(
+        self, entries: Iterable[ServerEntry], now: Monotonic
+    ) -> RosterChange:
+        """Take over a whole listing.
+
+        Args:
+            entries: All entries that name a server.
+            now: When they were read.
+        """
+        seen = {entry.id: entry for entry in entries}
+        joined = [one for one in seen.values() if self._take_one(one, now)]
+        leaving = [
+            one.id
+            for one in seen.values()
+            if one.state is EntryState.LEAVING
+            and self._mark_leaving(self.servers[one.id])
+        ]
+        left = self._drop_missing(seen, now)
+        self.listed = now
+        return RosterChange(
+            joined=tuple(one.id for one in joined),
+            left=left,
+            leaving=tuple(leaving),
+        )
+
+    def list_service(self, service: ServiceName) -> list[KnownServer]:
+        """List the servers of a service, usable or not.
+
+        Args:
+            service: The service.
+        """
+        return [
+            server
+            for server in self.servers.values()
+            if server.entry.service == service
+        ]
+
+    def drop(self, name: ServerId) -> None:
+        """Drop a server whose address answers for another one.
+
+        Args:
+            name: The server.
+        """
+        known = self.servers.get(name)
+        if known is not None:
+            known.leaving = True
+
+    def _take_one(self, entry: ServerEntry, now: Monotonic) -> bool:
+        """Take one entry over; tell whether it is a new run of a server."""
+        known = self.servers.get(entry.id)
+        if known is not None and _is_same_run(known.entry, entry):
+            known.entry = entry
+            known.listed = now
+            return False
+        server = KnownServer(entry=entry, since=now, listed=now)
+        if entry.cold > 0:
+            server.hear_cold(entry.cold, now)
+        self.servers[entry.id] = server
+        return True
+
+    def _mark_leaving(self, known: KnownServer) -> bool:
+        first = not known.leaving
+        known.leaving = True
+        return first
+
+    def _drop_missing(
+        self, seen: Mapping[ServerId, ServerEntry], now: Monotonic
+    ) -> tuple[ServerId, ...]:
+        if now < self.away_until:
+            return ()
+        missing = [name for name in self.servers if name not in seen]
+        for name in missing:
+            self.servers.pop(name)
+        return tuple(missing)
+
+
+def _is_same_run(old: ServerEntry, new: ServerEntry) -> bool:
+    return old.started == new.started and old.at == new.at
--- a/src/ebonystream/upstream/__init__.py
+++ b/src/ebonystream/upstream/__init__.py
@@ -1,6 +1,6 @@
 """Calls to backend servers over HTTP/1.1, on kept connections."""
 
-from ebonystream.upstream._exchange import make_sender
 from ebonystream.link import ConnectionPool, PoolLimits
+from ebonystream.upstream._exchange import make_sender
 
 __all__ = ('ConnectionPool', 'PoolLimits', 'make_sender')
--- a/src/ebonystream/upstream/_exchange.py
+++ b/src/ebonystream/upstream/_exchange.py
@@ -20,8 +20,8 @@
     ReaderLimits,
     make_response_reader,
 )
-from ebonystream.upstream._message import decode_answer, encode_call
 from ebonystream.link import ConnectionPool
+from ebonystream.upstream._message import decode_answer, encode_call
 
 MAX_HEAD_BYTES = 65_536
 MAX_BODY_BYTES = 16_777_216
--- /dev/null
+++ b/src/entryhost.py
@@ -0,0 +1,6 @@
+"""The entry host's program on the users' platform."""
+
+from ebonystream.entryhost._root import run_entry_host
+
+if __name__ == '__main__':
+    run_entry_host()
