Move versions, let one host a zone read the store, tell peers by datagrams

Change: gossip/ carries facts of each host, often within a zone and through one speaker between zones; the speaker reads the store and the others ask it, or anybody once their news are stale; versionmove/ gives a new version a growing share, judges it by all hosts' attempts and reports in the store under a condition; the return of the store ends a wait for orders. Ruled out: ZeroMQ between hosts here (datagrams that are superseded by the next need no connection, and bytes between zones are priced); counts through the store (two calls a second and host).

--- a/src/ebonystream/backend/__init__.py
+++ b/src/ebonystream/backend/__init__.py
@@ -1,5 +1,6 @@
 """The backend server aggregate: what a server is, bears, and is sent."""
 
+from ebonystream._address import ServerAddress
 from ebonystream.backend._attempt import (
     ABANDONED,
     CUT,
@@ -52,10 +53,7 @@
 from ebonystream.backend._leaving import (
     LEAVING_BOUND,
 )
-from ebonystream.backend._server import (
-    BackendServer,
-    ServerAddress,
-)
+from ebonystream.backend._server import BackendServer
 from ebonystream.backend._sponsor import (
     HANDOVER,
     IsSponsor,
--- a/src/ebonystream/dispatch/_attempt.py
+++ b/src/ebonystream/dispatch/_attempt.py
@@ -10,6 +10,10 @@
 from ebonystream.placement import Offer
 from ebonystream.request import Dialect, Request, ServerAnswer, Verdict
 
+OVERDUE_TIMES = 3
+"""How many times as long as expected an overdue attempt takes."""
+
+MIN_EXPECTED = Seconds(0.05)
 MIN_TIME_LEFT = Seconds(0.001)
 
 
@@ -20,7 +24,7 @@
     Attributes:
         offer: The server that it was sent to, and what that had said.
         answer: The server's answer; None where there is none.
-        refused: Why there is none.
+        refused: Why there is none; None where the wait for it was given up.
         took: From the send to its end, in seconds.
     """
 
@@ -41,6 +45,11 @@
             return f'{self.answer.verdict.value} {self.answer.status}'
         return self.refused.value if self.refused else 'abandoned'
 
+    def is_overdue(self) -> bool:
+        """Tell whether it took much longer than the server let expect."""
+        usual = max(self.offer.expected, MIN_EXPECTED)
+        return self.took > OVERDUE_TIMES * usual
+
 
 Send = Callable[[Request, Offer, Monotonic], Awaitable[Attempt]]
 """Makes one attempt; its answer is waited for until a time.
--- a/src/ebonystream/dispatch/_run.py
+++ b/src/ebonystream/dispatch/_run.py
@@ -25,6 +25,9 @@
 RETURN_SHARE = 0.3
 """The share of the time left after which a refused caller should be back."""
 
+FALLBACK_DRAW = 1.0
+"""A second attempt goes to the version that served before, if there is one."""
+
 NO_CONFIGURATION_RETRY = Seconds(0.3)
 
 Serve = Callable[[Request, Presence], Awaitable[Response]]
@@ -45,6 +48,7 @@
         route: Its route.
         service: The service that answers it.
         until: When its answer is of no use any more.
+        draw: Its draw between the versions of the service, from 0 to 1.
         sends: Attempts that reached a server.
         may_have_run: Whether an attempt may have run.
         without: Servers that are not tried again.
@@ -55,6 +59,7 @@
     route: Route
     service: ServiceName
     until: Monotonic
+    draw: float
     sends: int = 0
     may_have_run: bool = False
     without: frozenset[ServerId] = frozenset()
@@ -114,6 +119,7 @@
             route=route,
             service=pick_service(route, random),
             until=_find_end(request, route),
+            draw=random.random(),
         )
         return await _run_in_time(path, progress, presence)
 
@@ -164,6 +170,7 @@
         service=progress.service,
         arrived=progress.request.arrived,
         until=progress.until,
+        draw=progress.draw,
         without=progress.without,
     )
     with presence.interruptible():
@@ -183,7 +190,7 @@
     progress.sends += 1
     run_before = progress.may_have_run
     progress.may_have_run = True
-    attempt = await path.send(progress.request, offer, progress.until)
+    attempt = await _send_observed(path, progress, offer)
     if attempt.is_not_run():
         progress.may_have_run = run_before
     if attempt.answer is None and attempt.is_not_run():
@@ -191,13 +198,35 @@
     return _conclude(path, progress, attempt)
 
 
+async def _send_observed(
+    path: _Path, progress: Progress, offer: Offer
+) -> Attempt:
+    """Make an attempt; one that is abandoned is observed too."""
+    began = path.timers.now()
+    try:
+        return await path.send(progress.request, offer, progress.until)
+    except trio.Cancelled:
+        took = Seconds(path.timers.now() - began)
+        _tell_observers(
+            path,
+            progress,
+            Attempt(offer=offer, answer=None, refused=None, took=took),
+        )
+        raise
+
+
+def _tell_observers(path: _Path, progress: Progress, attempt: Attempt) -> None:
+    for observe in path.observers:
+        observe(progress.request, progress.route, attempt)
+
+
 def _conclude(
     path: _Path, progress: Progress, attempt: Attempt
 ) -> Response | None:
     progress.last = attempt
     progress.without |= {attempt.offer.sighting.server.entry.id}
-    for observe in path.observers:
-        observe(progress.request, progress.route, attempt)
+    progress.draw = FALLBACK_DRAW
+    _tell_observers(path, progress, attempt)
     answer = attempt.answer
     if answer is not None and answer.verdict is Verdict.SERVED:
         return Response(
--- a/src/ebonystream/entryhost/_callers.py
+++ b/src/ebonystream/entryhost/_callers.py
@@ -9,6 +9,7 @@
 from ebonystream.dispatch import Serve
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.gossip import make_sharing
 from ebonystream.http1 import Message, ReaderLimits, spell_response
 from ebonystream.ingress import (
     ConnectionLimits,
@@ -102,6 +103,23 @@
     return _make_plain_handler(parts, respond)
 
 
+def make_sharing_handler(parts: HostParts) -> Handle:
+    """Make the function that tells other hosts what this one knows.
+
+    Args:
+        parts: The state of the host.
+    """
+    return _make_plain_handler(
+        parts,
+        make_sharing(
+            orders=parts.orders,
+            roster=parts.roster,
+            source=parts.incarnation,
+            timers=parts.timers,
+        ),
+    )
+
+
 def _make_plain_handler(parts: HostParts, respond: Respond) -> Handle:
     connections = OpenConnections()
 
--- a/src/ebonystream/entryhost/_following.py
+++ b/src/ebonystream/entryhost/_following.py
@@ -1,22 +1,36 @@
-"""Following the store: one task for the orders, one for the servers."""
+"""Following the store: one task for the orders, one for the servers.
+
+In each zone one host, the speaker, reads the store; the others ask it. A host
+reads the store itself where nobody could tell it anything new for a while.
+"""
 
 from collections.abc import Awaitable, Callable
 
 import attrs
+import trio
 
 from ebonystream._ids import Monotonic, Offset, Seconds
+from ebonystream.entryhost._dependency import Dependency
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.errors import EbonystreamError
 from ebonystream.orders import OrdersListing
 from ebonystream.roster import ServerEntry
 
-ORDERS_WAIT = Seconds(4)
+ORDERS_WAIT = Seconds(2)
 """How long one wait for new orders takes at most."""
 
-SERVERS_PERIOD = Seconds(1)
+SERVERS_PERIOD = Seconds(0.7)
 """How often the entries of the servers are read."""
 
-RETRY_AFTER = Seconds(0.3)
+STALE_AFTER = Seconds(1.8)
+"""The age from which a host that is no speaker reads for itself."""
+
+ORDERS_STALE_AFTER = Seconds(4.5)
+RETRY_AFTER = Seconds(0.5)
+"""How long after a failure the store is tried again."""
+
+LOOK_PERIOD = Seconds(0.2)
+"""How often a host looks whether it is its turn to read."""
 
 ListOrders = Callable[[], Awaitable[OrdersListing]]
 """Reads all orders; raises `EbonystreamError` without the store."""
@@ -28,113 +42,103 @@
 """Reads the entries of all servers; raises without the store."""
 
 
-@attrs.define
-class Dependency:
-    """Whether something that this host depends on answers.
+@attrs.frozen(kw_only=True)
+class StoreReads:
+    """What is read from the store.
 
     Attributes:
-        name: What it is.
-        parts: Writes the log.
-        lost_at: Since when it doesn't answer; None while it does.
+        list_orders: Reads all orders.
+        wait_for_orders: Waits for new orders.
+        list_entries: Reads the entries of all servers.
     """
 
-    name: str
-    parts: HostParts
-    lost_at: Monotonic | None = None
-
-    def lose(self, error: EbonystreamError) -> None:
-        """Note that it did not answer; the first time is logged."""
-        if self.lost_at is None:
-            self.lost_at = self.parts.timers.now()
-            self.parts.note(
-                'dependency_lost', dependency=self.name, why=str(error)
-            )
-
-    def regain(self) -> None:
-        """Note that it answered; the first time after a loss is logged."""
-        if self.lost_at is not None:
-            away = self.parts.timers.now() - self.lost_at
-            self.lost_at = None
-            self.parts.note(
-                'dependency_regained', dependency=self.name, away_s=away
-            )
-
-
-async def follow_orders(
-    parts: HostParts, list_orders: ListOrders, wait: WaitForOrders
-) -> None:
+    list_orders: ListOrders
+    wait_for_orders: WaitForOrders
+    list_entries: ListEntries
+
+
+async def follow_orders(parts: HostParts, reads: StoreReads) -> None:
     """Keep the orders in step with the store, for ever.
 
     Args:
         parts: The state of the host.
-        list_orders: Reads all orders.
-        wait: Waits for new ones.
+        reads: Reads the store.
     """
-    store = Dependency('store: orders', parts)
+    store = Dependency('store: orders', parts.note, parts.timers)
     while True:
+        if not _must_read(parts, parts.orders.read, ORDERS_STALE_AFTER):
+            await parts.timers.wait(LOOK_PERIOD)
+            continue
         try:
-            await _follow_orders_once(parts, list_orders, wait)
+            await _read_orders(parts, reads, waits=store.lost_at is None)
         except EbonystreamError as error:
-            store.lose(error)
+            store.lose(str(error))
             await parts.timers.wait(RETRY_AFTER)
         else:
             store.regain()
 
 
-async def _follow_orders_once(
-    parts: HostParts, list_orders: ListOrders, wait: WaitForOrders
-) -> None:
-    orders = parts.orders
-    if orders.configuration is not None:
-        end = await wait(orders.end, ORDERS_WAIT)
-        orders.read = parts.timers.now()
-        if end <= orders.end:
-            return
-    before = parts.orders.configuration
-    listing = await list_orders()
-    news = parts.orders.take(listing, parts.timers.now())
-    if before is None and listing.configuration is None:
-        await wait(listing.end, ORDERS_WAIT)
-    if news:
-        note_orders(parts)
+async def follow_servers(parts: HostParts, reads: StoreReads) -> None:
+    """Keep the roster in step with the store, for ever.
+
+    Args:
+        parts: The state of the host.
+        reads: Reads the store.
+    """
+    store = Dependency('store: servers', parts.note, parts.timers)
+    while True:
+        if not _must_read(parts, parts.roster.listed, STALE_AFTER):
+            await parts.timers.wait(LOOK_PERIOD)
+            continue
+        began = parts.timers.now()
+        try:
+            entries = await reads.list_entries()
+        except EbonystreamError as error:
+            store.lose(str(error))
+            parts.roster.note_outage(parts.timers.now())
+            await parts.timers.wait(RETRY_AFTER)
+            continue
+        if store.regain():
+            parts.wake_orders()
+        take_entries(parts, entries, began)
+        await trio.sleep_until(began + SERVERS_PERIOD)
+
 
+def take_orders(
+    parts: HostParts, listing: OrdersListing, read: Monotonic
+) -> None:
+    """Take orders over, and log what is new.
 
-def note_orders(parts: HostParts) -> None:
-    """Log the orders that are in force from now on."""
+    Args:
+        parts: The state of the host.
+        listing: All orders.
+        read: When they were read from the store.
+    """
     orders = parts.orders
+    if not orders.take(listing, read):
+        return
     configuration = orders.configuration
     parts.note(
         'orders_taken',
         end=orders.end,
         configuration=configuration.version if configuration else None,
         zones_out=sorted(orders.zones_out),
-        moves=[f'{move.service}>{move.version}' for move in orders.moves],
+        moves=[move.id for move in orders.moves],
+        age_s=parts.timers.now() - read,
     )
 
 
-async def follow_servers(parts: HostParts, list_entries: ListEntries) -> None:
-    """Keep the roster in step with the store, for ever.
+def take_entries(
+    parts: HostParts, entries: tuple[ServerEntry, ...], read: Monotonic
+) -> None:
+    """Take the entries of all servers over, and log what is new.
 
     Args:
         parts: The state of the host.
-        list_entries: Reads all entries.
+        entries: The entries.
+        read: When they were read from the store.
     """
-    store = Dependency('store: servers', parts)
-    async for now in parts.timers.subscribe(period=SERVERS_PERIOD):
-        try:
-            entries = await list_entries()
-        except EbonystreamError as error:
-            store.lose(error)
-            parts.roster.note_outage(parts.timers.now())
-            continue
-        store.regain()
-        _take_entries(parts, entries, now)
-
-
-def _take_entries(
-    parts: HostParts, entries: tuple[ServerEntry, ...], now: Monotonic
-) -> None:
-    change = parts.roster.take(entries, now)
+    change = parts.roster.take(entries, read)
     if change.is_any():
         parts.note(
             'roster_changed',
@@ -142,4 +146,35 @@
             left=change.left,
             leaving=change.leaving,
             servers=len(parts.roster.servers),
+            age_s=parts.timers.now() - read,
         )
+
+
+def _must_read(
+    parts: HostParts, read: Monotonic | None, stale_after: Seconds
+) -> bool:
+    now = parts.timers.now()
+    if read is None or parts.facts.is_speaker(now):
+        return True
+    return now - read > stale_after
+
+
+async def _read_orders(
+    parts: HostParts, reads: StoreReads, *, waits: bool
+) -> None:
+    if waits and parts.orders.listing is not None:
+        if not await _wait_for_news(parts, reads):
+            return
+    began = parts.timers.now()
+    take_orders(parts, await reads.list_orders(), began)
+
+
+async def _wait_for_news(parts: HostParts, reads: StoreReads) -> bool:
+    """Wait for new orders; tell whether they should be read now."""
+    known = parts.orders.end
+    with trio.CancelScope() as scope:
+        parts.orders_wait = scope
+        end = await reads.wait_for_orders(known, ORDERS_WAIT)
+        parts.orders.confirm(parts.timers.now())
+        return end > known
+    return True
--- a/src/ebonystream/entryhost/_observers.py
+++ b/src/ebonystream/entryhost/_observers.py
@@ -1,6 +1,9 @@
 """What each attempt teaches this host, and its log line."""
 
+from functools import partial
+
 from ebonystream.dispatch import Attempt, Observe
+from ebonystream.entryhost._moving import count_attempt
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.link import Refused
 from ebonystream.placement import Sighting
@@ -8,6 +11,7 @@
 from ebonystream.roster import LoadReport
 from ebonystream.route import Route
 
+UNREACHABLE_WEIGHT = 2
 SPOILED_WEIGHT = 1
 FAILED_WEIGHT = 0.7
 REFUSED_WEIGHT = 0.3
@@ -25,8 +29,7 @@
         now = parts.timers.now()
         answer = attempt.answer
         if answer is None:
-            unreachable = attempt.refused is Refused.UNREACHABLE
-            server.count_failure(now, 2 if unreachable else SPOILED_WEIGHT)
+            server.count_failure(now, _weigh_end(attempt))
             return
         if answer.verdict is Verdict.SERVED:
             pace = _get_pace(attempt.offer.sighting)
@@ -52,7 +55,16 @@
             load=_describe_load(sighting),
         )
 
-    return (learn, write)
+    return (learn, write, partial(count_attempt, parts))
+
+
+def _weigh_end(attempt: Attempt) -> float:
+    """Weigh an attempt without an answer as a failure of its server."""
+    if attempt.refused is Refused.UNREACHABLE:
+        return UNREACHABLE_WEIGHT
+    if attempt.refused is Refused.CUT or attempt.is_overdue():
+        return SPOILED_WEIGHT
+    return 0
 
 
 def _get_pace(sighting: Sighting) -> float:
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -5,14 +5,17 @@
 import attrs
 import trio
 
+from ebonystream._ids import Incarnation
 from ebonystream._timers import Timers
 from ebonystream.decisionlog import Note
 from ebonystream.entryhost._settings import HostSettings
+from ebonystream.gossip import FactTable
 from ebonystream.ingress import OpenConnections
 from ebonystream.link import ConnectionPool
 from ebonystream.orders import Orders
 from ebonystream.placement import WorkTimes
 from ebonystream.roster import Roster
+from ebonystream.versionmove import VersionMoves
 
 
 @attrs.define(kw_only=True)
@@ -30,6 +33,12 @@
         work_times: The usual work of each route.
         servers_pool: Connections to backend servers.
         connections: Connections from callers.
+        facts: What entry hosts said of themselves.
+        incarnation: Names this run of the host.
+        moves: The version moves.
+        orders_wait: The wait for new orders that is under way.
+        said: How often this host has made its facts.
+        unreadable: Records of the store that were logged as unreadable.
         leaving: Set once this host was told to stop.
     """
 
@@ -42,6 +51,12 @@
     roster: Roster = attrs.field(factory=Roster)
     orders: Orders = attrs.field(factory=Orders)
     work_times: WorkTimes = attrs.field(factory=WorkTimes)
+    facts: FactTable
+    incarnation: Incarnation
+    moves: VersionMoves = attrs.field(factory=VersionMoves)
+    orders_wait: trio.CancelScope | None = None
+    said: int = 0
+    unreadable: set[tuple[str, str]] = attrs.field(factory=set)
     connections: OpenConnections = attrs.field(factory=OpenConnections)
     leaving: trio.Event = attrs.field(factory=trio.Event)
 
@@ -50,3 +65,8 @@
         known = self.orders.configuration is not None
         listed = self.roster.listed is not None
         return known and listed and not self.leaving.is_set()
+
+    def wake_orders(self) -> None:
+        """End a wait for new orders, so that they are read at once."""
+        if self.orders_wait is not None:
+            self.orders_wait.cancel()
--- a/src/ebonystream/entryhost/_root.py
+++ b/src/ebonystream/entryhost/_root.py
@@ -10,8 +10,9 @@
 
 import trio
 
-from ebonystream._ids import Offset, Seconds, ServiceName
-from ebonystream._timers import start_timers
+from ebonystream._address import ServerAddress
+from ebonystream._ids import Incarnation, Seconds, ServiceName
+from ebonystream._timers import Timers, start_timers
 from ebonystream.decisionlog import make_note, start_decision_log
 from ebonystream.dispatch import (
     RepeatBudget,
@@ -19,32 +20,41 @@
     make_send,
     make_serve,
 )
+from ebonystream.entryhost._asking import ask_peers
 from ebonystream.entryhost._callers import (
     Handle,
     make_caller_handler,
     make_readiness_handler,
+    make_sharing_handler,
 )
 from ebonystream.entryhost._following import follow_orders, follow_servers
 from ebonystream.entryhost._leaving import stop_on_signal
+from ebonystream.entryhost._meeting import (
+    listen_to_peers,
+    meet_peers,
+    talk_to_peers,
+)
+from ebonystream.entryhost._moving import follow_moves
 from ebonystream.entryhost._observers import make_observers
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._reload import follow_settings
 from ebonystream.entryhost._settings import HostSettings
+from ebonystream.entryhost._store import (
+    make_store_reads,
+    read_report,
+    register_host,
+)
+from ebonystream.gossip import FactTable, make_ask_shared, open_datagrams
 from ebonystream.ingress import serve_listener
 from ebonystream.link import ConnectionPool, PoolLimits, make_exchange
-from ebonystream.orders import OrdersListing
 from ebonystream.placement import make_ask, make_find_room
 from ebonystream.platform import (
-    OPERATOR_TOPIC,
-    SERVERS_TOPIC,
     SETTINGS_VARIABLE,
     StoreClient,
-    decode_orders,
-    decode_servers,
     decode_settings,
     make_dialect,
 )
-from ebonystream.roster import KnownServer, ServerEntry
+from ebonystream.roster import KnownServer
 from ebonystream.route import ServiceTerms
 
 SERVER_LINKS = PoolLimits(
@@ -89,13 +99,21 @@
             note=make_note(timers=timers, buffer=buffer),
             background=nursery,
             servers_pool=ConnectionPool(SERVER_LINKS, timers),
+            facts=FactTable(settings.name, settings.zone),
+            incarnation=_make_incarnation(timers),
         )
         parts.note('started', host=settings.name, zone=settings.zone)
         await _start(parts, nursery, path)
 
 
+def _make_incarnation(timers: Timers) -> Incarnation:
+    """Name this run, so that the names of later runs sort behind it."""
+    return Incarnation(f'{timers.wall_ms():013d}')
+
+
 async def _start(parts: HostParts, nursery: trio.Nursery, path: Path) -> None:
-    _start_followers(parts, nursery, path)
+    await _start_peers(parts, nursery)
+    nursery.start_soon(follow_settings, parts, path, read_settings)
     await nursery.start(
         partial(
             serve_listener,
@@ -159,40 +177,47 @@
     )
 
 
-def _start_followers(
-    parts: HostParts, nursery: trio.Nursery, path: Path
-) -> None:
+async def _start_peers(parts: HostParts, nursery: trio.Nursery) -> None:
+    """Start what keeps this host in step with the store and its peers."""
+    exchange = make_exchange(pool=ConnectionPool(STORE_LINKS, parts.timers))
     store = StoreClient(
         at=parts.settings.store,
-        exchange=make_exchange(pool=ConnectionPool(STORE_LINKS, parts.timers)),
+        exchange=exchange,
         count_call=lambda call: None,
     )
-
-    async def list_orders() -> OrdersListing:
-        listing = await store.list_newest(OPERATOR_TOPIC)
-        return decode_orders(listing, note_unreadable)
-
-    async def wait_for_orders(end: Offset, wait: Seconds) -> Offset:
-        return await store.wait_beyond(OPERATOR_TOPIC, end, wait=wait)
-
-    async def list_entries() -> tuple[ServerEntry, ...]:
-        listing = await store.list_newest(SERVERS_TOPIC)
-        return decode_servers(listing, note_unreadable)
-
-    def note_unreadable(key: str, why: str) -> None:
-        parts.note('record_unreadable', key=key, why=why)
-
-    nursery.start_soon(follow_orders, parts, list_orders, wait_for_orders)
-    nursery.start_soon(follow_servers, parts, list_entries)
-    nursery.start_soon(follow_settings, parts, path, read_settings)
-
-
-def _list_servers(parts: HostParts, service: ServiceName) -> list[KnownServer]:
-    return [
+    reads = make_store_reads(parts, store)
+    datagrams = await open_datagrams(parts.settings.peers)
+    peers = parts.settings.peers
+    await nursery.start(
+        partial(
+            serve_listener,
+            ServerAddress(peers.address, peers.port + 1),
+            make_sharing_handler(parts),
+            connections=nursery,
+        )
+    )
+    register = partial(register_host, parts, store)
+    nursery.start_soon(meet_peers, parts, datagrams, register)
+    nursery.start_soon(listen_to_peers, parts, datagrams)
+    nursery.start_soon(talk_to_peers, parts, datagrams)
+    nursery.start_soon(ask_peers, parts, make_ask_shared(exchange=exchange))
+    nursery.start_soon(follow_orders, parts, reads)
+    nursery.start_soon(follow_servers, parts, reads)
+    nursery.start_soon(follow_moves, parts, partial(read_report, store))
+
+
+def _list_servers(
+    parts: HostParts, service: ServiceName, draw: float
+) -> list[KnownServer]:
+    """List the servers that zones out and version moves leave for a draw."""
+    servers = [
         server
         for server in parts.roster.list_service(service)
         if server.entry.zone not in parts.orders.zones_out
     ]
+    return parts.moves.narrow(
+        service, servers, now=parts.timers.now(), draw=draw
+    )
 
 
 def _list_terms(parts: HostParts) -> Mapping[ServiceName, ServiceTerms]:
--- /dev/null
+++ b/src/ebonystream/entryhost/_store.py
@@ -0,0 +1,97 @@
+"""What this host asks of the platform's store, in the product's words."""
+
+from functools import partial
+
+from ebonystream._ids import Offset, Seconds
+from ebonystream.entryhost._following import StoreReads
+from ebonystream.entryhost._moving import Report
+from ebonystream.entryhost._parts import HostParts
+from ebonystream.orders import OrdersListing
+from ebonystream.platform import (
+    HOSTS_TOPIC,
+    OPERATOR_TOPIC,
+    SERVERS_TOPIC,
+    STATUS_TOPIC,
+    StoreClient,
+    decode_hosts,
+    decode_orders,
+    decode_servers,
+    encode_host,
+    encode_status,
+    find_status,
+)
+from ebonystream.roster import ServerEntry
+from ebonystream.versionmove import VersionMove
+
+
+def make_store_reads(parts: HostParts, store: StoreClient) -> StoreReads:
+    """Make the functions that read the orders and the servers.
+
+    Args:
+        parts: Writes the log.
+        store: The client of the store.
+    """
+
+    def note_unreadable(key: str, why: str) -> None:
+        if (key, why) not in parts.unreadable:
+            parts.unreadable.add((key, why))
+            parts.note('record_unreadable', key=key, why=why)
+
+    async def list_orders() -> OrdersListing:
+        listing = await store.list_newest(OPERATOR_TOPIC)
+        return decode_orders(listing, note_unreadable)
+
+    async def wait_for_orders(end: Offset, wait: Seconds) -> Offset:
+        return await store.wait_beyond(OPERATOR_TOPIC, end, wait=wait)
+
+    async def list_entries() -> tuple[ServerEntry, ...]:
+        listing = await store.list_newest(SERVERS_TOPIC)
+        return decode_servers(listing, note_unreadable)
+
+    return StoreReads(
+        list_orders=list_orders,
+        wait_for_orders=wait_for_orders,
+        list_entries=list_entries,
+    )
+
+
+async def register_host(
+    parts: HostParts, store: StoreClient
+) -> tuple[str, ...]:
+    """Leave this host's address in the store, and read those of all hosts.
+
+    Args:
+        parts: Names the host.
+        store: The client of the store.
+
+    Raises:
+        EbonystreamError: The store doesn't answer.
+    """
+    settings = parts.settings
+    record = encode_host(settings.name, settings.peers.address)
+    await store.append_keyed(HOSTS_TOPIC, record)
+    return decode_hosts(await store.list_newest(HOSTS_TOPIC))
+
+
+async def read_report(store: StoreClient, move: VersionMove) -> Report:
+    """Read what the store holds of a move.
+
+    Args:
+        store: The client of the store.
+        move: The move.
+
+    Raises:
+        EbonystreamError: The store doesn't answer.
+    """
+    listing = await store.list_newest(STATUS_TOPIC)
+    return Report(
+        verdict=find_status(listing, move.service, move.id),
+        write=partial(_write_report, store, move, listing.end),
+    )
+
+
+async def _write_report(
+    store: StoreClient, move: VersionMove, end: Offset
+) -> bool:
+    record = encode_status(move)
+    return await store.append_keyed(STATUS_TOPIC, record, at=end) is not None
--- /dev/null
+++ b/src/ebonystream/gossip/_table.py
@@ -0,0 +1,147 @@
+"""The newest facts of each host, and who is alive."""
+
+from random import Random
+
+import attrs
+
+from ebonystream._ids import HostId, Monotonic, Seconds, ZoneName
+from ebonystream.gossip._facts import Facts
+
+ALIVE_FOR = Seconds(2.5)
+"""How long after its last word a host counts as alive."""
+
+RUN_ENDED_AFTER = Seconds(1.2)
+"""After this silence a run is believed to have ended, whatever clocks say."""
+
+FORGET_AFTER = Seconds(60)
+
+
+@attrs.frozen
+class _Heard:
+    facts: Facts
+    at: Monotonic
+
+
+@attrs.define
+class FactTable:
+    """What was heard of each host, this one among them.
+
+    Attributes:
+        own: The name of this host.
+        zone: The availability zone of this host.
+    """
+
+    own: HostId
+    zone: ZoneName
+    _heard: dict[HostId, _Heard] = attrs.field(factory=dict)
+
+    def take(self, facts: Facts, now: Monotonic) -> bool:
+        """Take facts over unless newer ones are known.
+
+        Args:
+            facts: What a host said.
+            now: When it was heard.
+
+        Returns:
+            Whether the host was not known, or runs anew.
+        """
+        known = self._heard.get(facts.host)
+        if known is None:
+            self._heard[facts.host] = _Heard(facts, now)
+            return True
+        same_run = known.facts.incarnation == facts.incarnation
+        if same_run and facts.number <= known.facts.number:
+            return False
+        silent = now - known.at > RUN_ENDED_AFTER
+        earlier = facts.incarnation < known.facts.incarnation
+        if not same_run and earlier and not silent:
+            return False
+        self._heard[facts.host] = _Heard(facts, now)
+        return not same_run
+
+    def list_alive(self, now: Monotonic) -> list[Facts]:
+        """List the newest facts of each host that is alive.
+
+        Args:
+            now: The time.
+        """
+        return [
+            heard.facts
+            for heard in self._heard.values()
+            if now - heard.at <= ALIVE_FOR
+        ]
+
+    def list_peers(self, now: Monotonic) -> list[Facts]:
+        """List the facts of all hosts but this one that may be alive.
+
+        Args:
+            now: The time.
+        """
+        self._forget(now)
+        return [
+            heard.facts
+            for heard in self._heard.values()
+            if heard.facts.host != self.own
+        ]
+
+    def list_zone(self, zone: ZoneName, now: Monotonic) -> list[Facts]:
+        """List the facts of the hosts of a zone that are alive and stay.
+
+        Args:
+            zone: The zone.
+            now: The time.
+        """
+        return [
+            facts
+            for facts in self.list_alive(now)
+            if facts.zone == zone and not facts.leaving
+        ]
+
+    def find_speaker(self, zone: ZoneName, now: Monotonic) -> Facts | None:
+        """Find the host that speaks for a zone; None where none is alive.
+
+        Args:
+            zone: The zone.
+            now: The time.
+        """
+        return min(
+            self.list_zone(zone, now),
+            key=lambda facts: facts.host,
+            default=None,
+        )
+
+    def is_speaker(self, now: Monotonic) -> bool:
+        """Tell whether this host speaks for its zone.
+
+        Args:
+            now: The time.
+        """
+        speaker = self.find_speaker(self.zone, now)
+        return speaker is None or speaker.host == self.own
+
+    def list_far_speakers(self, now: Monotonic, random: Random) -> list[Facts]:
+        """List one host to talk to in each other zone that was heard of.
+
+        Where none is alive, any host that once was may be again.
+
+        Args:
+            now: The time.
+            random: Picks that one.
+        """
+        by_zone: dict[ZoneName, list[Facts]] = {}
+        for facts in self.list_peers(now):
+            by_zone.setdefault(facts.zone, []).append(facts)
+        by_zone.pop(self.zone, None)
+        return [
+            self.find_speaker(zone, now) or random.choice(known)
+            for zone, known in by_zone.items()
+        ]
+
+    def _forget(self, now: Monotonic) -> None:
+        old = [
+            host
+            for host, heard in self._heard.items()
+            if now - heard.at > FORGET_AFTER and host != self.own
+        ]
+        for host in old:
+            self._heard.pop(host)
--- a/src/ebonystream/orders/_orders.py
+++ b/src/ebonystream/orders/_orders.py
@@ -4,6 +4,7 @@
 
 from ebonystream._ids import (
     Monotonic,
+    MoveId,
     Offset,
     Seconds,
     ServiceName,
@@ -20,11 +21,13 @@
     """An order to move a service's requests to the servers of a version.
 
     Attributes:
+        id: Names this order; the same order given again has another one.
         service: The service.
         version: The version that takes over.
         within: How long the move may take, in seconds.
     """
 
+    id: MoveId
     service: ServiceName
     version: VersionName
     within: Seconds
@@ -52,32 +55,50 @@
     """The orders in force here; they never go back.
 
     Attributes:
-        end: The offset that the next order gets.
+        listing: The newest listing; None before the first.
         configuration: The configuration in force; None before the first.
-        zones_out: Zones that get no work.
-        moves: Version moves that were ordered.
-        read: When the store or a peer last told them.
+        read: When the store last confirmed them, here or at a peer.
     """
 
-    end: Offset = NOTHING_READ
+    listing: OrdersListing | None = None
     configuration: RouteConfiguration | None = None
-    zones_out: frozenset[ZoneName] = frozenset()
-    moves: tuple[VersionOrder, ...] = ()
     read: Monotonic | None = None
 
-    def take(self, listing: OrdersListing, now: Monotonic) -> bool:
+    @property
+    def end(self) -> Offset:
+        """The offset that the next order gets."""
+        return self.listing.end if self.listing else NOTHING_READ
+
+    @property
+    def zones_out(self) -> frozenset[ZoneName]:
+        """The zones that get no work."""
+        return self.listing.zones_out if self.listing else frozenset()
+
+    @property
+    def moves(self) -> tuple[VersionOrder, ...]:
+        """The version moves that were ordered."""
+        return self.listing.moves if self.listing else ()
+
+    def confirm(self, read: Monotonic) -> None:
+        """Note that the store had nothing newer.
+
+        Args:
+            read: When it said so.
+        """
+        if self.read is None or read > self.read:
+            self.read = read
+
+    def take(self, listing: OrdersListing, read: Monotonic) -> bool:
         """Take a listing over; tell whether it brings anything new.
 
         Args:
             listing: All orders.
-            now: When they were read.
+            read: When they were read from the store.
         """
-        self.read = now
-        if listing.end <= self.end and self.configuration is not None:
+        self.confirm(read)
+        if self.listing is not None and listing.end <= self.end:
             return False
-        self.end = listing.end
-        self.zones_out = listing.zones_out
-        self.moves = listing.moves
+        self.listing = listing
         self._take_configuration(listing.configuration)
         return True
 
--- a/src/ebonystream/placement/_finding.py
+++ b/src/ebonystream/placement/_finding.py
@@ -50,6 +50,7 @@
         service: The service that the route's weights gave it.
         arrived: When it came.
         until: When its answer is of no use any more.
+        draw: Its draw between the versions of the service, from 0 to 1.
         without: Servers that have refused it or failed it.
     """
 
@@ -57,14 +58,15 @@
     service: ServiceName
     arrived: Monotonic
     until: Monotonic
+    draw: float
     without: frozenset[ServerId] = frozenset()
 
 
 FindRoom = Callable[[Wanted], Awaitable[Offer | NoRoom]]
 """Finds a server with room for a request, or tells when to come back."""
 
-ListServers = Callable[[ServiceName], Sequence[KnownServer]]
-"""Lists the servers of a service that may get work now."""
+ListServers = Callable[[ServiceName, float], Sequence[KnownServer]]
+"""Lists the servers of a service that may get the work of a draw now."""
 
 
 @attrs.frozen(kw_only=True)
@@ -128,7 +130,7 @@
     now = finder.timers.now()
     usable = [
         server
-        for server in finder.list_servers(wanted.service)
+        for server in finder.list_servers(wanted.service, wanted.draw)
         if server.entry.id not in wanted.without and server.is_usable(now)
     ]
     finder.random.shuffle(usable)
--- a/src/ebonystream/platform/_operator.py
+++ b/src/ebonystream/platform/_operator.py
@@ -8,6 +8,7 @@
 from ebonystream._calls import CallKind
 from ebonystream._ids import (
     ConfigurationVersion,
+    MoveId,
     RouteName,
     Seconds,
     ServiceName,
@@ -153,6 +154,7 @@
     """
     sent = _decode(record.content, _Rollout)
     return VersionOrder(
+        id=MoveId(f'{record.key}@{record.offset}'),
         service=ServiceName(sent.service),
         version=VersionName(sent.target_version),
         within=parse_length(sent.duration),
--- a/src/ebonystream/platform/_store.py
+++ b/src/ebonystream/platform/_store.py
@@ -47,10 +47,12 @@
     Attributes:
         key: The key.
         content: What stands there.
+        offset: The place of the record in its topic; None before the append.
     """
 
     key: str
     content: bytes
+    offset: Offset | None = None
 
 
 @attrs.frozen
@@ -69,6 +71,7 @@
 class _Item(msgspec.Struct):
     key: str
     value: str
+    offset: Offset
 
 
 class _Newest(msgspec.Struct):
@@ -126,7 +129,7 @@
         Raises:
             EbonystreamError: `LOG_UNAVAILABLE`: the store doesn't answer.
         """
-        query = {
+        query: dict[str, str | int] = {
             'topic': topic,
             'part': ONLY_PART,
             'from': start,
@@ -217,7 +220,7 @@
 
 
 def _decode_item(sent: _Item) -> KeyedRecord:
-    return KeyedRecord(sent.key, base64.b64decode(sent.value))
+    return KeyedRecord(sent.key, base64.b64decode(sent.value), sent.offset)
 
 
 def _encode_keyed(record: KeyedRecord) -> bytes:
--- a/src/ebonystream/roster/_known.py
+++ b/src/ebonystream/roster/_known.py
@@ -2,12 +2,15 @@
 
 import attrs
 
-from ebonystream._ids import Monotonic, Seconds
+from ebonystream._ids import HostId, Monotonic, Seconds
 from ebonystream.roster._entry import EntryState, ServerEntry
 
 FAILURE_HALF_LIFE = Seconds(3)
 """How long until a failure counts half."""
 
+TOLD_WEIGHT = 0.7
+"""How much a failure that another host saw counts here."""
+
 NEVER = Monotonic(float('-inf'))
 
 
@@ -26,6 +29,7 @@
         last_sent: When this host last sent a request to it.
         failures: Failed requests, fewer as time passes.
         failures_at: When the failures were last brought up to date.
+        told_failures: What other hosts say of failures, by host.
     """
 
     entry: ServerEntry
@@ -38,6 +42,9 @@
     last_sent: Monotonic = NEVER
     failures: float = 0
     failures_at: Monotonic = NEVER
+    told_failures: dict[HostId, tuple[float, Monotonic]] = attrs.field(
+        factory=dict
+    )
 
     def is_usable(self, now: Monotonic) -> bool:
         """Tell whether work may be sent to it.
@@ -72,16 +79,44 @@
             now: The time.
             weight: How much the failure tells.
         """
-        self.failures = self.weigh_failures(now) + weight
+        self.failures = self.weigh_own(now) + weight
         self.failures_at = now
 
+    def hear_failures(
+        self, host: HostId, failures: float, now: Monotonic
+    ) -> None:
+        """Take over what another host says of its failures here.
+
+        Args:
+            host: The other host.
+            failures: Its failures, weighed by their age.
+            now: When it said so.
+        """
+        self.told_failures[host] = (failures, now)
+
+    def weigh_own(self, now: Monotonic) -> float:
+        """Weigh the failures of this host's own requests, by their age.
+
+        Args:
+            now: The time.
+        """
+        return _fade(self.failures, self.failures_at, now)
+
     def weigh_failures(self, now: Monotonic) -> float:
-        """Weigh the failures that were counted, by their age.
+        """Weigh the failures that this host and others saw, by their age.
 
         Args:
             now: The time.
         """
-        if not self.failures:
-            return 0
-        half_lives = (now - self.failures_at) / FAILURE_HALF_LIFE
-        return self.failures / 2**half_lives
+        told = sum(
+            _fade(failures, at, now)
+            for failures, at in self.told_failures.values()
+        )
+        return self.weigh_own(now) + TOLD_WEIGHT * told
+
+
+def _fade(failures: float, at: Monotonic, now: Monotonic) -> float:
+    if not failures:
+        return 0
+    half_lives = (now - at) / FAILURE_HALF_LIFE
+    return float(failures / 2**half_lives)
--- a/src/ebonystream/roster/_roster.py
+++ b/src/ebonystream/roster/_roster.py
@@ -37,12 +37,16 @@
 
     Attributes:
         servers: Each server by its name.
-        listed: When the store was last read whole.
+        listed: When the store was last read whole, here or at a peer.
+        entries: The entries of that reading, in the order of their names.
+        edition: Counts the changes of the entries.
         away_until: Until when missing entries count as lapsed, not gone.
     """
 
     servers: dict[ServerId, KnownServer] = attrs.field(factory=dict)
     listed: Monotonic | None = None
+    entries: tuple[ServerEntry, ...] = ()
+    edition: int = 0
     away_until: Monotonic = Monotonic(float('-inf'))
 
     def note_outage(self, now: Monotonic) -> None:
@@ -62,7 +66,8 @@
             entries: All entries that name a server.
             now: When they were read.
         """
-        seen = {entry.id: entry for entry in entries}
+        self._keep(entries)
+        seen = {entry.id: entry for entry in self.entries}
         joined = [one for one in seen.values() if self._take_one(one, now)]
         leaving = [
             one.id
@@ -71,7 +76,7 @@
             and self._mark_leaving(self.servers[one.id])
         ]
         left = self._drop_missing(seen, now)
-        self.listed = now
+        self.confirm(now)
         return RosterChange(
             joined=tuple(one.id for one in joined),
             left=left,
@@ -100,6 +105,21 @@
         if known is not None:
             known.leaving = True
 
+    def confirm(self, read: Monotonic) -> None:
+        """Note that a reading brought the same entries.
+
+        Args:
+            read: When it was made.
+        """
+        if self.listed is None or read > self.listed:
+            self.listed = read
+
+    def _keep(self, entries: Iterable[ServerEntry]) -> None:
+        kept = tuple(sorted(entries, key=_get_name))
+        if kept != self.entries:
+            self.entries = kept
+            self.edition += 1
+
     def _take_one(self, entry: ServerEntry, now: Monotonic) -> bool:
         """Take one entry over; tell whether it is a new run of a server."""
         known = self.servers.get(entry.id)
@@ -131,3 +151,7 @@
 
 def _is_same_run(old: ServerEntry, new: ServerEntry) -> bool:
     return old.started == new.started and old.at == new.at
+
+
+def _get_name(entry: ServerEntry) -> ServerId:
+    return entry.id
--- /dev/null
+++ b/src/ebonystream/versionmove/__init__.py
@@ -0,0 +1,23 @@
+"""Version moves: how much of a service a new version gets, and the verdict."""
+
+from ebonystream.versionmove._counts import (
+    MoveCounts,
+    RouteCounts,
+    add_counts,
+)
+from ebonystream.versionmove._judge import judge_version
+from ebonystream.versionmove._move import MoveVerdict, VersionMove
+from ebonystream.versionmove._moves import VersionMoves
+from ebonystream.versionmove._stages import FINISH_FROM, get_share
+
+__all__ = (
+    'FINISH_FROM',
+    'MoveCounts',
+    'MoveVerdict',
+    'RouteCounts',
+    'VersionMove',
+    'VersionMoves',
+    'add_counts',
+    'get_share',
+    'judge_version',
+)
