--- a/src/ebonystream/decisionlog/_lines.py
+++ b/src/ebonystream/decisionlog/_lines.py
@@ -98,7 +98,8 @@
     buffer = OutputBuffer(lambda line: os.write(descriptor, line))
 
     def write(message: dict[str, Any]) -> None:
-        buffer.put(msgspec.json.encode(message, enc_hook=str) + b'\n')
+        line = msgspec.json.encode(message, enc_hook=str)
+        buffer.put(b'%b\n' % line)
 
     eliot.add_destinations(write)
     return buffer
--- a/src/ebonystream/dispatch/__init__.py
+++ b/src/ebonystream/dispatch/__init__.py
@@ -2,16 +2,12 @@
 
 from ebonystream.dispatch._attempt import Attempt, Send, make_send
 from ebonystream.dispatch._budget import RepeatBudget, RepeatTerms
-from ebonystream.dispatch._run import (
-    ListConfiguration,
-    Observe,
-    Serve,
-    make_serve,
-)
+from ebonystream.dispatch._progress import Dispatcher, Observe
+from ebonystream.dispatch._run import Serve, make_serve
 
 __all__ = (
     'Attempt',
-    'ListConfiguration',
+    'Dispatcher',
     'Observe',
     'RepeatBudget',
     'RepeatTerms',
--- a/src/ebonystream/dispatch/_attempt.py
+++ b/src/ebonystream/dispatch/_attempt.py
@@ -33,6 +33,11 @@
     refused: Refused | None
     took: Seconds
 
+    def is_served(self) -> bool:
+        """Tell whether the server's whole answer is there."""
+        answer = self.answer
+        return answer is not None and answer.verdict is Verdict.SERVED
+
     def is_not_run(self) -> bool:
         """Tell whether it is certain that the request didn't run there."""
         if self.answer is None:
--- /dev/null
+++ b/src/ebonystream/entryhost/_path.py
@@ -0,0 +1,97 @@
+"""Wires the path of a request, from a caller to a backend server."""
+
+from collections.abc import Mapping
+from functools import partial
+
+from ebonystream._ids import ServiceName
+from ebonystream.dispatch import (
+    Dispatcher,
+    RepeatBudget,
+    RepeatTerms,
+    make_send,
+    make_serve,
+)
+from ebonystream.entryhost._callers import Handle, make_caller_handler
+from ebonystream.entryhost._observers import make_observers
+from ebonystream.entryhost._parts import HostParts
+from ebonystream.entryhost._settings import HostSettings
+from ebonystream.link import make_exchange
+from ebonystream.placement import Finder, make_ask, make_find_room
+from ebonystream.platform import make_dialect
+from ebonystream.roster import KnownServer
+from ebonystream.route import ServiceTerms
+
+EXPECTED_HOSTS = 20
+"""Over how many hosts shared bounds are spread."""
+
+
+def make_request_handler(parts: HostParts) -> Handle:
+    """Wire the path of a request, from its connection to a server.
+
+    Args:
+        parts: The state of the host.
+    """
+    dialect = make_dialect()
+    exchange = make_exchange(pool=parts.servers_pool)
+    ask = make_ask(
+        exchange=exchange,
+        dialect=dialect,
+        list_terms=partial(_list_terms, parts),
+        timers=parts.timers,
+    )
+    find_room = make_find_room(
+        Finder(
+            list_servers=partial(_list_servers, parts),
+            ask=ask,
+            work_times=parts.work_times,
+            zone=parts.settings.zone,
+            timers=parts.timers,
+            random=parts.random,
+            background=parts.background,
+        )
+    )
+    serve = make_serve(
+        Dispatcher(
+            find_room=find_room,
+            send=make_send(
+                exchange=exchange, dialect=dialect, timers=parts.timers
+            ),
+            budget=_make_budget(parts.settings),
+            observers=make_observers(parts),
+            timers=parts.timers,
+        ),
+        get_configuration=lambda: parts.orders.configuration,
+        random=parts.random,
+    )
+    return make_caller_handler(parts, serve, dialect)
+
+
+def _make_budget(settings: HostSettings) -> RepeatBudget:
+    bounds = settings.bounds
+    return RepeatBudget(
+        terms=RepeatTerms(
+            ratio=bounds.repeat_ratio,
+            slack=bounds.repeat_slack,
+            window=bounds.repeat_window,
+        ),
+        hosts=EXPECTED_HOSTS,
+    )
+
+
+def _list_servers(
+    parts: HostParts, service: ServiceName, draw: float
+) -> list[KnownServer]:
+    """List the servers that zones out and version moves leave for a draw."""
+    servers = [
+        server
+        for server in parts.roster.list_service(service)
+        if server.entry.zone not in parts.orders.zones_out
+    ]
+    return parts.moves.narrow(
+        service, servers, now=parts.timers.now(), draw=draw
+    )
+
+
+def _list_terms(parts: HostParts) -> Mapping[ServiceName, ServiceTerms]:
+    configuration = parts.orders.configuration
+    return configuration.services if configuration else {}
--- a/src/ebonystream/entryhost/_root.py
+++ b/src/ebonystream/entryhost/_root.py
@@ -3,7 +3,6 @@
 import os
 import sys
 import time
-from collections.abc import Mapping
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -11,19 +10,11 @@
 import trio
 
 from ebonystream._address import ServerAddress
-from ebonystream._ids import Incarnation, Seconds, ServiceName
+from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import Timers, start_timers
 from ebonystream.decisionlog import make_note, start_decision_log
-from ebonystream.dispatch import (
-    RepeatBudget,
-    RepeatTerms,
-    make_send,
-    make_serve,
-)
 from ebonystream.entryhost._asking import ask_peers
 from ebonystream.entryhost._callers import (
-    Handle,
-    make_caller_handler,
     make_readiness_handler,
     make_sharing_handler,
 )
@@ -35,8 +26,8 @@
     talk_to_peers,
 )
 from ebonystream.entryhost._moving import follow_moves
-from ebonystream.entryhost._observers import make_observers
 from ebonystream.entryhost._parts import HostParts
+from ebonystream.entryhost._path import make_request_handler
 from ebonystream.entryhost._reload import follow_settings
 from ebonystream.entryhost._settings import HostSettings
 from ebonystream.entryhost._store import (
@@ -47,15 +38,11 @@
 from ebonystream.gossip import FactTable, make_ask_shared, open_datagrams
 from ebonystream.ingress import serve_listener
 from ebonystream.link import ConnectionPool, PoolLimits, make_exchange
-from ebonystream.placement import make_ask, make_find_room
 from ebonystream.platform import (
     SETTINGS_VARIABLE,
     StoreClient,
     decode_settings,
-    make_dialect,
 )
-from ebonystream.roster import KnownServer
-from ebonystream.route import ServiceTerms
 
 SERVER_LINKS = PoolLimits(
     idle_connections=4, idle=Seconds(8), connect_timeout=Seconds(0.25)
@@ -64,8 +51,6 @@
     idle_connections=2, idle=Seconds(20), connect_timeout=Seconds(0.5)
 )
 CLOSE_IDLE_PERIOD = Seconds(1)
-EXPECTED_HOSTS = 20
-"""Over how many hosts shared bounds are spread until peers are known."""
 
 
 def run_entry_host() -> None:
@@ -126,7 +111,7 @@
         partial(
             serve_listener,
             parts.settings.callers,
-            _make_callers(parts),
+            make_request_handler(parts),
             connections=nursery,
         )
     )
@@ -135,48 +120,6 @@
     parts.note('listening')
 
 
-def _make_callers(parts: HostParts) -> Handle:
-    dialect = make_dialect()
-    exchange = make_exchange(pool=parts.servers_pool)
-    ask = make_ask(
-        exchange=exchange,
-        dialect=dialect,
-        list_terms=partial(_list_terms, parts),
-        timers=parts.timers,
-    )
-    find_room = make_find_room(
-        list_servers=partial(_list_servers, parts),
-        ask=ask,
-        work_times=parts.work_times,
-        zone=parts.settings.zone,
-        timers=parts.timers,
-        random=parts.random,
-        background=parts.background,
-    )
-    serve = make_serve(
-        find_room=find_room,
-        send=make_send(exchange=exchange, dialect=dialect, timers=parts.timers),
-        budget=_make_budget(parts.settings),
-        observers=make_observers(parts),
-        get_configuration=lambda: parts.orders.configuration,
-        timers=parts.timers,
-        random=parts.random,
-    )
-    return make_caller_handler(parts, serve, dialect)
-
-
-def _make_budget(settings: HostSettings) -> RepeatBudget:
-    bounds = settings.bounds
-    return RepeatBudget(
-        terms=RepeatTerms(
-            ratio=bounds.repeat_ratio,
-            slack=bounds.repeat_slack,
-            window=bounds.repeat_window,
-        ),
-        hosts=EXPECTED_HOSTS,
-    )
-
-
 async def _start_peers(parts: HostParts, nursery: trio.Nursery) -> None:
     """Start what keeps this host in step with the store and its peers."""
     exchange = make_exchange(pool=ConnectionPool(STORE_LINKS, parts.timers))
@@ -206,25 +149,6 @@
     nursery.start_soon(follow_moves, parts, partial(read_report, store))
 
 
-def _list_servers(
-    parts: HostParts, service: ServiceName, draw: float
-) -> list[KnownServer]:
-    """List the servers that zones out and version moves leave for a draw."""
-    servers = [
-        server
-        for server in parts.roster.list_service(service)
-        if server.entry.zone not in parts.orders.zones_out
-    ]
-    return parts.moves.narrow(
-        service, servers, now=parts.timers.now(), draw=draw
-    )
-
-
-def _list_terms(parts: HostParts) -> Mapping[ServiceName, ServiceTerms]:
-    configuration = parts.orders.configuration
-    return configuration.services if configuration else {}
-
-
 async def _close_idle(parts: HostParts) -> None:
     async for _ in parts.timers.subscribe(period=CLOSE_IDLE_PERIOD):
         await parts.servers_pool.close_idle()
--- a/src/ebonystream/link/_exchange.py
+++ b/src/ebonystream/link/_exchange.py
@@ -24,7 +24,7 @@
     head_bytes=MAX_HEAD_BYTES, body_bytes=MAX_BODY_BYTES
 )
 MAX_FOREIGN_ANSWERS = 4
-"""Answers to other requests that are skipped before a connection is given up."""
+"""Answers to other requests that are skipped on one connection."""
 
 KEEP_ALIVE_HEADER = b'keep-alive'
 KEEP_ALIVE_MARGIN = Seconds(1)
--- a/src/ebonystream/placement/__init__.py
+++ b/src/ebonystream/placement/__init__.py
@@ -2,12 +2,18 @@
 
 from ebonystream.placement._asking import Ask, make_ask
 from ebonystream.placement._estimate import WorkTimes
-from ebonystream.placement._finding import FindRoom, Wanted, make_find_room
+from ebonystream.placement._finding import (
+    Finder,
+    FindRoom,
+    Wanted,
+    make_find_room,
+)
 from ebonystream.placement._offer import NoRoom, Offer, Sighting
 
 __all__ = (
     'Ask',
     'FindRoom',
+    'Finder',
     'NoRoom',
     'Offer',
     'Sighting',
--- a/src/ebonystream/placement/_finding.py
+++ b/src/ebonystream/placement/_finding.py
@@ -70,7 +70,19 @@
 
 
 @attrs.frozen(kw_only=True)
-class _Finder:
+class Finder:
+    """What finding a server with room takes.
+
+    Attributes:
+        list_servers: Lists the servers that may get work.
+        ask: Asks one for its load.
+        work_times: The usual work of each route.
+        zone: The zone of this host.
+        timers: Tells the time.
+        random: The source of chance.
+        background: Where questions run.
+    """
+
     list_servers: ListServers
     ask: Ask
     work_times: WorkTimes
@@ -80,39 +92,16 @@
     background: trio.Nursery
 
 
-def make_find_room(
-    *,
-    list_servers: ListServers,
-    ask: Ask,
-    work_times: WorkTimes,
-    zone: ZoneName,
-    timers: Timers,
-    random: Random,
-    background: trio.Nursery,
-) -> FindRoom:
+def make_find_room(finder: Finder) -> FindRoom:
     """Make the function that finds a server with room.
 
     It answers bursts and servers whose pace changes within a request: a few
     servers are asked just before the send, those of the own zone first.
 
     Args:
-        list_servers: Lists the servers that may get work.
-        ask: Asks one for its load.
-        work_times: The usual work of each route.
-        zone: The zone of this host.
-        timers: Tells the time.
-        random: The source of chance.
-        background: Where questions run.
+        finder: What it takes.
     """
-    finder = _Finder(
-        list_servers=list_servers,
-        ask=ask,
-        work_times=work_times,
-        zone=zone,
-        timers=timers,
-        random=random,
-        background=background,
-    )
+    timers = finder.timers
 
     async def find_room(wanted: Wanted) -> Offer | NoRoom:
         hold = Seconds(wanted.route.objective * HOLD_SHARE)
@@ -126,7 +115,7 @@
     return find_room
 
 
-async def _look_once(finder: _Finder, wanted: Wanted) -> Offer | NoRoom:
+async def _look_once(finder: Finder, wanted: Wanted) -> Offer | NoRoom:
     now = finder.timers.now()
     usable = [
         server
@@ -144,7 +133,7 @@
 
 
 async def _survey(
-    finder: _Finder, servers: Iterable[KnownServer]
+    finder: Finder, servers: Iterable[KnownServer]
 ) -> list[Sighting]:
     return await survey_servers(
         servers,
@@ -179,7 +168,7 @@
 
 
 def _choose(
-    finder: _Finder, wanted: Wanted, sightings: list[Sighting]
+    finder: Finder, wanted: Wanted, sightings: list[Sighting]
 ) -> Offer | NoRoom:
     work = finder.work_times.get(wanted.route)
     asked = len(sightings)
@@ -188,6 +177,7 @@
             sighting=one,
             expected=_expect(finder, one, work),
             asked=asked,
+            free=get_load(one).has_free_slot(),
         )
         for one in sightings
         if _is_willing(one)
@@ -206,7 +196,7 @@
     return load.running + load.waiting < load.slots + 1
 
 
-def _expect(finder: _Finder, sighting: Sighting, work: Seconds) -> Seconds:
+def _expect(finder: Finder, sighting: Sighting, work: Seconds) -> Seconds:
     server = sighting.server
     cold = server.cold_until > sighting.at
     own = 1 if server.last_sent >= sighting.at else 0
--- a/src/ebonystream/placement/_offer.py
+++ b/src/ebonystream/placement/_offer.py
@@ -29,11 +29,13 @@
         sighting: What it said.
         expected: How long its answer will take, in seconds.
         asked: How many servers were asked.
+        free: Whether the server would begin at once.
     """
 
     sighting: Sighting
     expected: Seconds
     asked: int
+    free: bool
 
 
 @attrs.frozen(kw_only=True)
--- a/src/ebonystream/platform/__init__.py
+++ b/src/ebonystream/platform/__init__.py
@@ -1,7 +1,7 @@
 """The users' platform: its names, formats and calls, and nothing else."""
 
+from ebonystream.platform._dialect import make_dialect
 from ebonystream.platform._fault import FormatError
-from ebonystream.platform._headers import make_dialect
 from ebonystream.platform._hosts import (
     HOSTS_TOPIC,
     decode_hosts,
--- a/src/ebonystream/platform/_operator.py
+++ b/src/ebonystream/platform/_configuration.py
@@ -1,23 +1,18 @@
-"""What operators write: the configuration and their orders."""
+"""The configuration that operators write."""
 
-from collections.abc import Iterable
-from typing import TypeVar
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 
 import msgspec
 
 from ebonystream._calls import CallKind
 from ebonystream._ids import (
     ConfigurationVersion,
-    MoveId,
     RouteName,
     Seconds,
     ServiceName,
-    VersionName,
-    ZoneName,
 )
-from ebonystream.orders import VersionOrder
-from ebonystream.platform._fault import FormatError
-from ebonystream.platform._store import KeyedRecord
+from ebonystream.platform._fault import FormatError, decode_json
 from ebonystream.platform._units import parse_length
 from ebonystream.route import (
     RequestLimits,
@@ -28,16 +23,13 @@
     index_routes,
 )
 
-Shape = TypeVar('Shape')
-
 CONFIGURATION_KEY = 'config'
-ROLLOUT_PREFIX = 'rollout/'
-EVACUATE_PREFIX = 'evacuate/'
-
-KINDS = {
-    'idempotent': CallKind.IDEMPOTENT,
-    'non_idempotent': CallKind.ONCE,
-}
+KINDS: Mapping[str, CallKind] = MappingProxyType(
+    {
+        'idempotent': CallKind.IDEMPOTENT,
+        'non_idempotent': CallKind.ONCE,
+    }
+)
 DEFAULT_LIMITS = RequestLimits(
     head_bytes=16_384,
     body_bytes=67_108_864,
@@ -94,12 +86,6 @@
     idle_timeout: str
 
 
-class _Rollout(msgspec.Struct):
-    service: str
-    target_version: str
-    duration: str
-
-
 def decode_configuration(content: bytes) -> RouteConfiguration:
     """Read a configuration.
 
@@ -109,19 +95,19 @@
     Raises:
         FormatError: It can't be read whole.
     """
-    sent = _decode(content, _Resources)
+    sent = decode_json(content, _Resources)
     limits = [
-        _decode_limits(_decode(one.spec, _Limits))
+        _decode_limits(decode_json(one.spec, _Limits))
         for one in _filter(sent, 'limits')
     ]
     services = {
         ServiceName(one.metadata.name): _decode_service(
-            _decode(one.spec, _Service)
+            decode_json(one.spec, _Service)
         )
         for one in _filter(sent, 'services')
     }
     routes = [
-        _decode_route(one.metadata.name, _decode(one.spec, _Route))
+        _decode_route(one.metadata.name, decode_json(one.spec, _Route))
         for one in _filter(sent, 'routes')
     ]
     return RouteConfiguration(
@@ -132,35 +118,6 @@
     )
 
 
-def decode_zone_out(record: KeyedRecord) -> ZoneName | None:
-    """Read which zone an order takes out; None where it is another order.
-
-    Args:
-        record: A record that an operator wrote.
-    """
-    if record.key.startswith(EVACUATE_PREFIX):
-        return ZoneName(record.key.removeprefix(EVACUATE_PREFIX))
-    return None
-
-
-def decode_version_order(record: KeyedRecord) -> VersionOrder:
-    """Read an order to move a service to a version.
-
-    Args:
-        record: A record below `ROLLOUT_PREFIX`.
-
-    Raises:
-        FormatError: It can't be read.
-    """
-    sent = _decode(record.content, _Rollout)
-    return VersionOrder(
-        id=MoveId(f'{record.key}@{record.offset}'),
-        service=ServiceName(sent.service),
-        version=VersionName(sent.target_version),
-        within=parse_length(sent.duration),
-    )
-
-
 def _filter(sent: _Resources, kind: str) -> Iterable[_Resource]:
     return (one for one in sent.resources if one.resource_kind == kind)
 
@@ -205,10 +162,3 @@
         receive=parse_length(sent.header_timeout),
         idle=parse_length(sent.idle_timeout),
     )
-
-
-def _decode(content: bytes | msgspec.Raw, shape: type[Shape]) -> Shape:
-    try:
-        return msgspec.json.decode(content, type=shape)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise FormatError(str(error)) from error
--- a/src/ebonystream/platform/_listing.py
+++ b/src/ebonystream/platform/_listing.py
@@ -3,11 +3,13 @@
 from collections.abc import Callable, Iterable
 
 from ebonystream.orders import OrdersListing, VersionOrder
-from ebonystream.platform._fault import FormatError
-from ebonystream.platform._operator import (
+from ebonystream.platform._configuration import (
     CONFIGURATION_KEY,
-    ROLLOUT_PREFIX,
     decode_configuration,
+)
+from ebonystream.platform._fault import FormatError
+from ebonystream.platform._orders import (
+    ROLLOUT_PREFIX,
     decode_version_order,
     decode_zone_out,
 )
--- a/src/ebonystream/platform/_servers.py
+++ b/src/ebonystream/platform/_servers.py
@@ -1,5 +1,7 @@
 """The entries that backend servers write of themselves."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Annotated
 
 import msgspec
@@ -12,12 +14,14 @@
     VersionName,
     ZoneName,
 )
-from ebonystream.platform._fault import FormatError
+from ebonystream.platform._fault import FormatError, decode_json
 from ebonystream.platform._store import KeyedRecord
 from ebonystream.platform._units import parse_length
 from ebonystream.roster import EntryState, ServerEntry
 
-STATES = {'ready': EntryState.SERVING, 'draining': EntryState.LEAVING}
+STATES: Mapping[str, EntryState] = MappingProxyType(
+    {'ready': EntryState.SERVING, 'draining': EntryState.LEAVING}
+)
 
 
 class _Beat(msgspec.Struct):
@@ -43,10 +47,7 @@
     Raises:
         FormatError: The record names no server that could be used.
     """
-    try:
-        beat = msgspec.json.decode(record.content, type=_Beat)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise FormatError(str(error)) from error
+    beat = decode_json(record.content, _Beat)
     if beat.state not in STATES:
         raise FormatError(f'state {beat.state!r}')
     return ServerEntry(
--- a/src/ebonystream/platform/_settings.py
+++ b/src/ebonystream/platform/_settings.py
@@ -5,7 +5,7 @@
 from ebonystream._address import ServerAddress
 from ebonystream._ids import HostId, ZoneName
 from ebonystream.entryhost import HostSettings, SharedBounds
-from ebonystream.platform._fault import FormatError
+from ebonystream.platform._fault import decode_json
 from ebonystream.platform._servers import parse_address
 from ebonystream.platform._units import parse_length
 
@@ -69,10 +69,7 @@
     Raises:
         FormatError: It can't be read whole.
     """
-    try:
-        sent = msgspec.json.decode(content, type=_Settings)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise FormatError(str(error)) from error
+    sent = decode_json(content, _Settings)
     listen = sent.network.listen
     return HostSettings(
         name=HostId(sent.local.node_name),
--- a/src/ebonystream/platform/_status.py
+++ b/src/ebonystream/platform/_status.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ebonystream._ids import MoveId, ServiceName, VersionName
-from ebonystream.platform._operator import ROLLOUT_PREFIX
+from ebonystream.platform._orders import ROLLOUT_PREFIX
 from ebonystream.platform._store import KeyedRecord, Listing
 from ebonystream.versionmove import MoveVerdict, VersionMove
 
--- a/src/ebonystream/versionmove/_stages.py
+++ b/src/ebonystream/versionmove/_stages.py
@@ -4,12 +4,12 @@
     (0, 0.06),
     (0.34, 0.14),
     (0.46, 0.3),
-    (0.56, 0.6),
-    (0.66, 1),
+    (0.56, 0.5),
+    (0.8, 1),
 )
 """From which part of its time on a move has which share of the requests."""
 
-FINISH_FROM = 0.72
+FINISH_FROM = 0.87
 """The part of its time after which a move may be reported as finished."""
 
 
