Wait in line for a good server; ask who knows newer orders at once

Change: requests wait in a line for each service, the most urgent first; only the first asks, and an answer offers its server to the line; a request that can be on time waits for a server that makes it so; a host that the store does not answer does not speak for its zone, and who hears of newer orders asks at once.

--- a/src/ebonystream/dispatch/_progress.py
+++ b/src/ebonystream/dispatch/_progress.py
@@ -9,7 +9,7 @@
 from ebonystream._timers import Timers
 from ebonystream.dispatch._attempt import Attempt, Send
 from ebonystream.dispatch._budget import RepeatBudget
-from ebonystream.placement import FindRoom, Wanted
+from ebonystream.placement import FindRoom, NoRoom, Wanted
 from ebonystream.request import Request
 from ebonystream.route import Route
 
@@ -20,6 +20,10 @@
 """Is told of each attempt that ended."""
 
 
+NoteFull = Callable[[Request, Route, NoRoom], None]
+"""Is told of a request for which no server had room."""
+
+
 @attrs.frozen(kw_only=True)
 class Dispatcher:
     """What dispatch takes.
@@ -29,6 +33,7 @@
         send: Makes one attempt.
         budget: Bounds second attempts.
         observers: Are told of each attempt.
+        note_full: Is told of each request that found no room.
         timers: Tells the time.
     """
 
@@ -36,6 +41,7 @@
     send: Send
     budget: RepeatBudget
     observers: tuple[Observe, ...]
+    note_full: NoteFull
     timers: Timers
 
 
--- a/src/ebonystream/dispatch/_run.py
+++ b/src/ebonystream/dispatch/_run.py
@@ -86,6 +86,7 @@
         found = await _find_room(dispatcher, progress, presence)
         now = dispatcher.timers.now()
         if isinstance(found, NoRoom):
+            dispatcher.note_full(progress.request, progress.route, found)
             return refuse_full(progress, found, now)
         if not _may_send(dispatcher, progress):
             return answer_last(progress, now)
--- a/src/ebonystream/entryhost/_asking.py
+++ b/src/ebonystream/entryhost/_asking.py
@@ -34,8 +34,10 @@
     """
     speaker = Dependency('speaker of the zone', parts.note, parts.timers)
     known = Known(parts.orders.end, NO_SOURCE, 0)
-    async for now in parts.timers.subscribe(period=ASK_PERIOD):
-        host = _choose_host(parts, now)
+    while True:
+        with trio.move_on_after(ASK_PERIOD):
+            await parts.news.wait()
+        host = _choose_host(parts, parts.timers.now())
         if host is None:
             continue
         shared = await _ask_in_time(parts, ask, host, known)
@@ -48,6 +50,9 @@
 
 def _choose_host(parts: HostParts, now: Monotonic) -> Facts | None:
     """Choose whom to ask; None where nobody has to be asked."""
+    told = _take_news(parts)
+    if told is not None:
+        return told
     speaker = parts.facts.find_speaker(parts.settings.zone, now)
     own = parts.settings.name
     if not _is_stale(parts, now):
@@ -57,6 +62,16 @@
     return parts.random.choice(alive or others) if others else None
 
 
+def _take_news(parts: HostParts) -> Facts | None:
+    """Give the host that knows newer orders, once."""
+    source = parts.news_from
+    parts.news_from = None
+    parts.news = trio.Event()
+    if source is None or source.orders_end <= parts.orders.end:
+        return None
+    return source
+
+
 def _is_stale(parts: HostParts, now: Monotonic) -> bool:
     listed = parts.roster.listed
     unread = listed is None or parts.orders.listing is None
--- a/src/ebonystream/entryhost/_following.py
+++ b/src/ebonystream/entryhost/_following.py
@@ -95,9 +95,11 @@
             entries = await reads.list_entries()
         except EbonystreamError as error:
             store.lose(str(error))
+            parts.detached = True
             parts.roster.note_outage(parts.timers.now())
             await parts.timers.wait(RETRY_AFTER)
             continue
+        parts.detached = False
         if store.regain():
             parts.wake_orders()
         take_entries(parts, entries, began)
--- a/src/ebonystream/entryhost/_meeting.py
+++ b/src/ebonystream/entryhost/_meeting.py
@@ -84,6 +84,7 @@
                 known.hear_failures(facts.host, troubled.failures, now)
         if facts.orders_end > parts.orders.end:
             parts.wake_orders()
+            parts.hear_news(facts)
 
     await hear_peers(parts.facts, datagrams, hear=hear, timers=parts.timers)
 
@@ -103,6 +104,7 @@
         zone=parts.settings.zone,
         address=parts.settings.peers.address,
         leaving=parts.leaving.is_set(),
+        detached=parts.detached,
         orders_end=parts.orders.end,
         troubled=_list_troubled(parts, now),
         moves=make_move_facts(parts, now),
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -9,11 +9,11 @@
 from ebonystream._timers import Timers
 from ebonystream.decisionlog import Note
 from ebonystream.entryhost._settings import HostSettings
-from ebonystream.gossip import FactTable
+from ebonystream.gossip import Facts, FactTable
 from ebonystream.ingress import OpenConnections
 from ebonystream.link import ConnectionPool
 from ebonystream.orders import Orders
-from ebonystream.placement import WorkTimes
+from ebonystream.placement import WaitingLines, WorkTimes
 from ebonystream.roster import Roster
 from ebonystream.versionmove import VersionMoves
 
@@ -32,11 +32,15 @@
         orders: What operators ordered.
         work_times: The usual work of each route.
         servers_pool: Connections to backend servers.
+        lines: The requests that wait for room.
         connections: Connections from callers.
         facts: What entry hosts said of themselves.
         incarnation: Names this run of the host.
         moves: The version moves.
         orders_wait: The wait for new orders that is under way.
+        detached: Whether the store did not answer this host's last question.
+        news_from: The host that last told of orders unknown here.
+        news: Set when such a host was heard.
         said: How often this host has made its facts.
         unreadable: Records of the store that were logged as unreadable.
         leaving: Set once this host was told to stop.
@@ -53,8 +57,12 @@
     work_times: WorkTimes = attrs.field(factory=WorkTimes)
     facts: FactTable
     incarnation: Incarnation
+    lines: WaitingLines = attrs.field(factory=WaitingLines)
     moves: VersionMoves = attrs.field(factory=VersionMoves)
     orders_wait: trio.CancelScope | None = None
+    detached: bool = False
+    news_from: Facts | None = None
+    news: trio.Event = attrs.field(factory=trio.Event)
     said: int = 0
     unreadable: set[tuple[str, str]] = attrs.field(factory=set)
     connections: OpenConnections = attrs.field(factory=OpenConnections)
@@ -70,3 +78,12 @@
         """End a wait for new orders, so that they are read at once."""
         if self.orders_wait is not None:
             self.orders_wait.cancel()
+
+    def hear_news(self, source: Facts) -> None:
+        """Have a host asked that knows orders which are unknown here.
+
+        Args:
+            source: What it said.
+        """
+        self.news_from = source
+        self.news.set()
--- a/src/ebonystream/entryhost/_path.py
+++ b/src/ebonystream/entryhost/_path.py
@@ -12,7 +12,7 @@
     make_serve,
 )
 from ebonystream.entryhost._callers import Handle, make_caller_handler
-from ebonystream.entryhost._observers import make_observers
+from ebonystream.entryhost._observers import make_observers, note_full
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._settings import HostSettings
 from ebonystream.link import make_exchange
@@ -44,6 +44,7 @@
             list_servers=partial(_list_servers, parts),
             ask=ask,
             work_times=parts.work_times,
+            lines=parts.lines,
             zone=parts.settings.zone,
             timers=parts.timers,
             random=parts.random,
@@ -58,6 +59,7 @@
             ),
             budget=_make_budget(parts.settings),
             observers=make_observers(parts),
+            note_full=partial(note_full, parts),
             timers=parts.timers,
         ),
         get_configuration=lambda: parts.orders.configuration,
--- a/src/ebonystream/gossip/_facts.py
+++ b/src/ebonystream/gossip/_facts.py
@@ -57,6 +57,7 @@
         zone: The availability zone it stands in.
         address: The IP number at which its peers reach it.
         leaving: Whether it stops.
+        detached: Whether the store doesn't answer it.
         orders_end: The offset up to which it knows the orders.
         troubled: Servers that failed its requests lately.
         moves: The version moves that it knows.
@@ -68,6 +69,7 @@
     zone: ZoneName
     address: str
     leaving: bool
+    detached: bool
     orders_end: Offset
     troubled: tuple[TroubledServer, ...] = ()
     moves: tuple[MoveFacts, ...] = ()
--- a/src/ebonystream/gossip/_table.py
+++ b/src/ebonystream/gossip/_table.py
@@ -100,13 +100,15 @@
     def find_speaker(self, zone: ZoneName, now: Monotonic) -> Facts | None:
         """Find the host that speaks for a zone; None where none is alive.
 
+        Hosts that the store doesn't answer come last.
+
         Args:
             zone: The zone.
             now: The time.
         """
         return min(
             self.list_zone(zone, now),
-            key=lambda facts: facts.host,
+            key=lambda facts: (facts.detached, facts.host),
             default=None,
         )
 
--- a/src/ebonystream/placement/_estimate.py
+++ b/src/ebonystream/placement/_estimate.py
@@ -22,7 +22,10 @@
 UNKNOWN_LOAD = LoadReport(running=0, waiting=0, slots=1, pace=1.5)
 """What stands in for the load of a server that tells none."""
 
-MIN_PACE = 0.05
+BEGUN_SHARE = 0.6
+"""The share of its work that a running request has left, on average."""
+
+MIN_SLOWDOWN = 0.05
 
 
 @attrs.define
@@ -44,15 +47,15 @@
         guess = Seconds(route.objective * FIRST_GUESS_SHARE)
         return self.means.get(route.name, guess)
 
-    def learn(self, route: Route, took: Seconds, pace: float) -> None:
+    def learn(self, route: Route, took: Seconds, slowdown: float) -> None:
         """Learn from an answer.
 
         Args:
             route: The route.
             took: How long the server took, in seconds.
-            pace: The pace of its machine when it began.
+            slowdown: How much longer than usual it was expected to work.
         """
-        usual = took / max(pace, MIN_PACE)
+        usual = took / max(slowdown, MIN_SLOWDOWN)
         mean = self.get(route)
         self.means[route.name] = Seconds(
             mean + LEARNING_WEIGHT * (usual - mean)
@@ -68,26 +71,38 @@
         own: Requests that this host sent there since.
     """
     ahead = load.running + load.waiting + own - load.slots + 1
-    return Seconds(max(0, ahead) * work * load.pace / load.slots)
+    if ahead <= 0:
+        return Seconds(0)
+    begun = work * BEGUN_SHARE * NEARLY_FULL_SLOWDOWN
+    return Seconds(ahead * begun * load.pace / load.slots)
+
 
+def estimate_slowdown(sighting: Sighting, *, own: int, cold: bool) -> float:
+    """Estimate how much longer than usual a server works on a request.
 
-def estimate_work(
-    sighting: Sighting, work: Seconds, *, own: int, cold: bool
-) -> Seconds:
-    """Estimate how long a server works on a request.
+    A pace that a server tells holds its slowness while cold already.
 
     Args:
         sighting: What the server said.
-        work: The usual work of the request, in seconds.
         own: Requests that this host sent there since.
         cold: Whether the server is cold.
     """
     load = get_load(sighting)
     busy = min(load.slots, load.running + own + 1)
     slow = NEARLY_FULL_SLOWDOWN if busy >= NEARLY_FULL * load.slots else 1
-    cold_slow = COLD_SLOWDOWN if cold else 1
-    failing = FAILURE_SLOWDOWN ** sighting.server.weigh_failures(sighting.at)
-    return Seconds(work * load.pace * slow * cold_slow * failing)
+    told = sighting.report is not None and sighting.report.load is not None
+    cold_slow = COLD_SLOWDOWN if cold and not told else 1
+    return load.pace * slow * cold_slow
+
+
+def estimate_risk(sighting: Sighting) -> float:
+    """Estimate how much worse its recent failures make a server look.
+
+    Args:
+        sighting: What the server said.
+    """
+    failures = sighting.server.weigh_failures(sighting.at)
+    return float(FAILURE_SLOWDOWN**failures)
 
 
 def get_load(sighting: Sighting) -> LoadReport:
--- a/src/ebonystream/placement/_finding.py
+++ b/src/ebonystream/placement/_finding.py
@@ -6,19 +6,16 @@
 import attrs
 import trio
 
-from ebonystream._ids import Monotonic, Seconds, ServerId, ServiceName, ZoneName
+from ebonystream._ids import Monotonic, Seconds, ServiceName, ZoneName
 from ebonystream._timers import Timers
 from ebonystream.placement._asking import Ask
-from ebonystream.placement._estimate import (
-    WorkTimes,
-    estimate_wait,
-    estimate_work,
-    get_load,
-)
+from ebonystream.placement._choice import Setting, choose_offer, is_good
+from ebonystream.placement._estimate import WorkTimes
+from ebonystream.placement._line import Place, WaitingLines
 from ebonystream.placement._offer import NoRoom, Offer, Sighting
 from ebonystream.placement._survey import survey_servers
+from ebonystream.placement._wanted import Wanted
 from ebonystream.roster import KnownServer
-from ebonystream.route import Route
 
 FIRST_ASKED = 5
 """Servers of the own zone that are asked at first."""
@@ -26,41 +23,13 @@
 MORE_ASKED = 6
 """Servers anywhere that are asked where the first had no good answer."""
 
-GOOD_PACE = 1.05
-GOOD_FAILURES = 0.5
-FAR_PENALTY = Seconds(0.004)
-"""What a server of another zone costs more, in seconds of latency."""
-
-HOLD_SHARE = 0.125
-"""The share of its objective that a request waits for room."""
-
-ASK_AGAIN_AFTER = Seconds(0.015)
-LATE_SHARE = 0.85
-"""The share of the time left that an expected answer may take."""
-
-MIN_RETRY_AFTER = Seconds(0.05)
-
-
-@attrs.frozen(kw_only=True)
-class Wanted:
-    """What a request needs.
-
-    Attributes:
-        route: Its route.
-        service: The service that the route's weights gave it.
-        arrived: When it came.
-        until: When its answer is of no use any more.
-        draw: Its draw between the versions of the service, from 0 to 1.
-        without: Servers that have refused it or failed it.
-    """
-
-    route: Route
-    service: ServiceName
-    arrived: Monotonic
-    until: Monotonic
-    draw: float
-    without: frozenset[ServerId] = frozenset()
+HOLD_SHARE = 0.9
+"""The share of its objective within which a waiting request must be begun and
+done to be held on."""
 
+MIN_HOLD_SHARE = 0.125
+ASK_AGAIN_AFTER = Seconds(0.04)
+"""How often the first of a waiting line has servers asked."""
 
 FindRoom = Callable[[Wanted], Awaitable[Offer | NoRoom]]
 """Finds a server with room for a request, or tells when to come back."""
@@ -77,6 +46,7 @@
         list_servers: Lists the servers that may get work.
         ask: Asks one for its load.
         work_times: The usual work of each route.
+        lines: The requests that wait for room.
         zone: The zone of this host.
         timers: Tells the time.
         random: The source of chance.
@@ -86,6 +56,7 @@
     list_servers: ListServers
     ask: Ask
     work_times: WorkTimes
+    lines: WaitingLines
     zone: ZoneName
     timers: Timers
     random: Random
@@ -96,26 +67,71 @@
     """Make the function that finds a server with room.
 
     It answers bursts and servers whose pace changes within a request: a few
-    servers are asked just before the send, those of the own zone first.
+    servers are asked just before the send, those of the own zone first. Where
+    none has room a request waits for one that comes free, the most urgent
+    first, for as long as it can still be on time.
 
     Args:
         finder: What it takes.
     """
-    timers = finder.timers
 
     async def find_room(wanted: Wanted) -> Offer | NoRoom:
-        hold = Seconds(wanted.route.objective * HOLD_SHARE)
-        hold_until = min(wanted.arrived + hold, wanted.until)
-        found = await _look_once(finder, wanted)
-        while isinstance(found, NoRoom) and timers.now() < hold_until:
-            await timers.wait(ASK_AGAIN_AFTER)
+        found: Offer | NoRoom = NoRoom(
+            after=ASK_AGAIN_AFTER, asked=0, why='others_wait'
+        )
+        if finder.lines.is_empty(wanted.service):
             found = await _look_once(finder, wanted)
+        if isinstance(found, NoRoom):
+            return await _wait_in_line(finder, wanted, found)
         return found
 
     return find_room
 
 
-async def _look_once(finder: Finder, wanted: Wanted) -> Offer | NoRoom:
+async def _wait_in_line(
+    finder: Finder, wanted: Wanted, found: Offer | NoRoom
+) -> Offer | NoRoom:
+    hold_until = _find_hold(finder, wanted)
+    while isinstance(found, NoRoom) and finder.timers.now() < hold_until:
+        with finder.lines.join(wanted) as place:
+            freed = await _wait_for_freed(place, hold_until, finder)
+            first = finder.lines.is_first(place)
+        if freed is not None:
+            found = _choose(finder, wanted, [freed])
+            _pass_on(finder, freed, found)
+        elif first:
+            found = await _look_once(finder, wanted)
+    if isinstance(found, NoRoom):
+        return await _look_once(finder, wanted, late=True)
+    return found
+
+
+def _find_hold(finder: Finder, wanted: Wanted) -> Monotonic:
+    """Find until when a request is held: while it can still be on time."""
+    objective = wanted.route.objective
+    work = finder.work_times.get(wanted.route)
+    hold = max(HOLD_SHARE * objective - work, MIN_HOLD_SHARE * objective)
+    return Monotonic(min(wanted.arrived + hold, wanted.until))
+
+
+async def _wait_for_freed(
+    place: Place, until: Monotonic, finder: Finder
+) -> Sighting | None:
+    ask_again = finder.timers.now() + ASK_AGAIN_AFTER
+    with trio.move_on_at(min(ask_again, until)):
+        return await place.wait()
+    return None
+
+
+def _pass_on(finder: Finder, freed: Sighting, found: Offer | NoRoom) -> None:
+    """Give a free server that one request can't use to the next one."""
+    if isinstance(found, NoRoom):
+        finder.lines.offer(freed)
+
+
+async def _look_once(
+    finder: Finder, wanted: Wanted, *, late: bool = False
+) -> Offer | NoRoom:
     now = finder.timers.now()
     usable = [
         server
@@ -126,10 +142,10 @@
     usable.sort(key=lambda server: server.entry.zone != finder.zone)
     first, more = usable[:FIRST_ASKED], usable[FIRST_ASKED:]
     sightings = await _survey(finder, first)
-    if not any(map(_is_good, sightings)):
+    if not any(map(is_good, sightings)):
         finder.random.shuffle(more)
         sightings += await _survey(finder, more[:MORE_ASKED])
-    return _choose(finder, wanted, sightings)
+    return _choose(finder, wanted, sightings, late=late)
 
 
 async def _survey(
@@ -138,69 +154,22 @@
     return await survey_servers(
         servers,
         ask=finder.ask,
-        is_enough=_is_good,
+        is_enough=is_good,
         background=finder.background,
     )
 
 
-def _is_good(sighting: Sighting) -> bool:
-    """Tell whether a server would begin at once, at its usual pace."""
-    if not _is_willing(sighting):
-        return False
-    load = get_load(sighting)
-    idle = load.running + load.waiting + sighting.server.in_flight == 0
-    calm = (
-        load.pace <= GOOD_PACE
-        and sighting.server.weigh_failures(sighting.at) < GOOD_FAILURES
-    )
-    return idle and calm and sighting.server.cold_until <= sighting.at
-
-
-def _is_willing(sighting: Sighting) -> bool:
-    """Tell whether a server takes work, by its own word."""
-    report = sighting.report
-    if report is None or not report.healthy or sighting.server.leaving:
-        return False
-    load = get_load(sighting)
-    if sighting.server.cold_until > sighting.at:
-        return load.running + load.waiting + sighting.server.in_flight == 0
-    return True
-
-
 def _choose(
-    finder: Finder, wanted: Wanted, sightings: list[Sighting]
+    finder: Finder,
+    wanted: Wanted,
+    sightings: Sequence[Sighting],
+    *,
+    late: bool = False,
 ) -> Offer | NoRoom:
-    work = finder.work_times.get(wanted.route)
-    asked = len(sightings)
-    offers = [
-        Offer(
-            sighting=one,
-            expected=_expect(finder, one, work),
-            asked=asked,
-            free=get_load(one).has_free_slot(),
-        )
-        for one in sightings
-        if _is_willing(one)
-    ]
-    if not offers:
-        return NoRoom(after=MIN_RETRY_AFTER, asked=asked, why='none_willing')
-    best = min(offers, key=lambda offer: offer.expected)
-    left = wanted.until - finder.timers.now()
-    if best.expected <= left * LATE_SHARE and _has_place(best):
-        return best
-    return NoRoom(after=best.expected, asked=asked, why='full')
-
-
-def _has_place(offer: Offer) -> bool:
-    load = get_load(offer.sighting)
-    return load.running + load.waiting < load.slots + 1
-
-
-def _expect(finder: Finder, sighting: Sighting, work: Seconds) -> Seconds:
-    server = sighting.server
-    cold = server.cold_until > sighting.at
-    own = 1 if server.last_sent >= sighting.at else 0
-    wait = estimate_wait(get_load(sighting), work, own=own)
-    busy = estimate_work(sighting, work, own=own, cold=cold)
-    far = FAR_PENALTY if server.entry.zone != finder.zone else 0
-    return Seconds(wait + busy + far)
+    setting = Setting(
+        work=finder.work_times.get(wanted.route),
+        zone=finder.zone,
+        now=finder.timers.now(),
+        late=late,
+    )
+    return choose_offer(wanted, sightings, setting)
--- /dev/null
+++ b/src/ebonystream/placement/_line.py
@@ -0,0 +1,94 @@
+"""The waiting line of each service: the most urgent request goes first."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+import trio
+
+from ebonystream._ids import ServiceName
+from ebonystream.placement._offer import Sighting
+from ebonystream.placement._wanted import Wanted
+
+
+@attrs.define(eq=False)
+class Place:
+    """One request's place in a line.
+
+    Attributes:
+        wanted: What the request needs.
+        freed: A server that has come free for it; None so far.
+    """
+
+    wanted: Wanted
+    freed: Sighting | None = None
+    _told: trio.Event = attrs.field(factory=trio.Event)
+
+    def tell(self, freed: Sighting) -> None:
+        """Tell of a server that has come free.
+
+        Args:
+            freed: The server, and its load.
+        """
+        self.freed = freed
+        self._told.set()
+
+    async def wait(self) -> Sighting | None:
+        """Wait until a server comes free."""
+        await self._told.wait()
+        return self.freed
+
+
+@attrs.define
+class WaitingLines:
+    """The requests of this host that wait for room, by service."""
+
+    _lines: dict[ServiceName, list[Place]] = attrs.field(factory=dict)
+
+    def is_empty(self, service: ServiceName) -> bool:
+        """Tell whether nothing waits for a service.
+
+        Args:
+            service: The service.
+        """
+        return not self._lines.get(service)
+
+    @contextmanager
+    def join(self, wanted: Wanted) -> Iterator[Place]:
+        """Wait in the line of a service.
+
+        Args:
+            wanted: What the request needs.
+        """
+        line = self._lines.setdefault(wanted.service, [])
+        place = Place(wanted)
+        line.append(place)
+        line.sort(key=_get_urgency)
+        try:
+            yield place
+        finally:
+            line.remove(place)
+
+    def is_first(self, place: Place) -> bool:
+        """Tell whether a request is the most urgent one of its line.
+
+        Args:
+            place: Its place.
+        """
+        return self._lines[place.wanted.service][0] is place
+
+    def offer(self, freed: Sighting) -> None:
+        """Tell the most urgent request of a server that has come free.
+
+        Args:
+            freed: The server, and its load.
+        """
+        server = freed.server.entry
+        for place in self._lines.get(server.service, ()):
+            if place.freed is None and server.id not in place.wanted.without:
+                place.tell(freed)
+                return
+
+
+def _get_urgency(place: Place) -> tuple[int, float]:
+    return place.wanted.route.rank, place.wanted.get_aim()
--- a/src/ebonystream/placement/_offer.py
+++ b/src/ebonystream/placement/_offer.py
@@ -28,12 +28,14 @@
     Attributes:
         sighting: What it said.
         expected: How long its answer will take, in seconds.
+        slowdown: How much longer than usual the server will work on it.
         asked: How many servers were asked.
         free: Whether the server would begin at once.
     """
 
     sighting: Sighting
     expected: Seconds
+    slowdown: float
     asked: int
     free: bool
 
@@ -46,8 +48,10 @@
         after: When there may be room, in seconds from now.
         asked: How many servers were asked.
         why: What stood against it.
+        seen: What the servers said that were asked last.
     """
 
     after: Seconds
     asked: int
     why: str
+    seen: tuple[Sighting, ...] = ()
--- a/src/ebonystream/roster/_report.py
+++ b/src/ebonystream/roster/_report.py
@@ -21,6 +21,12 @@
     slots: int
     pace: float
 
+    def leave_one(self) -> 'LoadReport':
+        """Give the load once one of the running requests has ended."""
+        if self.waiting:
+            return attrs.evolve(self, waiting=self.waiting - 1)
+        return attrs.evolve(self, running=max(0, self.running - 1))
+
     def has_free_slot(self) -> bool:
         """Tell whether a request would be begun at once."""
         return self.running < self.slots and not self.waiting
