--- /dev/null
+++ b/src/ebonystream/entryhost/_lines.py
@@ -0,0 +1,81 @@
+"""The log lines of requests."""
+
+from ebonystream.dispatch import Attempt
+from ebonystream.entryhost._parts import HostParts
+from ebonystream.placement import NoRoom, Sighting
+from ebonystream.request import Request
+from ebonystream.roster import LoadReport
+from ebonystream.route import Route
+
+
+def note_attempt(
+    parts: HostParts, request: Request, route: Route, attempt: Attempt
+) -> None:
+    """Log an attempt: where it went, why, and how it ended.
+
+    Args:
+        parts: The state of the host.
+        request: The request.
+        route: Its route.
+        attempt: The attempt.
+    """
+    sighting = attempt.offer.sighting
+    parts.note(
+        'attempt',
+        id=request.attempt,
+        route=route.name,
+        server=sighting.server.entry.id,
+        ended=attempt.describe(),
+        took_ms=_to_ms(attempt.took),
+        expected_ms=_to_ms(attempt.offer.expected),
+        asked=attempt.offer.asked,
+        load=_describe_load(sighting),
+        load_after=_describe(attempt.answer.load if attempt.answer else None),
+    )
+
+
+def note_full(
+    parts: HostParts, request: Request, route: Route, found: NoRoom
+) -> None:
+    """Log a request for which no server had room, and what was seen.
+
+    Args:
+        parts: The state of the host.
+        request: The request.
+        route: Its route.
+        found: What stood against it.
+    """
+    parts.note(
+        'no_room',
+        id=request.attempt,
+        route=route.name,
+        why=found.why,
+        waited_ms=_to_ms(parts.timers.now() - request.arrived),
+        seen=[_describe_sighting(one, parts) for one in found.seen],
+    )
+
+
+def _describe_sighting(sighting: Sighting, parts: HostParts) -> str:
+    now = parts.timers.now()
+    server = sighting.server
+    age = f'{_to_ms(now - sighting.at)}ms ago'
+    if sighting.report is None:
+        return f'{server.entry.id} silent {age}'
+    healthy = '' if sighting.report.healthy else ' unhealthy'
+    cold = ' cold' if server.is_cold(now) else ''
+    load = _describe_load(sighting)
+    return f'{server.entry.id} {load}{healthy}{cold} {age}'
+
+
+def _describe_load(sighting: Sighting) -> str:
+    return _describe(sighting.report.load if sighting.report else None)
+
+
+def _describe(load: LoadReport | None) -> str:
+    if load is None:
+        return 'untold'
+    return f'{load.running},{load.waiting},{load.slots},{load.pace}'
+
+
+def _to_ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
--- a/src/ebonystream/entryhost/_moving.py
+++ b/src/ebonystream/entryhost/_moving.py
@@ -138,7 +138,8 @@
         _adopt(parts, move, fact, now)
     if move.verdict is not MoveVerdict.RUNNING:
         return
-    counts = add_counts((move.list_counts(), *(fact.counts for fact in told)))
+    told_counts = [one.counts for one in told]
+    counts = add_counts((move.list_counts(), *told_counts))
     why = judge_version(counts)
     if why is not None:
         move.why = why
--- a/src/ebonystream/entryhost/_path.py
+++ b/src/ebonystream/entryhost/_path.py
@@ -12,7 +12,8 @@
     make_serve,
 )
 from ebonystream.entryhost._callers import Handle, make_caller_handler
-from ebonystream.entryhost._observers import make_observers, note_full
+from ebonystream.entryhost._lines import note_full
+from ebonystream.entryhost._observers import make_observers
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._settings import HostSettings
 from ebonystream.link import make_exchange
--- a/src/ebonystream/entryhost/_reload.py
+++ b/src/ebonystream/entryhost/_reload.py
@@ -9,23 +9,31 @@
 from ebonystream._ids import Seconds
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._settings import HostSettings
+from ebonystream.platform import decode_settings
 
 LOOK_PERIOD = Seconds(1)
 """How often the file is looked at, as it may change without a signal."""
 
-ReadSettings = Callable[[Path], HostSettings]
-"""Reads a settings file; raises `ValueError` or `OSError`."""
 
+def read_settings(path: Path) -> HostSettings:
+    """Read a settings file.
 
-async def follow_settings(
-    parts: HostParts, path: Path, read: ReadSettings
-) -> None:
+    Args:
+        path: The file.
+
+    Raises:
+        ValueError: It can't be read whole.
+        OSError: There is none.
+    """
+    return decode_settings(path.read_bytes())
+
+
+async def follow_settings(parts: HostParts, path: Path) -> None:
     """Take the settings over whenever their file changes.
 
     Args:
         parts: The state of the host.
         path: The settings file.
-        read: Reads it.
     """
     wake = trio.Event()
     parts.background.start_soon(_watch_signal, parts, lambda: wake.set())
@@ -34,7 +42,7 @@
         with trio.move_on_after(LOOK_PERIOD):
             await wake.wait()
         wake = trio.Event()
-        last = _look(parts, path, read, last)
+        last = _look(parts, path, last)
 
 
 async def _watch_signal(parts: HostParts, tell: Callable[[], None]) -> None:
@@ -44,15 +52,13 @@
             tell()
 
 
-def _look(
-    parts: HostParts, path: Path, read: ReadSettings, last: bytes
-) -> bytes:
+def _look(parts: HostParts, path: Path, last: bytes) -> bytes:
     """Take the file over where it has changed; give what stands there."""
     try:
         content = path.read_bytes()
         if content == last:
             return last
-        settings = read(path)
+        settings = read_settings(path)
     except (OSError, ValueError) as error:
         parts.note('settings_refused', why=str(error))
         return last
--- a/src/ebonystream/versionmove/_counts.py
+++ b/src/ebonystream/versionmove/_counts.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Iterable
 
-import msgspec
+import attrs
 
 from ebonystream._ids import RouteName
 
 
-class RouteCounts(msgspec.Struct, array_like=True):
+@attrs.define
+class RouteCounts:
     """Attempts on one route.
 
     Attributes:
--- a/tests/control_records.py
+++ b/tests/control_records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from ebonystream.configuration import Checkpoint, Publish
+from ebonystream.logservice import LogRecord
 from ebonystream.move import (
     AskVersionMove,
     AskZoneMove,
@@ -11,7 +12,6 @@
     VerdictKind,
     ZoneDirection,
 )
-from ebonystream.logservice import LogRecord
 
 LISTS = {
     'customers': [{'customer': 'verein', 'plan': 'gold'}],
--- a/tests/control_run.py
+++ b/tests/control_run.py
@@ -31,6 +31,7 @@
 )
 from ebonystream.configuration._state import dump_folded
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.logservice import LogPage, LogRecord, LogService
 from ebonystream.move import (
     CloseMove,
     Confirmation,
@@ -40,7 +41,6 @@
     finish_zone_moves,
     make_return_watch,
 )
-from ebonystream.logservice import LogPage, LogRecord, LogService
 from standins.logstore import (
     AnswerLost,
     Conduct,
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -12,8 +12,8 @@
 from ebonystream.composition._admin import make_verbs
 from ebonystream.composition._parts import make_parts
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.observation import Traffic
 from ebonystream.logservice import LogPage, LogRecord, LogService
+from ebonystream.observation import Traffic
 from ebonystream.settings import Settings
 from standins.network import Network
 
--- a/tests/test_control_fold.py
+++ b/tests/test_control_fold.py
@@ -29,8 +29,8 @@
 from ebonystream.configuration._depth import measure_depth
 from ebonystream.configuration._settling import find_newest
 from ebonystream.configuration._state import dump_folded
-from ebonystream.move import Confirmation
 from ebonystream.logservice import LogPage
+from ebonystream.move import Confirmation
 
 NESTED = b'{"type":"publish","request":"r","based_on":0,"lists":'
 DEEP = NESTED + b'{"a":' * 100_000 + b'0' + b'}' * 100_001
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -31,6 +31,7 @@
 from ebonystream.configuration import Lists, index_lists
 from ebonystream.errors import ANSWERS, Outcome
 from ebonystream.http1 import ReaderLimits
+from ebonystream.logservice import LogRecord
 from ebonystream.observation import Metrics
 from ebonystream.ownership import (
     SLICES,
@@ -45,7 +46,6 @@
     parse_key,
     serve_keys,
 )
-from ebonystream.logservice import LogRecord
 from ebonystream.settings import Settings
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_golden_session.py
+++ b/tests/test_golden_session.py
@@ -20,6 +20,7 @@
 from ebonystream.configuration import Lists, index_lists
 from ebonystream.errors import Outcome
 from ebonystream.http1 import ReaderLimits
+from ebonystream.logservice import LogRecord
 from ebonystream.ownership import (
     SLICES,
     Claim,
@@ -34,7 +35,6 @@
     parse_key,
     serve_keys,
 )
-from ebonystream.logservice import LogRecord
 from standins.demoplan import make_lists
 
 GOLDEN = Path(__file__).parent / 'golden' / 'session.txt'
--- a/tests/test_ownership_grants.py
+++ b/tests/test_ownership_grants.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ebonystream.logservice import LogRecord
 from ebonystream.ownership import (
     MAX_AHEAD_MS,
     MAX_BACK_MS,
@@ -13,7 +14,6 @@
     Release,
     Span,
 )
-from ebonystream.logservice import LogRecord
 
 NOW = 10_000_000
 KEEP_MS = 600_000
--- a/tests/test_ownership_ledger.py
+++ b/tests/test_ownership_ledger.py
@@ -11,6 +11,7 @@
 from ebonystream.backend import ABANDONED, CUT, NOT_SENT, Attempt, AttemptKind
 from ebonystream.call import Answer, Call, CallKind
 from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
+from ebonystream.logservice import LogRecord
 from ebonystream.ownership import (
     SLICES,
     Claim,
@@ -25,7 +26,6 @@
     parse_key,
     read_label,
 )
-from ebonystream.logservice import LogRecord
 
 NOW = 1_000_000
 REFUSED = Attempt(AttemptKind.REFUSED)
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,105 @@
+"""The roster: joins, leaves, lapses in an outage, and runs under one name."""
+
+import attrs
+import pytest
+
+from ebonystream._address import ServerAddress
+from ebonystream.roster import EntryState, Roster, ServerEntry
+
+ENTRY = ServerEntry(
+    id='i-1',
+    at=ServerAddress('10.0.0.1', 80),
+    service='records',
+    zone='a',
+    version='v1',
+    slots=2,
+    state=EntryState.SERVING,
+    cold=0,
+    started=1000,
+)
+OTHER = attrs.evolve(ENTRY, id='i-2', at=ServerAddress('10.0.0.2', 80))
+LEAVING = attrs.evolve(ENTRY, state=EntryState.LEAVING)
+REBORN = attrs.evolve(ENTRY, started=2000, cold=3)
+MOVED = attrs.evolve(ENTRY, at=ServerAddress('10.0.0.7', 80))
+
+
+@pytest.mark.parametrize(
+    ('listings', 'joined', 'left', 'leaving', 'usable'),
+    [
+        ([[ENTRY]], ['i-1'], [], [], ['i-1']),
+        ([[ENTRY], [ENTRY]], [], [], [], ['i-1']),
+        ([[ENTRY], [ENTRY, OTHER]], ['i-2'], [], [], ['i-1', 'i-2']),
+        ([[ENTRY, OTHER], [OTHER]], [], ['i-1'], [], ['i-2']),
+        ([[ENTRY], [LEAVING]], [], [], ['i-1'], []),
+        ([[ENTRY], [LEAVING], [LEAVING]], [], [], [], []),
+        ([[ENTRY], [LEAVING], [ENTRY]], [], [], [], []),
+        ([[ENTRY], [REBORN]], ['i-1'], [], [], ['i-1']),
+        ([[LEAVING], [REBORN]], ['i-1'], [], [], ['i-1']),
+        ([[ENTRY], [MOVED]], ['i-1'], [], [], ['i-1']),
+    ],
+)
+def test_listings(listings, joined, left, leaving, usable):
+    roster = Roster()
+    for number, listing in enumerate(listings):
+        change = roster.take(listing, float(number))
+    assert list(change.joined) == joined
+    assert list(change.left) == left
+    assert list(change.leaving) == leaving
+    servers = roster.list_service('records')
+    assert [one.entry.id for one in servers if one.is_usable(9)] == usable
+
+
+@pytest.mark.parametrize(
+    ('back_after', 'known'), [(0.5, True), (2, True), (2.5, False)]
+)
+def test_lapsed_entries_are_waited_for(back_after, known):
+    roster = Roster()
+    roster.take([ENTRY, OTHER], 0.0)
+    roster.note_outage(10.0)
+    roster.take([OTHER], 10 + back_after)
+    assert ('i-1' in roster.servers) is known
+
+
+@pytest.mark.parametrize(
+    ('listings', 'edition'),
+    [
+        ([[ENTRY, OTHER], [OTHER, ENTRY]], 1),
+        ([[ENTRY], [ENTRY, OTHER]], 2),
+        ([[ENTRY], [LEAVING]], 2),
+        ([[ENTRY], [], [ENTRY]], 3),
+    ],
+)
+def test_editions_count_changes_alone(listings, edition):
+    roster = Roster()
+    for listing in listings:
+        roster.take(listing, 0.0)
+    assert roster.edition == edition
+
+
+def test_a_run_that_starts_cold_is_cold_for_as_long_as_it_says():
+    roster = Roster()
+    roster.take([REBORN], 5.0)
+    server = roster.servers['i-1']
+    assert server.is_cold(7.9)
+    assert not server.is_cold(8.1)
+
+
+@pytest.mark.parametrize(
+    ('own', 'told', 'at', 'least', 'most'),
+    [
+        (0, 0, 0, 0, 0),
+        (2, 0, 0, 2, 2),
+        (2, 0, 3, 0.99, 1.01),
+        (0, 2, 0, 1.39, 1.41),
+        (1, 1, 30, 0, 0.01),
+    ],
+)
+def test_failures_fade(own, told, at, least, most):
+    roster = Roster()
+    roster.take([ENTRY], 0.0)
+    server = roster.servers['i-1']
+    if own:
+        server.count_failure(0.0, own)
+    if told:
+        server.hear_failures('edge-2', told, 0.0)
+    assert least <= server.weigh_failures(float(at)) <= most
