--- a/src/ebonystream/placement/_finding.py
+++ b/src/ebonystream/placement/_finding.py
@@ -95,11 +95,13 @@
     while isinstance(found, NoRoom) and finder.timers.now() < hold_until:
         with finder.lines.join(wanted) as place:
             freed = await _wait_for_freed(place, hold_until, finder)
-            first = finder.lines.is_first(place)
+            its_turn = finder.lines.take_turn(
+                place, finder.timers.now(), period=ASK_AGAIN_AFTER
+            )
         if freed is not None:
             found = _choose(finder, wanted, [freed])
             _pass_on(finder, freed, found)
-        elif first:
+        elif its_turn:
             found = await _look_once(finder, wanted)
     if isinstance(found, NoRoom):
         return await _look_once(finder, wanted, late=True)
--- a/src/ebonystream/placement/_line.py
+++ b/src/ebonystream/placement/_line.py
@@ -6,10 +6,12 @@
 import attrs
 import trio
 
-from ebonystream._ids import ServiceName
+from ebonystream._ids import Monotonic, Seconds, ServiceName
 from ebonystream.placement._offer import Sighting
 from ebonystream.placement._wanted import Wanted
 
+NEVER = Monotonic(float('-inf'))
+
 
 @attrs.define(eq=False)
 class Place:
@@ -44,6 +46,7 @@
     """The requests of this host that wait for room, by service."""
 
     _lines: dict[ServiceName, list[Place]] = attrs.field(factory=dict)
+    _asked: dict[ServiceName, Monotonic] = attrs.field(factory=dict)
 
     def is_empty(self, service: ServiceName) -> bool:
         """Tell whether nothing waits for a service.
@@ -69,13 +72,25 @@
         finally:
             line.remove(place)
 
-    def is_first(self, place: Place) -> bool:
-        """Tell whether a request is the most urgent one of its line.
+    def take_turn(
+        self, place: Place, now: Monotonic, *, period: Seconds
+    ) -> bool:
+        """Tell whether a request should have servers asked now.
+
+        Only the most urgent one has, and only once in a period.
 
         Args:
             place: Its place.
+            now: The time.
+            period: The length of that period, in seconds.
         """
-        return self._lines[place.wanted.service][0] is place
+        service = place.wanted.service
+        if self._lines[service][0] is not place:
+            return False
+        if now - self._asked.get(service, NEVER) < period:
+            return False
+        self._asked[service] = now
+        return True
 
     def offer(self, freed: Sighting) -> None:
         """Tell the most urgent request of a server that has come free.
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,195 @@
+"""Gossip: who is believed, who speaks for a zone, and what is shared."""
+
+from random import Random
+
+import msgspec
+import pytest
+import trio
+from platform_samples import make_entry, make_route
+
+from ebonystream._ids import Offset, Seconds
+from ebonystream._timers import Timers
+from ebonystream.gossip import Facts, FactTable, Known, make_sharing
+from ebonystream.gossip._sharing import Shared
+from ebonystream.http1 import Message
+from ebonystream.ingress import Presence
+from ebonystream.orders import Orders, OrdersListing
+from ebonystream.roster import Roster
+from ebonystream.route import (
+    RequestLimits,
+    RouteConfiguration,
+    ServiceTerms,
+    index_routes,
+)
+
+LIMITS = RequestLimits(head_bytes=999, body_bytes=999, receive=1, idle=1)
+
+
+def make_facts(host='e1', run='1', number=1, zone='a', **changes):
+    fields = {'leaving': False, 'detached': False, 'orders_end': 0}
+    return Facts(
+        host=host,
+        incarnation=run,
+        number=number,
+        zone=zone,
+        address=f'10.0.0.{host[1:]}',
+        **{**fields, **changes},
+    )
+
+
+def make_listing(version=7, end=4, zones=()):
+    configuration = RouteConfiguration(
+        version=version,
+        routes=index_routes([make_route()]),
+        services={
+            'records': ServiceTerms(
+                health_path='/h', max_connections=9, cold_start=3, cold_rate=2
+            )
+        },
+        limits=LIMITS,
+    )
+    return OrdersListing(
+        end=Offset(end),
+        configuration=configuration,
+        zones_out=frozenset(zones),
+        moves=(),
+    )
+
+
+@pytest.mark.parametrize(
+    ('told', 'newest'),
+    [
+        ([('1', 1, 0), ('1', 2, 0)], ('1', 2)),
+        ([('1', 2, 0), ('1', 1, 0)], ('1', 2)),
+        ([('1', 9, 0), ('2', 1, 0)], ('2', 1)),
+        # A late word of an earlier run is not believed.
+        ([('2', 1, 0), ('1', 9, 0.5)], ('2', 1)),
+        # Unless the later run is silent: its clock may have gone back.
+        ([('2', 1, 0), ('1', 1, 2)], ('1', 1)),
+    ],
+)
+def test_the_newest_word_counts(told, newest):
+    table = FactTable('e9', 'a')
+    for run, number, at in told:
+        table.take(make_facts('e1', run, number), float(at))
+    (facts,) = table.list_peers(2.0)
+    assert (facts.incarnation, facts.number) == newest
+
+
+@pytest.mark.parametrize(
+    ('hosts', 'now', 'speaker'),
+    [
+        ([{'host': 'e2'}, {'host': 'e1'}], 1, 'e1'),
+        ([{'host': 'e2'}, {'host': 'e1', 'leaving': True}], 1, 'e2'),
+        ([{'host': 'e2'}, {'host': 'e1', 'detached': True}], 1, 'e2'),
+        ([{'host': 'e1', 'detached': True}], 1, 'e1'),
+        ([{'host': 'e1', 'zone': 'b'}, {'host': 'e2'}], 1, 'e2'),
+        ([{'host': 'e1'}], 9, None),
+        ([], 0, None),
+    ],
+)
+def test_speakers(hosts, now, speaker):
+    table = FactTable('e9', 'a')
+    for host in hosts:
+        table.take(make_facts(**host), 0.0)
+    found = table.find_speaker('a', float(now))
+    assert (found and found.host) == speaker
+
+
+@pytest.mark.parametrize(('now', 'known'), [(1, 'e2'), (9, 'e3'), (99, None)])
+def test_a_silent_zone_is_still_talked_to(now, known):
+    """After a cut both sides find each other again."""
+    table = FactTable('e9', 'a')
+    table.take(make_facts('e3', zone='b'), 0.0)
+    if now == 1:
+        table.take(make_facts('e2', zone='b'), 0.0)
+    found = table.list_far_speakers(float(now), Random(1))
+    assert [facts.host for facts in found] == ([known] if known else [])
+
+
+@pytest.mark.parametrize(
+    ('listings', 'end', 'version'),
+    [
+        ([(7, 4)], 4, 7),
+        ([(7, 4), (8, 5)], 5, 8),
+        ([(8, 5), (7, 4)], 5, 8),
+        # An older version at a later offset is never gone back to.
+        ([(8, 5), (7, 6)], 6, 8),
+        ([(None, 5)], 5, None),
+        ([(8, 5), (None, 6)], 6, 8),
+    ],
+)
+def test_orders_never_go_back(listings, end, version):
+    orders = Orders()
+    for number, at in listings:
+        listing = make_listing(number or 0, at)
+        if number is None:
+            listing = OrdersListing(
+                end=Offset(at),
+                configuration=None,
+                zones_out=frozenset(),
+                moves=(),
+            )
+        orders.take(listing, 1.0)
+    kept = orders.configuration
+    assert (orders.end, kept and kept.version) == (end, version)
+
+
+@pytest.mark.parametrize(
+    ('known', 'has_orders', 'has_entries'),
+    [
+        (Known(0, '', 0), True, True),
+        (Known(4, '', 0), False, True),
+        (Known(4, '55', 1), False, False),
+        (Known(4, '44', 1), False, True),
+        (Known(9, '55', 0), False, True),
+    ],
+)
+async def test_only_what_is_new_is_shared(
+    autojump_clock, known, has_orders, has_entries
+):
+    orders, roster = Orders(), Roster()
+    orders.take(make_listing(zones=['b']), 0.0)
+    roster.take([make_entry()], 0.0)
+    await trio.sleep(1.5)
+    respond = make_sharing(
+        orders=orders,
+        roster=roster,
+        source='55',
+        timers=Timers(epoch_at_zero=0),
+    )
+    spoken = await respond(ask(known), trio.current_time(), Presence())
+    body = spoken.content.partition(b'\r\n\r\n')[2]
+    shared = msgspec.msgpack.decode(body, type=Shared)
+    assert shared.orders.age == shared.entries.age == Seconds(1.5)
+    assert (shared.orders.listing is not None) is has_orders
+    assert (shared.entries.entries is not None) is has_entries
+    if has_orders:
+        assert shared.orders.listing == orders.listing
+    if has_entries:
+        assert shared.entries.entries == roster.entries
+
+
+@pytest.mark.parametrize('body', [b'', b'\xc1', b'\x93\x01'])
+async def test_what_is_no_question_is_refused(body):
+    respond = make_sharing(
+        orders=Orders(),
+        roster=Roster(),
+        source='55',
+        timers=Timers(epoch_at_zero=0),
+    )
+    spoken = await respond(ask(None, body), 0.0, Presence())
+    assert spoken.content.startswith(b'HTTP/1.1 400')
+    assert spoken.close
+
+
+def ask(known, body=None):
+    """Make the question of a host."""
+    return Message(
+        target=b'/shared',
+        headers=(),
+        body=msgspec.msgpack.encode(known) if body is None else body,
+        keep_alive=True,
+        method=b'POST',
+        status=0,
+    )
--- /dev/null
+++ b/tests/test_ingress.py
@@ -0,0 +1,201 @@
+"""Callers' connections: malformed, slow, smuggled, pipelined, given up."""
+
+import pytest
+import trio
+import trio.testing
+
+from ebonystream._timers import Timers
+from ebonystream.http1 import ReaderLimits
+from ebonystream.ingress import (
+    ConnectionLimits,
+    OpenConnections,
+    Spoken,
+    serve_connection,
+)
+
+LIMITS = ConnectionLimits(
+    message=ReaderLimits(head_bytes=500, body_bytes=20), receive=1, idle=5
+)
+GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+def spell(status, text=b''):
+    head = b'HTTP/1.1 %d x\r\ncontent-length: %d\r\n\r\n'
+    return head % (status, len(text)) + text
+
+
+async def talk(chunks, *, respond=None, connections=None, pause=0.0):
+    """Send chunks on a connection; give all that comes back."""
+    client, host = trio.testing.memory_stream_pair()
+    connections = connections or OpenConnections()
+
+    async def echo(message, arrived, presence):
+        await trio.sleep(0.01)
+        return Spoken(spell(200, message.target), not message.keep_alive)
+
+    async def serve():
+        await serve_connection(
+            host,
+            respond=respond or echo,
+            refuse=lambda error: spell(error.answer.status),
+            limits=LIMITS,
+            timers=Timers(epoch_at_zero=0),
+            connections=connections,
+        )
+
+    got = bytearray()
+
+    async def send():
+        for chunk in chunks:
+            try:
+                await client.send_all(chunk)
+            except trio.BrokenResourceError:
+                return
+            await trio.sleep(pause)
+
+    async def receive():
+        async for part in client:
+            got.extend(part)
+
+    with trio.move_on_after(20):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve)
+            nursery.start_soon(send)
+            nursery.start_soon(receive)
+    return bytes(got)
+
+
+def read_statuses(content):
+    return [
+        int(part.split(b' ')[0]) for part in content.split(b'HTTP/1.1 ')[1:]
+    ]
+
+
+@pytest.mark.parametrize(
+    ('sent', 'statuses'),
+    [
+        ([GET], [200]),
+        ([GET, GET], [200, 200]),
+        ([GET + GET], [200, 200]),
+        ([GET[:10], GET[10:]], [200]),
+        ([b'nonsense\r\n\r\n'], [400]),
+        ([b'GET /a HTTP/1.1\nHost: h\n\n'], [400]),
+        ([GET, b'nonsense\r\n\r\n'], [200, 400]),
+        # Lengths that disagree could hide a second request.
+        (
+            [
+                b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+            ],
+            [400],
+        ),
+        (
+            [
+                b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+                b'Content-Length: 4\r\n\r\nabcd'
+            ],
+            [400],
+        ),
+        (
+            [
+                b'POST /a HTTP/1.1\r\nHost: h\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\nzz\r\n'
+            ],
+            [400],
+        ),
+        (
+            [
+                b'POST /a HTTP/1.1\r\nHost: h\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n'
+            ],
+            [200],
+        ),
+        (
+            [b'GET /a HTTP/1.1\r\nHost: h\r\nX: %b\r\n\r\n' % (b'x' * 999)],
+            [431],
+        ),
+        (
+            [b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 21\r\n\r\n']
+            + [b'x' * 21],
+            [413],
+        ),
+        (
+            [b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab'],
+            [408],
+        ),
+        ([GET[:12]], [408]),
+        ([b'GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'], [200]),
+        ([], []),
+    ],
+)
+async def test_requests(autojump_clock, sent, statuses):
+    assert read_statuses(await talk(sent, pause=0.05)) == statuses
+
+
+@pytest.mark.parametrize(
+    ('closing', 'over', 'sent', 'statuses'),
+    [
+        (True, False, [GET], [200]),
+        (False, True, [], []),
+        # A request that has begun is answered although the host leaves.
+        (False, True, [GET], []),
+    ],
+)
+async def test_leaving(autojump_clock, closing, over, sent, statuses):
+    connections = OpenConnections(closing=closing, over=over)
+
+    async def respond(message, arrived, presence):
+        await trio.sleep(0.01)
+        return Spoken(spell(200), connections.closing)
+
+    got = await talk(sent, respond=respond, connections=connections)
+    assert read_statuses(got) == statuses
+    assert connections.serving == 0
+    assert not connections.idle
+
+
+async def test_idle_connections_close_at_once(autojump_clock):
+    connections = OpenConnections()
+    async with trio.open_nursery() as nursery:
+
+        async def leave():
+            await trio.sleep(0.5)
+            connections.close_idle()
+
+        nursery.start_soon(leave)
+        got = await talk([GET], connections=connections)
+        assert read_statuses(got) == [200]
+        assert trio.current_time() < 1
+
+
+@pytest.mark.parametrize(
+    ('interruptible', 'lasts'), [(True, 0.1), (False, 2.0)]
+)
+async def test_a_caller_that_leaves(autojump_clock, interruptible, lasts):
+    client, host = trio.testing.memory_stream_pair()
+    ended = []
+
+    async def respond(message, arrived, presence):
+        if interruptible:
+            with presence.interruptible():
+                await trio.sleep(2)
+        else:
+            await trio.sleep(2)
+        ended.append((presence.gone, trio.current_time()))
+        return Spoken(spell(200), False)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            lambda: serve_connection(
+                host,
+                respond=respond,
+                refuse=lambda error: spell(error.answer.status),
+                limits=LIMITS,
+                timers=Timers(epoch_at_zero=0),
+                connections=OpenConnections(),
+            )
+        )
+        await client.send_all(GET)
+        await trio.sleep(0.1)
+        await client.aclose()
+    assert ended == [(True, pytest.approx(lasts))]
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,216 @@
+"""Placement: whom a request goes to, whom it waits for, and when it ends."""
+
+from contextlib import ExitStack
+from random import Random
+
+import attrs
+import pytest
+import trio
+from platform_samples import make_known, make_route, make_sighting
+
+from ebonystream._ids import Seconds
+from ebonystream._timers import Timers
+from ebonystream.placement import (
+    Finder,
+    NoRoom,
+    Offer,
+    Setting,
+    WaitingLines,
+    Wanted,
+    WorkTimes,
+    choose_offer,
+    make_find_room,
+)
+from ebonystream.placement._choice import is_good
+
+ROUTE = make_route(objective=0.6, timeout=1.5)
+SETTING = Setting(work=Seconds(0.22), zone='a', now=0.0)
+WANTED = Wanted(
+    route=ROUTE, service='records', arrived=0.0, until=1.5, draw=0.5
+)
+
+
+@pytest.mark.parametrize(
+    ('loads', 'late', 'chosen'),
+    [
+        # Each load: running, waiting, slots, pace.
+        ({'i-1': (0, 0, 2, 1)}, False, 'i-1'),
+        ({'i-1': (1, 0, 2, 1), 'i-2': (0, 0, 2, 1)}, False, 'i-2'),
+        ({'i-1': (0, 0, 2, 4), 'i-2': (1, 0, 2, 1)}, False, 'i-2'),
+        # A slow server's slot is not held while a good one may come free.
+        ({'i-1': (0, 0, 2, 4)}, False, None),
+        ({'i-1': (0, 0, 2, 4)}, True, 'i-1'),
+        # Nothing is sent where it would only wait too long, late or not.
+        ({'i-1': (2, 1, 2, 1)}, False, None),
+        ({'i-1': (2, 2, 2, 1)}, True, None),
+        ({'i-1': (0, 0, 2, 8)}, True, None),
+        ({'i-1': None}, True, None),
+        ({'i-1': None, 'i-2': (1, 0, 2, 1)}, False, 'i-2'),
+        ({}, True, None),
+    ],
+)
+def test_choice(loads, late, chosen):
+    sightings = [make_sighting(name, load) for name, load in loads.items()]
+    setting = attrs.evolve(SETTING, late=late)
+    found = choose_offer(WANTED, sightings, setting)
+    name = None
+    if isinstance(found, Offer):
+        name = found.sighting.server.entry.id
+    assert name == chosen
+
+
+@pytest.mark.parametrize(
+    ('changes', 'willing'),
+    [
+        ({}, True),
+        ({'leaving': True}, False),
+        ({'cold_until': 9.0}, True),
+        ({'cold_until': 9.0, 'in_flight': 1}, False),
+    ],
+)
+def test_cold_and_leaving_servers(changes, willing):
+    sighting = make_sighting('i-1', (0, 0, 2, 1))
+    for name, changed in changes.items():
+        setattr(sighting.server, name, changed)
+    found = choose_offer(WANTED, [sighting], SETTING)
+    assert isinstance(found, Offer) is willing
+
+
+@pytest.mark.parametrize(
+    ('load', 'failures', 'good'),
+    [
+        ((0, 0, 2, 1), 0, True),
+        ((0, 0, 2, 1.5), 0, False),
+        ((1, 0, 2, 1), 0, False),
+        ((0, 0, 2, 1), 1, False),
+    ],
+)
+def test_an_answer_that_ends_a_survey(load, failures, good):
+    sighting = make_sighting('i-1', load)
+    if failures:
+        sighting.server.count_failure(0.0, failures)
+    assert is_good(sighting) is good
+
+
+def test_a_failing_server_comes_last():
+    failing = make_sighting('i-1', (0, 0, 2, 1))
+    failing.server.count_failure(0.0, 2)
+    other = make_sighting('i-2', (1, 0, 2, 1))
+    found = choose_offer(WANTED, [failing, other], SETTING)
+    assert found.sighting is other
+
+
+@pytest.mark.parametrize(
+    ('ranks', 'first'), [([2, 0, 1], 0), ([1, 1], 1), ([2], 2)]
+)
+def test_the_most_urgent_is_offered_a_freed_server(ranks, first):
+    lines = WaitingLines()
+    with ExitStack() as stack:
+        places = [
+            stack.enter_context(
+                lines.join(
+                    attrs.evolve(
+                        WANTED,
+                        route=attrs.evolve(ROUTE, rank=rank),
+                        arrived=number,
+                    )
+                )
+            )
+            for number, rank in enumerate(ranks)
+        ]
+        lines.offer(make_sighting('i-1', (0, 0, 2, 1)))
+        told = [place for place in places if place.freed is not None]
+        assert [place.wanted.route.rank for place in told] == [first]
+        turns = [lines.take_turn(one, 0.0, period=0.04) for one in places]
+        assert [
+            place for place, turn in zip(places, turns, strict=True) if turn
+        ] == told
+        assert not lines.take_turn(told[0], 0.03, period=0.04)
+        assert lines.take_turn(told[0], 0.05, period=0.04)
+    assert lines.is_empty('records')
+
+
+def make_finder(nursery, answers, *, lines, asked):
+    """Make a finder whose servers say what `answers` gives for a time."""
+    names = answers(0.0).keys()
+    servers = [make_known(name) for name in names]
+
+    async def ask(server):
+        asked.append(server.entry.id)
+        await trio.sleep(0.001)
+        load = answers(trio.current_time())[server.entry.id]
+        sighting = make_sighting(server.entry.id, load)
+        return attrs.evolve(sighting, server=server, at=trio.current_time())
+
+    return Finder(
+        list_servers=lambda service, draw: servers,
+        ask=ask,
+        work_times=WorkTimes(),
+        lines=lines,
+        zone='a',
+        timers=Timers(epoch_at_zero=0),
+        random=Random(1),
+        background=nursery,
+    )
+
+
+FULL, IDLE, SLOW = (2, 2, 2, 1), (0, 0, 2, 1), (0, 0, 2, 4)
+
+
+@pytest.mark.parametrize(
+    ('answers', 'found', 'within'),
+    [
+        (lambda now: {'i-1': FULL, 'i-2': IDLE}, 'i-2', 0.01),
+        # One that comes to a good pace in time is waited for.
+        (lambda now: {'i-1': IDLE if now > 0.1 else SLOW}, 'i-1', 0.16),
+        # A slow one is better than none once nothing can be on time.
+        (lambda now: {'i-1': SLOW}, 'i-1', 0.5),
+        # A full one is not; the request ends while it may still come back.
+        (lambda now: {'i-1': FULL}, None, 0.5),
+    ],
+)
+async def test_finding(autojump_clock, answers, found, within):
+    asked = []
+    async with trio.open_nursery() as nursery:
+        lines = WaitingLines()
+        finder = make_finder(nursery, answers, lines=lines, asked=asked)
+        began = trio.current_time()
+        wanted = attrs.evolve(WANTED, arrived=began, until=began + 1.5)
+        result = await make_find_room(finder)(wanted)
+        assert trio.current_time() - began <= within
+    name = None
+    if isinstance(result, Offer):
+        name = result.sighting.server.entry.id
+    else:
+        assert isinstance(result, NoRoom)
+        assert result.seen
+    assert name == found
+    assert lines.is_empty('records')
+
+
+async def test_only_the_first_of_a_line_asks(autojump_clock):
+    asked = []
+    async with trio.open_nursery() as nursery:
+        finder = make_finder(
+            nursery,
+            lambda now: {'i-1': FULL},
+            lines=WaitingLines(),
+            asked=asked,
+        )
+        find_room = make_find_room(finder)
+        for _ in range(20):
+            wanted = attrs.evolve(WANTED, arrived=0.0, until=1.5)
+            nursery.start_soon(find_room, wanted)
+    # Twenty that wait 0.3 s and ask every 0.04 s each would ask 160 times.
+    assert len(asked) < 60
+
+
+@pytest.mark.parametrize(
+    ('took', 'slowdown', 'mean'),
+    [(0.22, 1, 0.22), (0.88, 4, 0.22), (0.374, 1.7, 0.22)],
+)
+def test_work_is_learned_without_the_slowdown(took, slowdown, mean):
+    work = WorkTimes()
+    for _ in range(200):
+        work.learn(ROUTE, Seconds(took), slowdown)
+    assert work.get(ROUTE) == pytest.approx(mean, rel=0.01)
--- /dev/null
+++ b/tests/test_service_moves.py
@@ -0,0 +1,167 @@
+"""Version moves on the entry host: shares, verdicts, and what peers tell."""
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from platform_samples import make_known
+
+from ebonystream.orders import VersionOrder
+from ebonystream.versionmove import (
+    FINISH_FROM,
+    MoveVerdict,
+    RouteCounts,
+    VersionMove,
+    VersionMoves,
+    add_counts,
+    get_share,
+    judge_version,
+)
+
+ORDER = VersionOrder(
+    id='rollout/records@8', service='records', version='v2', within=16
+)
+OLD = make_known('i-1', version='v1')
+NEW = make_known('i-2', version='v2')
+RUNNING, FINISHED, TAKEN_BACK = MoveVerdict
+
+
+def make_move(**changes):
+    fields = {
+        'id': ORDER.id,
+        'service': 'records',
+        'version': 'v2',
+        'began': 0.0,
+        'within': 16,
+        'checked': True,
+    }
+    return VersionMove(**{**fields, **changes})
+
+
+@pytest.mark.parametrize(
+    ('counts', 'bad'),
+    [
+        ([('r', 20, 0, 200, 2)], False),
+        ([('r', 20, 8, 200, 2)], True),
+        ([('r', 20, 3, 200, 2)], False),
+        # As bad as the old one: the trouble is elsewhere.
+        ([('r', 20, 8, 200, 80)], False),
+        # One route alone.
+        ([('r', 90, 0, 300, 0), ('s', 8, 4, 90, 1)], True),
+        # A little on each of several routes.
+        ([('r', 8, 2, 90, 1), ('s', 8, 2, 90, 1)], True),
+        ([('r', 100, 4, 100, 0)], False),
+        ([], False),
+    ],
+)
+def test_judgement(counts, bad):
+    judged = judge_version(tuple(RouteCounts(*one) for one in counts))
+    assert (judged is not None) is bad
+
+
+@given(st.floats(0, 1.5), st.floats(0, 1.5))
+def test_a_share_only_grows(one, other):
+    low, high = sorted((one, other))
+    assert 0 <= get_share(low) <= get_share(high) <= 1
+
+
+@pytest.mark.parametrize(
+    ('within', 'rate', 'share', 'slack', 'seen_after'),
+    [(16, 41, 0.1, 50, 1.5), (12, 41, 0.1, 50, 1.2), (16, 80, 0.1, 50, 1.0)],
+)
+def test_a_fault_that_shows_late_is_bounded(
+    within, rate, share, slack, seen_after
+):
+    """However late a fault shows before the last stages, exposure is kept."""
+    steps = [number / 100 for number in range(int(within * 100))]
+    total = rate * within
+    for shows_at in (0, 3, 0.34 * within, 0.46 * within):
+        end = shows_at + seen_after
+        exposed = sum(
+            rate * get_share(at / within) / 100 for at in steps if at < end
+        )
+        assert exposed <= share * total + slack
+
+
+@pytest.mark.parametrize(
+    ('changes', 'now', 'share'),
+    [
+        ({}, 0.0, 0.06),
+        ({}, 15.9, 1),
+        ({'checked': False}, 15.9, 0),
+        ({'verdict': FINISHED}, 0.0, 1),
+        ({'verdict': TAKEN_BACK}, 15.9, 0),
+    ],
+)
+def test_shares(changes, now, share):
+    assert make_move(**changes).get_share(now) == share
+
+
+@pytest.mark.parametrize(
+    ('servers', 'verdict', 'draw', 'now', 'chosen'),
+    [
+        ([OLD, NEW], RUNNING, 0.01, 1.0, ['i-2']),
+        ([OLD, NEW], RUNNING, 0.5, 1.0, ['i-1']),
+        ([OLD, NEW], RUNNING, 1.0, 15.9, ['i-2']),
+        ([OLD], RUNNING, 0.01, 1.0, ['i-1']),
+        ([NEW], RUNNING, 0.5, 1.0, []),
+        ([OLD, NEW], FINISHED, 1.0, 1.0, ['i-2']),
+        ([OLD, NEW], TAKEN_BACK, 0.0, 15.9, ['i-1']),
+        ([NEW], TAKEN_BACK, 0.0, 15.9, []),
+    ],
+)
+def test_servers_of_a_draw(servers, verdict, draw, now, chosen):
+    moves = VersionMoves()
+    moves.take([ORDER], 0.0)
+    move = moves.find('records')
+    move.checked = True
+    move.verdict = verdict
+    left = moves.narrow('records', servers, now=now, draw=draw)
+    assert [server.entry.id for server in left] == chosen
+    assert moves.narrow('desk', servers, now=now, draw=draw) == servers
+
+
+@pytest.mark.parametrize(
+    ('orders', 'kept'),
+    [
+        ([[ORDER]], ['rollout/records@8']),
+        ([[ORDER], []], ['rollout/records@8']),
+        ([[ORDER], [attrs.evolve(ORDER, id='x@9')]], ['x@9']),
+    ],
+)
+def test_orders(orders, kept):
+    moves = VersionMoves()
+    for ordered in orders:
+        moves.take(ordered, 0.0)
+    assert list(moves.moves) == kept
+
+
+@pytest.mark.parametrize(
+    ('local', 'reported', 'verdict'),
+    [
+        (RUNNING, RUNNING, RUNNING),
+        (RUNNING, FINISHED, FINISHED),
+        (TAKEN_BACK, RUNNING, TAKEN_BACK),
+        # The first report counts, whatever this host thinks.
+        (TAKEN_BACK, FINISHED, FINISHED),
+        (FINISHED, TAKEN_BACK, TAKEN_BACK),
+    ],
+)
+def test_reports(local, reported, verdict):
+    move = make_move(verdict=local)
+    move.settle(reported, 3.0)
+    assert move.verdict is verdict
+
+
+def test_counts_of_hosts_add_up():
+    one = (RouteCounts('r', 1, 0, 5, 1),)
+    other = (RouteCounts('r', 2, 1, 5, 0), RouteCounts('s', 1, 0, 0, 0))
+    assert add_counts([one, other]) == (
+        RouteCounts('r', 3, 1, 10, 1),
+        RouteCounts('s', 1, 0, 0, 0),
+    )
+
+
+def test_a_move_is_finished_before_its_time_is_over():
+    assert FINISH_FROM < 1
+    assert get_share(FINISH_FROM) == 1
