--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 STAMP = $(VENV)/.installed
 
-.PHONY: measure slopes soak install mutations run bench test check format lint types unit features
+.PHONY: days measure slopes soak install mutations run bench test check format lint types unit features
 
 install: $(STAMP)
 
@@ -17,6 +17,10 @@
 run: install
 	$(PY) -m standins.demo
 
+# BENCH is the path of the users' bench, SITE that of a site file.
+days:
+	$(BENCH) run $(SITE) $(DAY) --why "$(WHY)"
+
 bench: install
 	$(PY) -m standins.bench
 
--- a/tools/slopes/keys.py
+++ b/tools/slopes/keys.py
@@ -8,6 +8,7 @@
 from ebonystream._ids import EpochMs, Incarnation, Offset, SliceNumber
 from ebonystream.call import Answer
 from ebonystream.errors import Outcome
+from ebonystream.logservice import LogRecord
 from ebonystream.ownership import (
     SLICES,
     Claim,
@@ -16,7 +17,6 @@
     Span,
     make_key,
 )
-from ebonystream.logservice import LogRecord
 from slopes.fit import Line, fit_line
 from slopes.meter import time_work, weigh_state
 
