Offer a freed server down the line once; take hedges back

Change: an offer goes to those behind in the line only, and a request keeps its place while it waits; dispatch makes one attempt at a time. Ruled out: the line's order as the cause (a place that rejoined behind its equals still let the offer go round; the new test hung on both). The test that hung before ends in a second of virtual time now.

--- a/src/ebonystream/dispatch/_run.py
+++ b/src/ebonystream/dispatch/_run.py
@@ -8,8 +8,8 @@
 from ebonystream._ids import Seconds
 from ebonystream.dispatch._answering import answer_last, give_up, refuse_full
 from ebonystream.dispatch._attempt import Attempt
-from ebonystream.dispatch._hedging import attempt_at, attempt_hedged
 from ebonystream.dispatch._progress import Dispatcher, Progress, find_end
+from ebonystream.dispatch._sending import attempt_at
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.ingress import Presence
 from ebonystream.placement import NoRoom, Offer
@@ -90,7 +90,7 @@
             return refuse_full(progress, found, now)
         if not _may_send(dispatcher, progress):
             return answer_last(progress, now)
-        attempt = await _attempt(dispatcher, progress, found)
+        attempt = await attempt_at(dispatcher, progress, found)
         answer = attempt.answer
         if answer is not None and attempt.is_served():
             return Response(
@@ -117,14 +117,6 @@
     return True
 
 
-async def _attempt(
-    dispatcher: Dispatcher, progress: Progress, offer: Offer
-) -> Attempt:
-    if progress.is_repeatable():
-        return await attempt_hedged(dispatcher, progress, offer)
-    return await attempt_at(dispatcher, progress, offer)
-
-
 def _may_try_again(
     dispatcher: Dispatcher, progress: Progress, attempt: Attempt
 ) -> bool:
--- a/src/ebonystream/placement/_finding.py
+++ b/src/ebonystream/placement/_finding.py
@@ -92,22 +92,30 @@
     finder: Finder, wanted: Wanted, found: Offer | NoRoom
 ) -> Offer | NoRoom:
     hold_until = _find_hold(finder, wanted)
-    while isinstance(found, NoRoom) and finder.timers.now() < hold_until:
-        with finder.lines.join(wanted) as place:
+    with finder.lines.join(wanted) as place:
+        while isinstance(found, NoRoom) and finder.timers.now() < hold_until:
             freed = await _wait_for_freed(place, hold_until, finder)
-            its_turn = finder.lines.take_turn(
+            if freed is not None:
+                found = _take_or_pass_on(finder, place, freed)
+            elif finder.lines.take_turn(
                 place, finder.timers.now(), period=ASK_AGAIN_AFTER
-            )
-        if freed is not None:
-            found = _choose(finder, wanted, [freed])
-            _pass_on(finder, freed, found)
-        elif its_turn:
-            found = await _look_once(finder, wanted)
+            ):
+                found = await _look_once(finder, wanted)
     if isinstance(found, NoRoom):
         return await _look_once(finder, wanted, late=True)
     return found
 
 
+def _take_or_pass_on(
+    finder: Finder, place: Place, freed: Sighting
+) -> Offer | NoRoom:
+    """Take a free server, or leave it to those behind in the line."""
+    found = _choose(finder, place.wanted, [freed])
+    if isinstance(found, NoRoom):
+        finder.lines.offer(freed, behind=place)
+    return found
+
+
 def _find_hold(finder: Finder, wanted: Wanted) -> Monotonic:
     """Find until when a request is held: while it can still be on time."""
     objective = wanted.route.objective
@@ -125,12 +133,6 @@
     return None
 
 
-def _pass_on(finder: Finder, freed: Sighting, found: Offer | NoRoom) -> None:
-    """Give a free server that one request can't use to the next one."""
-    if isinstance(found, NoRoom):
-        finder.lines.offer(freed)
-
-
 async def _look_once(
     finder: Finder, wanted: Wanted, *, late: bool = False
 ) -> Offer | NoRoom:
--- a/src/ebonystream/placement/_line.py
+++ b/src/ebonystream/placement/_line.py
@@ -36,9 +36,12 @@
         self._told.set()
 
     async def wait(self) -> Sighting | None:
-        """Wait until a server comes free."""
+        """Wait until a server comes free; the place can then be told anew."""
         await self._told.wait()
-        return self.freed
+        freed = self.freed
+        self.freed = None
+        self._told = trio.Event()
+        return freed
 
 
 @attrs.define
@@ -92,14 +95,18 @@
         self._asked[service] = now
         return True
 
-    def offer(self, freed: Sighting) -> None:
+    def offer(self, freed: Sighting, *, behind: Place | None = None) -> None:
         """Tell the most urgent request of a server that has come free.
 
         Args:
             freed: The server, and its load.
+            behind: Who could not use it; only those behind it in the line
+                are told, so that an offer ends at the end of the line.
         """
         server = freed.server.entry
-        for place in self._lines.get(server.service, ()):
+        line = self._lines.get(server.service, [])
+        start = line.index(behind) + 1 if behind in line else 0
+        for place in line[start:]:
             if place.freed is None and server.id not in place.wanted.without:
                 place.tell(freed)
                 return
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -214,3 +214,23 @@
     for _ in range(200):
         work.learn(ROUTE, Seconds(took), slowdown)
     assert work.get(ROUTE) == pytest.approx(mean, rel=0.01)
+
+
+@pytest.mark.parametrize('waiting', [1, 2, 20])
+async def test_a_freed_server_that_helps_nobody_ends_there(
+    autojump_clock, waiting
+):
+    """It is offered down the line once; nobody passes it on for ever."""
+    async with trio.open_nursery() as nursery:
+        lines = WaitingLines()
+        finder = make_finder(
+            nursery, lambda now: {'i-1': FULL}, lines=lines, asked=[]
+        )
+        find_room = make_find_room(finder)
+        for _ in range(waiting):
+            nursery.start_soon(find_room, WANTED)
+        await trio.sleep(0.01)
+        with trio.fail_after(5):
+            lines.offer(make_sighting('i-1', SLOW))
+            await trio.sleep(1)
+    assert lines.is_empty('records')
