--- a/src/ebonystream/placement/_choice.py
+++ b/src/ebonystream/placement/_choice.py
@@ -22,9 +22,6 @@
 LATE_SHARE = 0.9
 """The share of the time left that an expected answer may take."""
 
-QUEUE_ROOM = 1
-"""Requests that may wait at a server beyond its slots."""
-
 MIN_RETRY_AFTER = Seconds(0.05)
 
 
@@ -52,7 +49,7 @@
 
     It answers overload: a server keeps the pace at which it began a request,
     so a request rather waits at this host for a server at a good pace than
-    holds the slot of a slow one.
+    holds the slot of a slow one, or waits at a server for one that may.
 
     Args:
         wanted: What the request needs.
@@ -70,8 +67,9 @@
             why='none_willing',
             seen=tuple(sightings),
         )
-    best = min(offers, key=lambda offer: offer.expected)
-    if _is_quick_enough(best, wanted, setting):
+    free = [offer for offer in offers if offer.free]
+    best = min(free or offers, key=_get_expected)
+    if free and _is_quick_enough(best, wanted, setting):
         return best
     return NoRoom(
         after=best.expected, asked=asked, why='full', seen=tuple(sightings)
@@ -134,12 +132,13 @@
     )
 
 
+def _get_expected(offer: Offer) -> Seconds:
+    return offer.expected
+
+
 def _is_quick_enough(best: Offer, wanted: Wanted, setting: Setting) -> bool:
-    load = get_load(best.sighting)
-    if load.running + load.waiting >= load.slots + QUEUE_ROOM:
-        return False
     left = wanted.until - setting.now
     if best.expected > left * LATE_SHARE:
         return False
     on_time = wanted.get_aim() - setting.now
-    return best.expected <= on_time or (setting.late and best.free)
+    return setting.late or best.expected <= on_time
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -41,6 +41,8 @@
         ({'i-1': (0, 0, 2, 4)}, False, None),
         ({'i-1': (0, 0, 2, 4)}, True, 'i-1'),
         # Nothing is sent where it would only wait too long, late or not.
+        ({'i-1': (2, 0, 2, 1)}, False, None),
+        ({'i-1': (2, 0, 2, 1), 'i-2': (0, 0, 2, 4)}, True, 'i-2'),
         ({'i-1': (2, 1, 2, 1)}, False, None),
         ({'i-1': (2, 2, 2, 1)}, True, None),
         ({'i-1': (0, 0, 2, 8)}, True, None),
