--- a/src/ebonystream/placement/_finding.py
+++ b/src/ebonystream/placement/_finding.py
@@ -28,6 +28,10 @@
 done to be held on."""
 
 MIN_HOLD_SHARE = 0.125
+HOLD_TIME_SHARE = 0.3
+"""The share of its time that a request is held at most: a caller that came back
+has little left, and may be answered late."""
+
 ASK_AGAIN_AFTER = Seconds(0.04)
 """How often the first of a waiting line has servers asked."""
 
@@ -121,6 +125,7 @@
     objective = wanted.route.objective
     work = finder.work_times.get(wanted.route)
     hold = max(HOLD_SHARE * objective - work, MIN_HOLD_SHARE * objective)
+    hold = min(hold, HOLD_TIME_SHARE * (wanted.until - wanted.arrived))
     return Monotonic(min(wanted.arrived + hold, wanted.until))
 
 
