Ask the own zone first, other zones only where none there is on time

Change: five near servers, then the other near ones, then six far ones, and those only where no near one is expected within three quarters of the time that is left to be on time.

--- a/src/ebonystream/placement/_finding.py
+++ b/src/ebonystream/placement/_finding.py
@@ -20,8 +20,15 @@
 FIRST_ASKED = 5
 """Servers of the own zone that are asked at first."""
 
-MORE_ASKED = 6
-"""Servers anywhere that are asked where the first had no good answer."""
+MOST_NEAR_ASKED = 11
+"""Servers of the own zone that are asked in all, where none was good."""
+
+FAR_ASKED = 6
+"""Servers of other zones that are asked where no near one is on time."""
+
+SAFE_SHARE = 0.75
+"""The share of the time left that a near server's answer may take, so that no
+far one is asked: bytes between zones are dear."""
 
 HOLD_SHARE = 0.9
 """The share of its objective within which a waiting request must be begun and
@@ -141,22 +148,41 @@
 async def _look_once(
     finder: Finder, wanted: Wanted, *, late: bool = False
 ) -> Offer | NoRoom:
-    now = finder.timers.now()
-    usable = [
-        server
-        for server in finder.list_servers(wanted.service, wanted.draw)
-        if server.entry.id not in wanted.without and server.is_usable(now)
-    ]
-    finder.random.shuffle(usable)
-    usable.sort(key=lambda server: server.entry.zone != finder.zone)
-    first, more = usable[:FIRST_ASKED], usable[FIRST_ASKED:]
-    sightings = await _survey(finder, first)
-    if not any(map(is_good, sightings)):
-        finder.random.shuffle(more)
-        sightings += await _survey(finder, more[:MORE_ASKED])
+    """Ask servers of the own zone; those of others where none is on time."""
+    near, far = _list_usable(finder, wanted)
+    sightings: list[Sighting] = []
+    for asked in (near[:FIRST_ASKED], near[FIRST_ASKED:MOST_NEAR_ASKED]):
+        sightings += await _survey(finder, asked)
+        if any(map(is_good, sightings)):
+            return _choose(finder, wanted, sightings)
+    found = _choose(finder, wanted, sightings)
+    if isinstance(found, Offer) and _is_safely_on_time(finder, wanted, found):
+        return found
+    sightings += await _survey(finder, far[:FAR_ASKED])
     return _choose(finder, wanted, sightings, late=late)
 
 
+def _list_usable(
+    finder: Finder, wanted: Wanted
+) -> tuple[list[KnownServer], list[KnownServer]]:
+    """List the servers that may be asked: of the own zone, and of others."""
+    now = finder.timers.now()
+    near: list[KnownServer] = []
+    far: list[KnownServer] = []
+    for server in finder.list_servers(wanted.service, wanted.draw):
+        if server.entry.id in wanted.without or not server.is_usable(now):
+            continue
+        (near if server.entry.zone == finder.zone else far).append(server)
+    finder.random.shuffle(near)
+    finder.random.shuffle(far)
+    return near, far
+
+
+def _is_safely_on_time(finder: Finder, wanted: Wanted, offer: Offer) -> bool:
+    left = wanted.get_aim() - finder.timers.now()
+    return offer.expected <= left * SAFE_SHARE
+
+
 async def _survey(
     finder: Finder, servers: Iterable[KnownServer]
 ) -> list[Sighting]:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -236,3 +236,36 @@
             lines.offer(make_sighting('i-1', SLOW))
             await trio.sleep(1)
     assert lines.is_empty('records')
+
+
+@pytest.mark.parametrize(
+    ('near', 'far', 'found', 'asks_far'),
+    [
+        (IDLE, IDLE, 'near', False),
+        # Half busy is on time still, and bytes between zones are dear.
+        ((1, 0, 2, 1), IDLE, 'near', False),
+        (SLOW, IDLE, 'far', True),
+        (FULL, IDLE, 'far', True),
+        (FULL, SLOW, 'far', True),
+        (FULL, FULL, None, True),
+    ],
+)
+async def test_own_zone_first(autojump_clock, near, far, found, asks_far):
+    asked = []
+    async with trio.open_nursery() as nursery:
+        finder = make_finder(
+            nursery,
+            lambda now: {'near': near, 'far': far},
+            lines=WaitingLines(),
+            asked=asked,
+        )
+        servers = [make_known('near', zone='a'), make_known('far', zone='b')]
+        finder = attrs.evolve(
+            finder, list_servers=lambda service, draw: servers
+        )
+        result = await make_find_room(finder)(WANTED)
+    name = None
+    if isinstance(result, Offer):
+        name = result.sighting.server.entry.id
+    assert name == found
+    assert ('far' in asked) is asks_far
