--- a/features/steps/keys.py
+++ b/features/steps/keys.py
@@ -11,6 +11,7 @@
 from ebonystream.backend import CUT, Attempt, AttemptKind
 from ebonystream.call import Answer
 from ebonystream.errors import Outcome
+from ebonystream.logservice import LogRecord
 from ebonystream.ownership import (
     SLICES,
     Claim,
@@ -21,7 +22,6 @@
     make_key,
     make_owned_run,
 )
-from ebonystream.logservice import LogRecord
 from standins.keyhosts import EPOCH_S, make_booking, read_epoch_ms
 
 DONE = Answer(outcome=Outcome.RAN, status=200, headers=(), body=b'booked')
