Give a new version no more than its servers can carry

Change: where the new version has less than half as many usable servers as the others, its share is what they can carry, and the move is not finished. The new table fails without the limit.

--- a/src/ebonystream/entryhost/_moving.py
+++ b/src/ebonystream/entryhost/_moving.py
@@ -59,6 +59,7 @@
     async for now in parts.timers.subscribe(period=MOVE_PERIOD):
         for new in parts.moves.take(parts.orders.moves, now):
             parts.note('move_ordered', move=new.id, version=new.version)
+        parts.moves.measure(parts.roster.servers.values(), now)
         for move in list(parts.moves.moves.values()):
             hear_peers_of(parts, move, now)
             await _settle(parts, move, read_report)
--- a/src/ebonystream/versionmove/__init__.py
+++ b/src/ebonystream/versionmove/__init__.py
@@ -8,7 +8,11 @@
 from ebonystream.versionmove._judge import judge_version
 from ebonystream.versionmove._move import MoveVerdict, VersionMove
 from ebonystream.versionmove._moves import VersionMoves
-from ebonystream.versionmove._stages import FINISH_FROM, get_share
+from ebonystream.versionmove._stages import (
+    FINISH_FROM,
+    get_share,
+    limit_share,
+)
 
 __all__ = (
     'FINISH_FROM',
@@ -20,4 +24,5 @@
     'add_counts',
     'get_share',
     'judge_version',
+    'limit_share',
 )
--- a/src/ebonystream/versionmove/_move.py
+++ b/src/ebonystream/versionmove/_move.py
@@ -12,7 +12,7 @@
     VersionName,
 )
 from ebonystream.versionmove._counts import MoveCounts, RouteCounts
-from ebonystream.versionmove._stages import get_share
+from ebonystream.versionmove._stages import get_share, limit_share
 
 NEVER = Monotonic(float('-inf'))
 
@@ -36,6 +36,7 @@
         began: When it was ordered, as far as any host knows.
         within: How long it may take, in seconds.
         verdict: How it stands.
+        capacity: Servers of the new version for each other one.
         changed: When the verdict last changed here.
         tried: When this host last failed to report it.
         why: Why it was taken back.
@@ -49,6 +50,7 @@
     began: Monotonic
     within: float
     verdict: MoveVerdict = MoveVerdict.RUNNING
+    capacity: float = 1
     changed: Monotonic = NEVER
     tried: Monotonic = NEVER
     why: str = ''
@@ -74,7 +76,7 @@
             return 1
         if self.verdict is MoveVerdict.TAKEN_BACK or not self.checked:
             return 0
-        return get_share(self.get_part(now))
+        return limit_share(get_share(self.get_part(now)), self.capacity)
 
     def count(self, route: RouteName, *, new: bool, bad: bool) -> None:
         """Count an attempt that ended while the move runs.
--- a/src/ebonystream/versionmove/_moves.py
+++ b/src/ebonystream/versionmove/_moves.py
@@ -67,6 +67,21 @@
                 return move
         return None
 
+    def measure(self, servers: Iterable[KnownServer], now: Monotonic) -> None:
+        """Measure how many servers each new version has beside the others.
+
+        Args:
+            servers: All servers that are known.
+            now: The time.
+        """
+        usable = [server for server in servers if server.is_usable(now)]
+        for move in self.list_running():
+            parts = _split(
+                (one for one in usable if one.entry.service == move.service),
+                move.version,
+            )
+            move.capacity = len(parts[True]) / max(1, len(parts[False]))
+
     def narrow(
         self,
         service: ServiceName,
--- a/tests/test_service_moves.py
+++ b/tests/test_service_moves.py
@@ -97,6 +97,30 @@
     assert make_move(**changes).get_share(now) == share
 
 
+@pytest.mark.parametrize(
+    ('new', 'old', 'now', 'share'),
+    [
+        (4, 4, 15.9, 1),
+        (2, 4, 15.9, 1),
+        # Too few are left to take over: the others are not stopped.
+        (1, 4, 15.9, 0.2),
+        (1, 4, 0.0, 0.06),
+        (0, 4, 15.9, 0),
+        (3, 0, 15.9, 1),
+    ],
+)
+def test_a_version_gets_no_more_than_it_can_carry(new, old, now, share):
+    servers = [make_known(f'n{one}', version='v2') for one in range(new)]
+    servers += [make_known(f'o{one}') for one in range(old)]
+    servers.append(make_known('d1', service='desk'))
+    moves = VersionMoves()
+    moves.take([ORDER], 0.0)
+    move = moves.find('records')
+    move.checked = True
+    moves.measure(servers, now)
+    assert move.get_share(now) == pytest.approx(share)
+
+
 @pytest.mark.parametrize(
     ('servers', 'verdict', 'draw', 'now', 'chosen'),
     [
