Offer a freed server only to requests that may go there

Cause: found by reading. An answer offers its server to the waiting line, which asked neither whether its zone is out since, nor whether its version was taken back or is another one than the request's draw: under overload each answer of a zone that is out would have brought it the next request. Change: a freed server counts only where it is listed for the request now; known servers are compared by identity.

--- a/src/ebonystream/placement/_finding.py
+++ b/src/ebonystream/placement/_finding.py
@@ -121,7 +121,11 @@
     finder: Finder, place: Place, freed: Sighting
 ) -> Offer | NoRoom:
     """Take a free server, or leave it to those behind in the line."""
-    found = _choose(finder, place.wanted, [freed])
+    wanted = place.wanted
+    allowed = finder.list_servers(wanted.service, wanted.draw)
+    # Its zone may be out, or its version taken back, since it was sent to.
+    usable = [freed] if freed.server in allowed else []
+    found = _choose(finder, wanted, usable)
     if isinstance(found, NoRoom):
         finder.lines.offer(freed, behind=place)
     return found
--- a/src/ebonystream/roster/_known.py
+++ b/src/ebonystream/roster/_known.py
@@ -14,7 +14,7 @@
 NEVER = Monotonic(float('-inf'))
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class KnownServer:
     """An entry, and what this host has seen of its server.
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -15,6 +15,7 @@
     NoRoom,
     Offer,
     Setting,
+    Sighting,
     WaitingLines,
     Wanted,
     WorkTimes,
@@ -269,3 +270,42 @@
         name = result.sighting.server.entry.id
     assert name == found
     assert ('far' in asked) is asks_far
+
+
+@pytest.mark.parametrize(('allowed', 'found'), [(True, 'i-1'), (False, None)])
+async def test_a_freed_server_that_is_out_gets_nothing(
+    autojump_clock, allowed, found
+):
+    """Its zone was taken out, or its version, while it worked."""
+    freed = make_sighting('i-1', IDLE)
+    results = []
+    async with trio.open_nursery() as nursery:
+        lines = WaitingLines()
+        finder = make_finder(
+            nursery, lambda now: {'i-2': FULL}, lines=lines, asked=[]
+        )
+        listed = finder.list_servers('records', 0.5)
+        with_freed = [*listed, freed.server] if allowed else listed
+        finder = attrs.evolve(
+            finder,
+            list_servers=lambda service, draw: with_freed,
+            ask=_stay_silent,
+        )
+
+        async def find():
+            results.append(await make_find_room(finder)(WANTED))
+
+        nursery.start_soon(find)
+        await trio.sleep(0.05)
+        lines.offer(freed)
+    (result,) = results
+    name = None
+    if isinstance(result, Offer):
+        name = result.sighting.server.entry.id
+    assert name == found
+
+
+async def _stay_silent(server):
+    """Ask a server that says nothing."""
+    await trio.sleep(0.001)
+    return Sighting(server, None, trio.current_time())
