--- a/features/steps/stopping.py
+++ b/features/steps/stopping.py
@@ -6,12 +6,12 @@
 
 from ebonystream._timers import Timers
 from ebonystream.call import Answer
-from ebonystream.caller import CallerLimits, serve_connection
-from ebonystream.caller._connection import Draining
+from ebonystream.caller import serve_connection
 from ebonystream.errors import Outcome
 from ebonystream.http1 import ReaderLimits
+from ebonystream.ingress import ConnectionLimits, OpenConnections
 
-LIMITS = CallerLimits(
+LIMITS = ConnectionLimits(
     message=ReaderLimits(head_bytes=999, body_bytes=99), receive=1, idle=5
 )
 GET = b'GET /racks/7 HTTP/1.1\r\nHost: entry\r\n\r\n'
@@ -35,7 +35,7 @@
 async def converse(seconds, stop_at):
     """Send a call and stop the host; give what the caller got."""
     ours, theirs = trio.testing.memory_stream_pair()
-    draining = Draining()
+    connections = OpenConnections()
 
     async def serve(received):
         await trio.sleep(seconds)
@@ -48,14 +48,14 @@
             serve=serve,
             limits=LIMITS,
             timers=Timers(epoch_at_zero=0),
-            draining=draining,
+            connections=connections,
         )
 
     async def stop_host():
         await trio.sleep(stop_at)
-        draining.begun = True
+        connections.closing = True
         await trio.sleep(GRACE)
-        draining.close_waiting()
+        connections.close_idle()
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(answer)
--- a/src/ebonystream/admin/_app.py
+++ b/src/ebonystream/admin/_app.py
@@ -21,7 +21,6 @@
 from ebonystream.admin._verbs import AdminVerbs
 from ebonystream.call import Answer, refuse
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.observation import render_metrics
 
 BEARER = 'Bearer '
 JSON_TYPE = 'application/json'
@@ -61,7 +60,7 @@
 
     @app.get(METRICS_PATH)
     async def show_metrics() -> Response:
-        text, content_type = render_metrics(verbs.metrics)
+        text, content_type = verbs.metrics.page.render()
         return Response(text, content_type=content_type)
 
     return app
--- a/src/ebonystream/caller/_connection.py
+++ b/src/ebonystream/caller/_connection.py
@@ -1,153 +1,63 @@
 """One caller's connection, from its first request to its close."""
 
-import attrs
+from functools import partial
+
 import trio
 
-from ebonystream._ids import Seconds
+from ebonystream._ids import Monotonic
 from ebonystream._timers import Timers
 from ebonystream.call import Answer, Serve, refuse
 from ebonystream.caller._message import decode_request, encode_answer
-from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.http1 import (
-    RECEIVE_BYTES,
-    Message,
-    Reader,
-    ReaderLimits,
-    make_request_reader,
+from ebonystream.errors import EbonystreamError
+from ebonystream.http1 import Message
+from ebonystream.ingress import (
+    ConnectionLimits,
+    OpenConnections,
+    Presence,
+    Spoken,
 )
-
-GO_ON = b'HTTP/1.1 100 Continue\r\n\r\n'
-
-
-@attrs.frozen(kw_only=True)
-class CallerLimits:
-    """What a caller may send, and how slowly.
-
-    Attributes:
-        message: The longest request.
-        receive: How long one request may take to arrive, in seconds.
-        idle: How long a connection may stay without a request, in seconds.
-    """
-
-    message: ReaderLimits
-    receive: Seconds
-    idle: Seconds
-
-
-@attrs.define
-class Draining:
-    """Whether this host is leaving, and which connections wait for nothing.
-
-    Attributes:
-        begun: Whether answers now close their connections.
-        over: Whether no further request is waited for.
-        waiting: The connections that wait for a next request.
-    """
-
-    begun: bool = False
-    over: bool = False
-    waiting: set[trio.CancelScope] = attrs.field(factory=set)
-
-    def close_waiting(self) -> None:
-        """Close each connection on which no request has begun."""
-        self.over = True
-        for scope in list(self.waiting):
-            scope.cancel()
-
-
-@attrs.define
-class _Conversation:
-    stream: trio.abc.Stream
-    reader: Reader
-    limits: CallerLimits
-    timers: Timers
-    draining: Draining
+from ebonystream.ingress import serve_connection as serve_messages
 
 
 async def serve_connection(
     stream: trio.abc.Stream,
     *,
     serve: Serve,
-    limits: CallerLimits,
+    limits: ConnectionLimits,
     timers: Timers,
-    draining: Draining,
+    connections: OpenConnections,
 ) -> None:
-    """Answer one caller's requests, one after another, until it leaves.
+    """Answer one caller's calls, one after another, until it leaves.
 
     Args:
         stream: The connection.
-        serve: Answers a request.
+        serve: Answers a call.
         limits: What the caller may send.
         timers: Tells the time.
-        draining: Tells when this host leaves.
+        connections: The open ones; tells when this host leaves.
     """
-    reader = make_request_reader(limits.message)
-    talk = _Conversation(stream, reader, limits, timers, draining)
-    async with stream:
-        try:
-            await _converse(talk, serve)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
-
-
-async def _converse(talk: _Conversation, serve: Serve) -> None:
-    try:
-        while await _wait_for_request(talk):
-            message = await _receive(talk)
-            if message is None:
-                return
-            received = decode_request(message, talk.timers.now())
-            answer = await serve(received)
-            close = talk.draining.begun or not message.keep_alive
-            await _send(talk, answer, close=close)
-            if close:
-                return
-    except EbonystreamError as error:
-        await _send(talk, refuse(error), close=True)
-
-
-async def _wait_for_request(talk: _Conversation) -> bool:
-    """Wait for the first byte of a request; False where none comes."""
-    if talk.reader.is_begun():
-        return True
-    if talk.draining.over:
-        return False
-    with trio.move_on_after(talk.limits.idle) as scope:
-        talk.draining.waiting.add(scope)
-        try:
-            arrived = await talk.stream.receive_some(RECEIVE_BYTES)
-        finally:
-            talk.draining.waiting.discard(scope)
-        talk.reader.feed(bytes(arrived))
-        return bool(arrived)
-    return False
 
+    async def respond(
+        message: Message, arrived: Monotonic, presence: Presence
+    ) -> Spoken:
+        received = decode_request(message, timers.now())
+        answer = await serve(received)
+        close = connections.closing or not message.keep_alive
+        return Spoken(_spell(timers, answer, close=close), close)
 
-async def _receive(talk: _Conversation) -> Message | None:
-    """Take in one whole request; None where the caller left."""
-    message = talk.reader.take()
-    if message is not None:
-        return message
-    with trio.move_on_after(talk.limits.receive):
-        return await _receive_parts(talk)
-    raise EbonystreamError(ErrorKind.SLOW_SENDER)
+    await serve_messages(
+        stream,
+        respond=respond,
+        refuse=partial(_spell_refusal, timers),
+        limits=limits,
+        timers=timers,
+        connections=connections,
+    )
 
 
-async def _receive_parts(talk: _Conversation) -> Message | None:
-    told_to_go_on = False
-    message: Message | None = None
-    while message is None:
-        if talk.reader.waits_for_continue() and not told_to_go_on:
-            await talk.stream.send_all(GO_ON)
-            told_to_go_on = True
-        arrived = await talk.stream.receive_some(RECEIVE_BYTES)
-        if not arrived:
-            return None
-        talk.reader.feed(bytes(arrived))
-        message = talk.reader.take()
-    return message
+def _spell_refusal(timers: Timers, error: EbonystreamError) -> bytes:
+    return _spell(timers, refuse(error), close=True)
 
 
-async def _send(talk: _Conversation, answer: Answer, *, close: bool) -> None:
-    time = talk.timers.wall_ms()
-    await talk.stream.send_all(encode_answer(answer, time=time, close=close))
+def _spell(timers: Timers, answer: Answer, *, close: bool) -> bytes:
+    return encode_answer(answer, time=timers.wall_ms(), close=close)
--- a/src/ebonystream/caller/_listener.py
+++ b/src/ebonystream/caller/_listener.py
@@ -6,11 +6,8 @@
 from ebonystream._ids import Seconds
 from ebonystream._timers import Timers
 from ebonystream.call import Serve
-from ebonystream.caller._connection import (
-    CallerLimits,
-    Draining,
-    serve_connection,
-)
+from ebonystream.caller._connection import serve_connection
+from ebonystream.ingress import ConnectionLimits, OpenConnections
 
 
 @attrs.define(kw_only=True)
@@ -20,21 +17,17 @@
     Attributes:
         serve: Answers a request.
         limits: What callers may send.
-        max_connections: Connections that are served at the same time.
         drain_grace: How long connections stay open after a stop is asked
             for, so that a request on its way is still answered; in seconds.
         timers: Tells the time.
-        draining: Tells when this host leaves.
-        open_connections: Connections that are served now.
+        connections: The open ones; tells when this host leaves.
     """
 
     serve: Serve
-    limits: CallerLimits
-    max_connections: int
+    limits: ConnectionLimits
+    connections: OpenConnections
     drain_grace: Seconds
     timers: Timers
-    draining: Draining = attrs.field(factory=Draining)
-    open_connections: int = 0
 
     async def run(
         self,
@@ -51,10 +44,10 @@
             async with trio.open_nursery() as accepting:
                 accepting.start_soon(self._accept, listeners, connections)
                 await stopping.wait()
-                self.draining.begun = True
+                self.connections.closing = True
                 await self.timers.wait(self.drain_grace)
                 accepting.cancel_scope.cancel()
-            self.draining.close_waiting()
+            self.connections.close_idle()
 
     async def _accept(
         self,
@@ -66,20 +59,10 @@
         )
 
     async def _serve_one(self, stream: trio.SocketStream) -> None:
-        if self.open_connections >= self.max_connections:
-            await trio.aclose_forcefully(stream)
-            return
-        self.open_connections += 1
-        try:
-            await self._serve(stream)
-        finally:
-            self.open_connections -= 1
-
-    async def _serve(self, stream: trio.SocketStream) -> None:
         await serve_connection(
             stream,
             serve=self.serve,
             limits=self.limits,
             timers=self.timers,
-            draining=self.draining,
+            connections=self.connections,
         )
--- a/src/ebonystream/composition/_gauges.py
+++ b/src/ebonystream/composition/_gauges.py
@@ -7,7 +7,7 @@
 from types import MappingProxyType
 
 from ebonystream.composition._parts import Parts
-from ebonystream.observation import ReadGauge
+from ebonystream.metrics import ReadGauge
 
 STATM = Path('/proc/self/statm')
 RESIDENT_FIELD = 1
@@ -16,7 +16,7 @@
 def add_gauges(parts: Parts) -> None:
     """Add the figures of this host to its metrics."""
     for name, read in _list_gauges(parts).items():
-        parts.metrics.add_gauge(name, DOCS[name], read)
+        parts.metrics.page.add_gauge(name, DOCS[name], read)
 
 
 DOCS: Mapping[str, str] = MappingProxyType(
--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -15,7 +15,7 @@
     make_admission,
     make_serving,
 )
-from ebonystream.caller import CallerLimits, CallerListener
+from ebonystream.caller import CallerListener
 from ebonystream.composition._bought import make_bought_run
 from ebonystream.composition._moves import guard_place, make_zone_observer
 from ebonystream.composition._ownership import Ownership
@@ -23,6 +23,7 @@
 from ebonystream.composition._probes import make_hearing
 from ebonystream.configuration import PlanClass
 from ebonystream.http1 import ReaderLimits
+from ebonystream.ingress import ConnectionLimits, OpenConnections
 from ebonystream.observation import log_attempt, observe_run, observe_serve
 from ebonystream.ownership import parse_key, serve_keys
 from ebonystream.upstream import make_sender
@@ -41,7 +42,7 @@
     callers = parts.settings.callers
     return CallerListener(
         serve=_make_serve(parts, dispatch, ownership),
-        limits=CallerLimits(
+        limits=ConnectionLimits(
             message=ReaderLimits(
                 head_bytes=callers.max_head_bytes,
                 body_bytes=callers.max_body_bytes,
@@ -49,7 +50,7 @@
             receive=convert_ms(callers.receive_timeout_ms),
             idle=convert_ms(callers.idle_timeout_ms),
         ),
-        max_connections=callers.max_connections,
+        connections=OpenConnections(limit=callers.max_connections),
         drain_grace=convert_ms(callers.drain_grace_ms),
         timers=parts.timers,
     )
--- a/src/ebonystream/decisionlog/_lines.py
+++ b/src/ebonystream/decisionlog/_lines.py
@@ -39,12 +39,19 @@
     Attributes:
         write_some: Writes without waiting.
         waiting: Lines, or the rest of one, that could not be written yet.
-        dropped: Lines that found no room.
+        dropped: Lines that found no room since the last line that told so.
+        dropped_ever: All lines that found no room.
     """
 
     write_some: WriteSome
     waiting: deque[bytes] = attrs.field(factory=deque)
     dropped: int = 0
+    dropped_ever: int = 0
+
+    def drop(self) -> None:
+        """Count a line that finds no room."""
+        self.dropped += 1
+        self.dropped_ever += 1
 
     def put(self, line: bytes) -> None:
         """Write a line now, or keep it where that would wait.
@@ -53,7 +60,7 @@
             line: The line with its end.
         """
         if len(self.waiting) >= MAX_WAITING_LINES:
-            self.dropped += 1
+            self.drop()
             return
         self.waiting.append(line)
         self.flush()
@@ -119,7 +126,7 @@
 
     def note(event: str, **fields: object) -> None:
         if not allowance.take(timers.now()):
-            buffer.dropped += 1
+            buffer.drop()
             return
         if buffer.dropped:
             fields['lines_dropped'] = buffer.dropped
--- a/src/ebonystream/dispatch/_progress.py
+++ b/src/ebonystream/dispatch/_progress.py
@@ -10,7 +10,7 @@
 from ebonystream.dispatch._attempt import Attempt, Send
 from ebonystream.dispatch._budget import RepeatBudget
 from ebonystream.placement import FindRoom, NoRoom, Wanted
-from ebonystream.request import Request
+from ebonystream.request import Request, Response
 from ebonystream.route import Route
 
 FALLBACK_DRAW = 1.0
@@ -24,6 +24,10 @@
 """Is told of a request for which no server had room."""
 
 
+ObserveResponse = Callable[[Request, Route | None, Response], None]
+"""Is told of each answer, and of the route if the request has one."""
+
+
 @attrs.frozen(kw_only=True)
 class Dispatcher:
     """What dispatch takes.
@@ -34,6 +38,7 @@
         budget: Bounds second attempts.
         observers: Are told of each attempt.
         note_full: Is told of each request that found no room.
+        observe_response: Is told of each answer.
         timers: Tells the time.
     """
 
@@ -42,6 +47,7 @@
     budget: RepeatBudget
     observers: tuple[Observe, ...]
     note_full: NoteFull
+    observe_response: ObserveResponse
     timers: Timers
 
 
--- a/src/ebonystream/dispatch/_run.py
+++ b/src/ebonystream/dispatch/_run.py
@@ -14,7 +14,12 @@
 from ebonystream.ingress import Presence
 from ebonystream.placement import NoRoom, Offer
 from ebonystream.request import Request, Response, refuse_request
-from ebonystream.route import RouteConfiguration, match_route, pick_service
+from ebonystream.route import (
+    Route,
+    RouteConfiguration,
+    match_route,
+    pick_service,
+)
 
 NO_CONFIGURATION_RETRY = Seconds(0.3)
 
@@ -40,12 +45,20 @@
 
     async def serve(request: Request, presence: Presence) -> Response:
         configuration = get_configuration()
+        route: Route | None = None
         if configuration is None:
-            return refuse_request(
-                EbonystreamError(ErrorKind.NOT_CONFIGURED),
-                retry_after=NO_CONFIGURATION_RETRY,
+            response = _refuse_early()
+        else:
+            route = match_route(
+                configuration, host=request.host, path=request.path
             )
-        route = match_route(configuration, host=request.host, path=request.path)
+            response = await serve_on(request, route, presence)
+        dispatcher.observe_response(request, route, response)
+        return response
+
+    async def serve_on(
+        request: Request, route: Route | None, presence: Presence
+    ) -> Response:
         if route is None:
             return refuse_request(EbonystreamError(ErrorKind.UNKNOWN_ROUTE))
         progress = Progress(
@@ -60,6 +73,13 @@
     return serve
 
 
+def _refuse_early() -> Response:
+    return refuse_request(
+        EbonystreamError(ErrorKind.NOT_CONFIGURED),
+        retry_after=NO_CONFIGURATION_RETRY,
+    )
+
+
 async def _run_in_time(
     dispatcher: Dispatcher, progress: Progress, presence: Presence
 ) -> Response:
--- a/src/ebonystream/entryhost/_callers.py
+++ b/src/ebonystream/entryhost/_callers.py
@@ -1,4 +1,4 @@
-"""What answers on a host's addresses: callers' requests and readiness."""
+"""What answers on a host's addresses: requests, readiness and metrics."""
 
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -13,6 +13,7 @@
 from ebonystream.http1 import Message, ReaderLimits, spell_response
 from ebonystream.ingress import (
     ConnectionLimits,
+    HandleConnection,
     OpenConnections,
     Presence,
     Respond,
@@ -35,12 +36,10 @@
 )
 """What may be sent before a configuration says so."""
 
-Handle = Callable[[trio.SocketStream], Awaitable[None]]
-
 
 def make_caller_handler(
     parts: HostParts, serve: Serve, dialect: Dialect
-) -> Handle:
+) -> HandleConnection:
     """Make the function that serves one caller's connection.
 
     Args:
@@ -84,7 +83,7 @@
     return handle
 
 
-def make_readiness_handler(parts: HostParts) -> Handle:
+def make_readiness_handler(parts: HostParts) -> HandleConnection:
     """Make the function that tells on a connection whether the host is ready.
 
     Args:
@@ -103,7 +102,28 @@
     return _make_plain_handler(parts, respond)
 
 
-def make_sharing_handler(parts: HostParts) -> Handle:
+def make_metrics_handler(parts: HostParts) -> HandleConnection:
+    """Make the function that shows the metrics on a connection.
+
+    Args:
+        parts: The state of the host.
+    """
+
+    async def respond(
+        message: Message, arrived: Monotonic, presence: Presence
+    ) -> Spoken:
+        await trio.lowlevel.checkpoint()
+        text, content_type = parts.metrics.page.render()
+        close = not message.keep_alive
+        headers = [(b'content-type', content_type.encode())]
+        if close:
+            headers.append((b'connection', b'close'))
+        return Spoken(spell_response(OK, headers, text), close)
+
+    return _make_plain_handler(parts, respond)
+
+
+def make_sharing_handler(parts: HostParts) -> HandleConnection:
     """Make the function that tells other hosts what this one knows.
 
     Args:
@@ -120,7 +140,7 @@
     )
 
 
-def _make_plain_handler(parts: HostParts, respond: Respond) -> Handle:
+def _make_plain_handler(parts: HostParts, respond: Respond) -> HandleConnection:
     connections = OpenConnections()
 
     async def handle(stream: trio.SocketStream) -> None:
--- /dev/null
+++ b/src/ebonystream/entryhost/_gauges.py
@@ -0,0 +1,85 @@
+"""Wires the figures that are read when an entry host's metrics are asked."""
+
+from collections.abc import Callable, Mapping
+from functools import partial
+from types import MappingProxyType
+
+import attrs
+
+from ebonystream.entryhost._metrics import (
+    read_peak_memory,
+    read_processor_seconds,
+)
+from ebonystream.entryhost._parts import HostParts
+
+
+@attrs.frozen
+class _Figure:
+    doc: str
+    read: Callable[[HostParts], float]
+
+
+def add_gauges(parts: HostParts) -> None:
+    """Add the figures of this host to its metrics.
+
+    Args:
+        parts: The state of the host.
+    """
+    for name, figure in FIGURES.items():
+        read = partial(figure.read, parts)
+        parts.metrics.page.add_gauge(name, figure.doc, read)
+
+
+def _read_version(parts: HostParts) -> float:
+    configuration = parts.orders.configuration
+    return configuration.version if configuration else 0
+
+
+FIGURES: Mapping[str, _Figure] = MappingProxyType(
+    {
+        'ebonystream_ready': _Figure(
+            '1 where this host is ready for callers.',
+            lambda parts: int(parts.is_ready()),
+        ),
+        'ebonystream_store_silent': _Figure(
+            '1 where the store did not answer the last question.',
+            lambda parts: int(parts.detached),
+        ),
+        'ebonystream_configuration_version': _Figure(
+            'The configuration in force; 0 where there is none.',
+            _read_version,
+        ),
+        'ebonystream_servers_known': _Figure(
+            'Backend servers that are known.',
+            lambda parts: len(parts.roster.servers),
+        ),
+        'ebonystream_requests_serving': _Figure(
+            'Requests that are being answered.',
+            lambda parts: parts.connections.serving,
+        ),
+        'ebonystream_requests_waiting': _Figure(
+            'Requests that wait for room.',
+            lambda parts: parts.lines.count(),
+        ),
+        'ebonystream_caller_connections': _Figure(
+            'Open connections from callers.',
+            lambda parts: parts.connections.open,
+        ),
+        'ebonystream_server_connections_total': _Figure(
+            'Connections opened to backend servers so far.',
+            lambda parts: parts.servers_pool.opened,
+        ),
+        'ebonystream_log_lines_dropped_total': _Figure(
+            'Log lines that found no room.',
+            lambda parts: parts.log.dropped_ever,
+        ),
+        'ebonystream_processor_seconds': _Figure(
+            'Processor time of this process.',
+            lambda parts: read_processor_seconds(),
+        ),
+        'ebonystream_memory_peak_bytes': _Figure(
+            'The most memory that this process had.',
+            lambda parts: read_peak_memory(),
+        ),
+    }
+)
--- a/src/ebonystream/entryhost/_observers.py
+++ b/src/ebonystream/entryhost/_observers.py
@@ -28,6 +28,7 @@
         partial(_learn, parts),
         partial(note_attempt, parts),
         partial(count_attempt, parts),
+        parts.metrics.count_attempt,
         partial(_offer_freed, parts),
     )
 
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -7,7 +7,8 @@
 
 from ebonystream._ids import Incarnation
 from ebonystream._timers import Timers
-from ebonystream.decisionlog import Note
+from ebonystream.decisionlog import Note, OutputBuffer
+from ebonystream.entryhost._metrics import HostMetrics
 from ebonystream.entryhost._settings import HostSettings
 from ebonystream.gossip import Facts, FactTable
 from ebonystream.ingress import OpenConnections
@@ -27,6 +28,8 @@
         timers: Tells the time.
         random: The source of chance.
         note: Writes the decision log.
+        log: Where its lines go, and how many were dropped.
+        metrics: What this host counts.
         background: Where tasks go on that nobody waits for.
         roster: The backend servers that are known.
         orders: What operators ordered.
@@ -50,6 +53,8 @@
     timers: Timers
     random: Random
     note: Note
+    log: OutputBuffer
+    metrics: HostMetrics = attrs.field(factory=HostMetrics)
     background: trio.Nursery
     servers_pool: ConnectionPool
     roster: Roster = attrs.field(factory=Roster)
--- a/src/ebonystream/entryhost/_path.py
+++ b/src/ebonystream/entryhost/_path.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from functools import partial
 
-from ebonystream._ids import ServiceName
+from ebonystream._ids import Seconds, ServiceName
 from ebonystream.dispatch import (
     Dispatcher,
     RepeatBudget,
@@ -11,22 +11,24 @@
     make_send,
     make_serve,
 )
-from ebonystream.entryhost._callers import Handle, make_caller_handler
+from ebonystream.entryhost._callers import make_caller_handler
 from ebonystream.entryhost._lines import note_full
 from ebonystream.entryhost._observers import make_observers
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._settings import HostSettings
+from ebonystream.ingress import HandleConnection
 from ebonystream.link import make_exchange
 from ebonystream.placement import Finder, make_ask, make_find_room
 from ebonystream.platform import make_dialect
+from ebonystream.request import Request, Response
 from ebonystream.roster import KnownServer
-from ebonystream.route import ServiceTerms
+from ebonystream.route import Route, ServiceTerms
 
 EXPECTED_HOSTS = 20
 """Over how many hosts shared bounds are spread."""
 
 
-def make_request_handler(parts: HostParts) -> Handle:
+def make_request_handler(parts: HostParts) -> HandleConnection:
     """Wire the path of a request, from its connection to a server.
 
     Args:
@@ -39,6 +41,7 @@
         dialect=dialect,
         list_terms=partial(_list_terms, parts),
         timers=parts.timers,
+        observe=parts.metrics.count_question,
     )
     find_room = make_find_room(
         Finder(
@@ -61,6 +64,7 @@
             budget=_make_budget(parts.settings),
             observers=make_observers(parts),
             note_full=partial(note_full, parts),
+            observe_response=partial(_count_response, parts),
             timers=parts.timers,
         ),
         get_configuration=lambda: parts.orders.configuration,
@@ -69,6 +73,13 @@
     return make_caller_handler(parts, serve, dialect)
 
 
+def _count_response(
+    parts: HostParts, request: Request, route: Route | None, response: Response
+) -> None:
+    took = Seconds(parts.timers.now() - request.arrived)
+    parts.metrics.count_answer(route, response, took)
+
+
 def _make_budget(settings: HostSettings) -> RepeatBudget:
     bounds = settings.bounds
     return RepeatBudget(
--- a/src/ebonystream/entryhost/_root.py
+++ b/src/ebonystream/entryhost/_root.py
@@ -3,7 +3,6 @@
 import os
 import sys
 import time
-from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -12,16 +11,13 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import Timers, start_timers
 from ebonystream.decisionlog import make_note, start_decision_log
-from ebonystream.entryhost._callers import (
-    make_readiness_handler,
-)
+from ebonystream.entryhost._gauges import add_gauges
 from ebonystream.entryhost._leaving import stop_on_signal
+from ebonystream.entryhost._listening import open_addresses
 from ebonystream.entryhost._parts import HostParts
-from ebonystream.entryhost._path import make_request_handler
 from ebonystream.entryhost._peers import start_peers
 from ebonystream.entryhost._reload import follow_settings, read_settings
 from ebonystream.gossip import FactTable
-from ebonystream.ingress import serve_listener
 from ebonystream.link import ConnectionPool, PoolLimits
 from ebonystream.platform import SETTINGS_VARIABLE
 
@@ -47,11 +43,13 @@
             timers=timers,
             random=Random(),
             note=make_note(timers=timers, buffer=buffer),
+            log=buffer,
             background=nursery,
             servers_pool=ConnectionPool(SERVER_LINKS, timers),
             facts=FactTable(settings.name, settings.zone),
             incarnation=_make_incarnation(timers),
         )
+        add_gauges(parts)
         parts.note('started', host=settings.name, zone=settings.zone)
         await _start(parts, nursery, path)
 
@@ -64,22 +62,7 @@
 async def _start(parts: HostParts, nursery: trio.Nursery, path: Path) -> None:
     await start_peers(parts, nursery)
     nursery.start_soon(follow_settings, parts, path)
-    await nursery.start(
-        partial(
-            serve_listener,
-            parts.settings.readiness,
-            make_readiness_handler(parts),
-            connections=nursery,
-        )
-    )
-    callers = await nursery.start(
-        partial(
-            serve_listener,
-            parts.settings.callers,
-            make_request_handler(parts),
-            connections=nursery,
-        )
-    )
+    callers = await open_addresses(parts, nursery)
     nursery.start_soon(stop_on_signal, parts, callers, nursery.cancel_scope)
     nursery.start_soon(_close_idle, parts)
     parts.note('listening')
--- a/src/ebonystream/ingress/__init__.py
+++ b/src/ebonystream/ingress/__init__.py
@@ -8,11 +8,12 @@
     serve_connection,
 )
 from ebonystream.ingress._leaving import OpenConnections
-from ebonystream.ingress._listener import serve_listener
+from ebonystream.ingress._listener import HandleConnection, serve_listener
 from ebonystream.ingress._presence import Presence
 
 __all__ = (
     'ConnectionLimits',
+    'HandleConnection',
     'OpenConnections',
     'Presence',
     'RefuseBytes',
--- a/src/ebonystream/ingress/_connection.py
+++ b/src/ebonystream/ingress/_connection.py
@@ -1,6 +1,7 @@
 """One connection of a caller, from its first request to its close."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import attrs
 import trio
@@ -19,6 +20,9 @@
 from ebonystream.ingress._presence import Presence
 
 GO_ON = b'HTTP/1.1 100 Continue\r\n\r\n'
+LOST = (trio.BrokenResourceError, trio.ClosedResourceError)
+"""How a connection ends whose sender is gone."""
+
 LINGER = Seconds(1)
 """How long what a refused sender still sends is taken in, so that closing
 doesn't take the refusal away from it."""
@@ -80,14 +84,19 @@
 ) -> None:
     """Answer one caller's requests, one after another, until it leaves.
 
+    The connection is closed at once where too many are open.
+
     Args:
         stream: The connection.
         respond: Answers a request.
         refuse: Spells the answer to what is no request.
         limits: What may be sent.
         timers: Tells the time.
-        connections: Tells when this host leaves.
+        connections: The open ones; tells when this host leaves.
     """
+    if connections.is_full():
+        await trio.aclose_forcefully(stream)
+        return
     talk = _Conversation(
         stream=stream,
         reader=make_request_reader(limits.message),
@@ -96,10 +105,8 @@
         connections=connections,
     )
     async with stream:
-        try:
+        with connections.hold(), suppress(*LOST):
             await _converse(talk, respond, refuse)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
 
 
 async def _converse(
@@ -124,24 +131,22 @@
     talk.connections.serving += 1
     try:
         spoken = await _respond_watched(talk, message, respond)
-        if spoken is not None:
-            await talk.stream.send_all(spoken.content)
+        await talk.stream.send_all(spoken.content)
     finally:
         talk.connections.serving -= 1
-    return spoken is not None and not spoken.close
+    return not spoken.close
 
 
 async def _respond_watched(
     talk: _Conversation, message: Message, respond: Respond
-) -> Spoken | None:
-    """Answer a request beside a watch on its sender; None where it left."""
+) -> Spoken:
+    """Answer a request beside a watch on its sender."""
     presence = Presence()
-    spoken: Spoken | None = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch_sender, talk, presence)
         spoken = await respond(message, talk.arrived, presence)
         nursery.cancel_scope.cancel()
-    return None if presence.gone else spoken
+    return spoken
 
 
 async def _watch_sender(talk: _Conversation, presence: Presence) -> None:
--- a/src/ebonystream/observation/__init__.py
+++ b/src/ebonystream/observation/__init__.py
@@ -7,7 +7,7 @@
     observe_serve,
 )
 from ebonystream.observation._logs import start_logs
-from ebonystream.observation._metrics import Metrics, ReadGauge, render_metrics
+from ebonystream.observation._metrics import Metrics
 from ebonystream.observation._traffic import (
     Traffic,
     count_transport,
@@ -16,7 +16,6 @@
 
 __all__ = (
     'Metrics',
-    'ReadGauge',
     'Traffic',
     'count_transport',
     'log_attempt',
@@ -24,6 +23,5 @@
     'make_traffic_hooks',
     'observe_run',
     'observe_serve',
-    'render_metrics',
     'start_logs',
 )
--- a/src/ebonystream/placement/_asking.py
+++ b/src/ebonystream/placement/_asking.py
@@ -22,6 +22,8 @@
 Ask = Callable[[KnownServer], Awaitable[Sighting]]
 """Asks one server for its health and load."""
 
+ObserveQuestion = Callable[[Sighting], None]
+
 ListTerms = Callable[[], Mapping[ServiceName, ServiceTerms]]
 
 
@@ -31,6 +33,7 @@
     dialect: Dialect,
     list_terms: ListTerms,
     timers: Timers,
+    observe: ObserveQuestion,
 ) -> Ask:
     """Make the function that asks one server.
 
@@ -39,6 +42,7 @@
         dialect: Spells the question and reads the answer.
         list_terms: Lists the terms of each service.
         timers: Tells the time.
+        observe: Is told what each question brought.
     """
 
     async def ask(server: KnownServer) -> Sighting:
@@ -53,7 +57,9 @@
             if not isinstance(reply, Refused):
                 report = dialect.read_health(reply)
         take_report(server, report, timers.now())
-        return Sighting(server, report, at)
+        sighting = Sighting(server, report, at)
+        observe(sighting)
+        return sighting
 
     return ask
 
--- a/src/ebonystream/placement/_line.py
+++ b/src/ebonystream/placement/_line.py
@@ -59,6 +59,10 @@
         """
         return not self._lines.get(service)
 
+    def count(self) -> int:
+        """Count the requests that wait, for all services."""
+        return sum(len(line) for line in self._lines.values())
+
     @contextmanager
     def join(self, wanted: Wanted) -> Iterator[Place]:
         """Wait in the line of a service.
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -8,12 +8,12 @@
 
 from ebonystream._timers import Timers
 from ebonystream.call import Answer
-from ebonystream.caller import CallerLimits, serve_connection
-from ebonystream.caller._connection import Draining
+from ebonystream.caller import serve_connection
 from ebonystream.errors import Outcome
 from ebonystream.http1 import ReaderLimits
+from ebonystream.ingress import ConnectionLimits, OpenConnections
 
-LIMITS = CallerLimits(
+LIMITS = ConnectionLimits(
     message=ReaderLimits(head_bytes=300, body_bytes=20), receive=1, idle=5
 )
 GET = b'GET /a HTTP/1.1\r\nHost: x\r\n\r\n'
@@ -25,7 +25,7 @@
     return Answer(outcome=Outcome.RAN, status=200, headers=(), body=body)
 
 
-async def converse(parts, *, pause=0.0, draining=None):
+async def converse(parts, *, pause=0.0, connections=None):
     """Send parts with pauses between them; give all that came back."""
     ours, theirs = trio.testing.memory_stream_pair()
     came = []
@@ -43,7 +43,7 @@
                 serve=echo,
                 limits=LIMITS,
                 timers=Timers(epoch_at_zero=0),
-                draining=draining or Draining(),
+                connections=connections or OpenConnections(),
             )
 
         nursery.start_soon(serve)
@@ -158,7 +158,29 @@
     assert await converse([GET[:9]]) == b''
 
 
+async def test_a_caller_that_sends_no_more_gets_its_answer(autojump_clock):
+    ours, theirs = trio.testing.memory_stream_pair()
+
+    async def serve():
+        await serve_connection(
+            theirs,
+            serve=echo,
+            limits=LIMITS,
+            timers=Timers(epoch_at_zero=0),
+            connections=OpenConnections(),
+        )
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve)
+        await ours.send_all(GET)
+        await ours.send_eof()
+        came = b''.join([chunk async for chunk in ours])
+    assert came.startswith(b'HTTP/1.1 200 ')
+
+
 async def test_a_draining_host_answers_and_closes(autojump_clock):
-    came = await converse([GET, GET], pause=0.01, draining=Draining(True))
+    came = await converse(
+        [GET, GET], pause=0.01, connections=OpenConnections(closing=True)
+    )
     assert came.count(b'HTTP/1.1 200') == 1
     assert b'connection: close' in came
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -85,6 +85,7 @@
         budget=RepeatBudget(terms, 1),
         observers=(observe,),
         note_full=lambda request, route, found: None,
+        observe_response=lambda request, route, response: None,
         timers=Timers(epoch_at_zero=0),
     )
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -23,14 +23,16 @@
     make_admission,
     make_serving,
 )
-from ebonystream.caller import CallerLimits, serve_connection
-from ebonystream.caller._connection import Draining
+from ebonystream.caller import serve_connection
 from ebonystream.cli._app import app as cli
 from ebonystream.cli._exit import ExitCode
 from ebonystream.composition._gauges import DOCS
 from ebonystream.configuration import Lists, index_lists
+from ebonystream.entryhost._gauges import FIGURES
+from ebonystream.entryhost._metrics import HostMetrics
 from ebonystream.errors import ANSWERS, Outcome
 from ebonystream.http1 import ReaderLimits
+from ebonystream.ingress import ConnectionLimits, OpenConnections
 from ebonystream.logservice import LogRecord
 from ebonystream.observation import Metrics
 from ebonystream.ownership import (
@@ -53,7 +55,7 @@
 REFERENCE, OPERATIONS_PAGE = PAGES['REFERENCE.md'], PAGES['OPERATIONS.md']
 NOW = 1_800_000_000_000
 UNITS = {'_ms': 'ms', '_bytes': 'bytes', '_per_second': '1/s'}
-LIMITS = CallerLimits(
+LIMITS = ConnectionLimits(
     message=ReaderLimits(head_bytes=999, body_bytes=99), receive=1, idle=1
 )
 BOOKING = {
@@ -183,7 +185,15 @@
 
 
 COMMANDS = set(list_commands(typer.main.get_command(cli), ''))
-METRICS = {metric.name for metric in Metrics().registry.get_all()} | set(DOCS)
+
+
+def list_names(page):
+    """Give the names of the metrics of a page."""
+    return {metric.name for metric in page.registry.get_all()}
+
+
+METRICS = list_names(Metrics().page) | set(DOCS)
+HOST_METRICS = list_names(HostMetrics().page) | set(FIGURES)
 PATHS = {
     f'{method.upper()} {path}'
     for path, methods in describe_api(OPERATIONS)['paths'].items()
@@ -195,6 +205,7 @@
     ('page', 'heading', 'names'),
     [
         (OPERATIONS_PAGE, 'metric', METRICS),
+        (OPERATIONS_PAGE, 'figure', HOST_METRICS),
         (REFERENCE, 'request', PATHS),
     ],
 )
@@ -326,7 +337,7 @@
                 serve=serve,
                 limits=LIMITS,
                 timers=Timers(epoch_at_zero=NOW / 1000),
-                draining=Draining(),
+                connections=OpenConnections(),
             )
 
         nursery.start_soon(answer)
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -96,6 +96,7 @@
     process: trio.Process
     front: int
     ready: int
+    metrics: int
     settings: Path
     log: Path
 
@@ -164,7 +165,7 @@
     """Run an entry host with servers, all on loopback."""
     store = PlatformStore()
     servers = {name: PacedServer(name=name) for name in names}
-    store_port, front, ready, peers, *rest = find_ports(4 + len(names))
+    store_port, front, ready, metrics, peers, *rest = find_ports(5 + len(names))
     ports = dict(zip(names, rest, strict=True))
     settings = tmp_path / 'local.json'
     settings.write_text(make_settings(store_port, front, ready, peers))
@@ -177,11 +178,15 @@
         with log.open('wb') as output:
             process = await trio.lowlevel.open_process(
                 [sys.executable, str(PROGRAM)],
-                env={**os.environ, 'EBONYSTREAM_SETTINGS': str(settings)},
+                env={
+                    **os.environ,
+                    'EBONYSTREAM_SETTINGS': str(settings),
+                    'EBONYSTREAM_METRICS_PORT': str(metrics),
+                },
                 stdout=output,
             )
         world = World(
-            store, servers, ports, process, front, ready, settings, log
+            store, servers, ports, process, front, ready, metrics, settings, log
         )
         try:
             yield world
@@ -255,6 +260,36 @@
         assert events[-1] == 'stopped'
 
 
+COUNTED = {
+    'answers': 'ebonystream_answers_total'
+    '{kind="idempotent",rank="1",status="200"} 3',
+    'no route': 'ebonystream_answers_total'
+    '{kind="none",rank="none",status="404"} 1',
+    'refusals': 'ebonystream_refusals_total{kind="unknown_route"} 1',
+    'attempts': 'ebonystream_attempts_total'
+    '{end="served 200",service="records"} 3',
+    'latencies': 'ebonystream_answer_seconds_count'
+    '{kind="idempotent",rank="1"} 3',
+    'work': 'ebonystream_attempt_seconds_count{service="records"} 3',
+    'store': 'ebonystream_store_calls_total{call="',
+    'questions': 'ebonystream_questions_total{end="answered"}',
+    'ready': 'ebonystream_ready 1',
+    'configuration': 'ebonystream_configuration_version 1',
+}
+
+
+async def test_metrics(tmp_path):
+    """What was served is told on the metrics address."""
+    async with run_world(tmp_path) as world:
+        await begin(world)
+        for number in range(3):
+            await world.call(f'a{number}')
+        await world.call('b', path='/else/')
+        status, page = await world.call('m', path='/', port=world.metrics)
+    assert status == 200
+    assert [name for name, line in COUNTED.items() if line not in page] == []
+
+
 @pytest.mark.parametrize('change', ['leaving', 'gone', 'zone'])
 async def test_a_server_gets_nothing_more(tmp_path, change):
     """Within the bound of two seconds, whatever takes the server out."""
--- a/tests/test_golden_session.py
+++ b/tests/test_golden_session.py
@@ -15,11 +15,11 @@
 from ebonystream._timers import Timers
 from ebonystream.backend import Attempt, AttemptKind, make_idempotent_run
 from ebonystream.call import Answer, CallKind, make_admission, make_serving
-from ebonystream.caller import CallerLimits, serve_connection
-from ebonystream.caller._connection import Draining
+from ebonystream.caller import serve_connection
 from ebonystream.configuration import Lists, index_lists
 from ebonystream.errors import Outcome
 from ebonystream.http1 import ReaderLimits
+from ebonystream.ingress import ConnectionLimits, OpenConnections
 from ebonystream.logservice import LogRecord
 from ebonystream.ownership import (
     SLICES,
@@ -40,7 +40,7 @@
 GOLDEN = Path(__file__).parent / 'golden' / 'session.txt'
 EPOCH_S = 1_800_000_000
 NOW_MS = EPOCH_S * 1000
-LIMITS = CallerLimits(
+LIMITS = ConnectionLimits(
     message=ReaderLimits(head_bytes=2000, body_bytes=100), receive=1, idle=60
 )
 
@@ -143,7 +143,7 @@
                 serve=make_serve(nursery, timers),
                 limits=LIMITS,
                 timers=timers,
-                draining=Draining(),
+                connections=OpenConnections(),
             )
 
         nursery.start_soon(serve)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -154,6 +154,16 @@
     assert not connections.idle
 
 
+@pytest.mark.parametrize(
+    ('already', 'statuses'), [(0, [200]), (1, [200]), (2, []), (3, [])]
+)
+async def test_the_number_of_connections(autojump_clock, already, statuses):
+    connections = OpenConnections(limit=2, open=already)
+    got = await talk([GET], connections=connections)
+    assert read_statuses(got) == statuses
+    assert connections.open == already
+
+
 async def test_idle_connections_close_at_once(autojump_clock):
     connections = OpenConnections()
     async with trio.open_nursery() as nursery:
