--- /dev/null
+++ b/src/ebonystream/counting/__init__.py
@@ -0,0 +1,16 @@
+"""Counting: plain figures that can be shown as metrics later on."""
+
+from ebonystream.counting._counts import Counts, Labels
+from ebonystream.counting._latencies import (
+    BOUNDS_SECONDS,
+    Latencies,
+    LatencyCounts,
+)
+
+__all__ = (
+    'BOUNDS_SECONDS',
+    'Counts',
+    'Labels',
+    'Latencies',
+    'LatencyCounts',
+)
--- a/src/ebonystream/entryhost/_callers.py
+++ b/src/ebonystream/entryhost/_callers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from functools import partial
+from importlib import import_module
 
 import trio
 
@@ -22,6 +23,9 @@
 )
 from ebonystream.request import Dialect, Request, Response, refuse_request
 
+PAGE_MODULE = 'ebonystream.entryhost._page'
+"""Makes the page of metrics."""
+
 OK = 200
 NOT_READY = 503
 READINESS_LIMITS = ConnectionLimits(
@@ -112,8 +116,9 @@
     async def respond(
         message: Message, arrived: Monotonic, presence: Presence
     ) -> Spoken:
-        await trio.lowlevel.checkpoint()
-        text, content_type = parts.metrics.page.render()
+        # Loaded beside the requests: its libraries take time and memory.
+        made = await trio.to_thread.run_sync(import_module, PAGE_MODULE)
+        text, content_type = made.make_page(parts).render()
         close = not message.keep_alive
         headers = [(b'content-type', content_type.encode())]
         if close:
--- a/src/ebonystream/entryhost/_gauges.py
+++ b/src/ebonystream/entryhost/_gauges.py
@@ -1,17 +1,16 @@
-"""Wires the figures that are read when an entry host's metrics are asked."""
+"""The figures of an entry host that are read when its metrics are asked."""
 
+import resource
+import time
 from collections.abc import Callable, Mapping
-from functools import partial
 from types import MappingProxyType
 
 import attrs
 
-from ebonystream.entryhost._metrics import (
-    read_peak_memory,
-    read_processor_seconds,
-)
 from ebonystream.entryhost._parts import HostParts
 
+KB = 1024
+
 
 @attrs.frozen
 class _Figure:
@@ -19,22 +18,15 @@
     read: Callable[[HostParts], float]
 
 
-def add_gauges(parts: HostParts) -> None:
-    """Add the figures of this host to its metrics.
-
-    Args:
-        parts: The state of the host.
-    """
-    for name, figure in FIGURES.items():
-        read = partial(figure.read, parts)
-        parts.metrics.page.add_gauge(name, figure.doc, read)
-
-
 def _read_version(parts: HostParts) -> float:
     configuration = parts.orders.configuration
     return configuration.version if configuration else 0
 
 
+def _read_peak_memory(parts: HostParts) -> float:
+    return KB * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+
+
 FIGURES: Mapping[str, _Figure] = MappingProxyType(
     {
         'ebonystream_ready': _Figure(
@@ -75,11 +67,11 @@
         ),
         'ebonystream_processor_seconds': _Figure(
             'Processor time of this process.',
-            lambda parts: read_processor_seconds(),
+            lambda parts: time.process_time(),
         ),
         'ebonystream_memory_peak_bytes': _Figure(
             'The most memory that this process had.',
-            lambda parts: read_peak_memory(),
+            _read_peak_memory,
         ),
     }
 )
--- a/src/ebonystream/entryhost/_metrics.py
+++ b/src/ebonystream/entryhost/_metrics.py
@@ -1,14 +1,14 @@
-"""What an entry host on the users' platform counts, and shows on demand."""
+"""What an entry host on the users' platform counts.
 
-import resource
-import time
+The counts become a page of metrics only where somebody asks for it, since the
+library that spells it takes a fourteenth of a host's memory.
+"""
 
 import attrs
-from aioprometheus import Counter, Histogram
 
 from ebonystream._ids import Seconds
+from ebonystream.counting import Counts, Labels, LatencyCounts
 from ebonystream.dispatch import Attempt
-from ebonystream.metrics import MetricsPage
 from ebonystream.placement import Sighting
 from ebonystream.request import Request, Response
 from ebonystream.route import Route
@@ -16,58 +16,60 @@
 NO_ROUTE = 'none'
 """Stands for the route's figures where a request has no route."""
 
-KB = 1024
-
 
 @attrs.define
 class HostMetrics:
-    """What this host counts.
-
-    Attributes:
-        page: Every metric.
-        latencies: Seconds from a request's first byte to its answer, by the
-            route's urgency and kind.
-        answers: Answers by urgency, kind and status.
-        refusals: The system's own answers by kind of error.
-        attempts: Attempts at backend servers by service and end.
-        work: Seconds that attempts took, by service.
-        questions: Questions for a server's load, by whether it answered.
-        store_calls: Calls to the platform's store, by name.
-    """
-
-    page: MetricsPage = attrs.field(factory=MetricsPage)
-    latencies: Histogram = attrs.field(init=False)
-    answers: Counter = attrs.field(init=False)
-    refusals: Counter = attrs.field(init=False)
-    attempts: Counter = attrs.field(init=False)
-    work: Histogram = attrs.field(init=False)
-    questions: Counter = attrs.field(init=False)
-    store_calls: Counter = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Make the metrics that every host has."""
-        page = self.page
-        self.latencies = page.add_latencies(
-            'ebonystream_answer_seconds', 'From the first byte to the answer.'
+    """What this host counts, by labels with few values."""
+
+    answer_latencies: LatencyCounts = attrs.field(
+        factory=lambda: LatencyCounts(
+            'ebonystream_answer_seconds',
+            'From the first byte of a request to its answer.',
+            ('rank', 'kind'),
         )
-        self.answers = page.add_counter(
-            'ebonystream_answers_total', 'Answers by status.'
+    )
+    answers: Counts = attrs.field(
+        factory=lambda: Counts(
+            'ebonystream_answers_total',
+            'Answers by status.',
+            ('rank', 'kind', 'status'),
         )
-        self.refusals = page.add_counter(
-            'ebonystream_refusals_total', 'Own answers by kind of error.'
+    )
+    refusals: Counts = attrs.field(
+        factory=lambda: Counts(
+            'ebonystream_refusals_total',
+            'Own answers by kind of error.',
+            ('kind',),
         )
-        self.attempts = page.add_counter(
-            'ebonystream_attempts_total', 'Attempts by how they ended.'
+    )
+    attempt_latencies: LatencyCounts = attrs.field(
+        factory=lambda: LatencyCounts(
+            'ebonystream_attempt_seconds',
+            'From a send to its end.',
+            ('service',),
         )
-        self.work = page.add_latencies(
-            'ebonystream_attempt_seconds', 'From a send to its end.'
+    )
+    attempts: Counts = attrs.field(
+        factory=lambda: Counts(
+            'ebonystream_attempts_total',
+            'Attempts by how they ended.',
+            ('service', 'end'),
         )
-        self.questions = page.add_counter(
-            'ebonystream_questions_total', 'Questions for a load.'
+    )
+    questions: Counts = attrs.field(
+        factory=lambda: Counts(
+            'ebonystream_questions_total',
+            "Questions for a server's load.",
+            ('end',),
         )
-        self.store_calls = page.add_counter(
-            'ebonystream_store_calls_total', "Calls to the platform's store."
+    )
+    store_calls: Counts = attrs.field(
+        factory=lambda: Counts(
+            'ebonystream_store_calls_total',
+            "Calls to the platform's store.",
+            ('call',),
         )
+    )
 
     def count_answer(
         self, route: Route | None, response: Response, took: Seconds
@@ -80,10 +82,10 @@
             took: From the first byte of the request to now, in seconds.
         """
         labels = _label_route(route)
-        self.latencies.observe(labels, took)
-        self.answers.inc({**labels, 'status': str(response.status)})
+        self.answer_latencies.add(took, *labels)
+        self.answers.add(*labels, str(response.status))
         if response.error is not None:
-            self.refusals.inc({'kind': response.error.value})
+            self.refusals.add(response.error.value)
 
     def count_attempt(
         self, request: Request, route: Route, attempt: Attempt
@@ -95,10 +97,10 @@
             route: Its route.
             attempt: The attempt.
         """
-        entry = attempt.offer.sighting.server.entry
-        labels = {'service': entry.service}
-        self.work.observe(labels, attempt.took)
-        self.attempts.inc({**labels, 'end': attempt.describe()})
+        server = attempt.offer.sighting.server
+        service = server.entry.service
+        self.attempt_latencies.add(attempt.took, service)
+        self.attempts.add(service, attempt.describe())
 
     def count_question(self, sighting: Sighting) -> None:
         """Count a question for a server's load.
@@ -106,29 +108,20 @@
         Args:
             sighting: What it brought.
         """
-        end = 'silent' if sighting.report is None else 'answered'
-        self.questions.inc({'end': end})
-
-    def count_store_call(self, call: str) -> None:
-        """Count a call to the platform's store.
-
-        Args:
-            call: Its name.
-        """
-        self.store_calls.inc({'call': call})
-
-
-def read_peak_memory() -> float:
-    """Read the most memory that this process had, in bytes."""
-    return KB * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        answered = sighting.report is not None
+        self.questions.add('answered' if answered else 'silent')
 
+    def list_counts(self) -> tuple[Counts, ...]:
+        """List the figures that only grow."""
+        own = (self.answers, self.refusals, self.questions, self.store_calls)
+        return (*own, self.attempts)
 
-def read_processor_seconds() -> float:
-    """Read the processor time of this process, in seconds."""
-    return time.process_time()
+    def list_latencies(self) -> tuple[LatencyCounts, ...]:
+        """List the histograms."""
+        return (self.answer_latencies, self.attempt_latencies)
 
 
-def _label_route(route: Route | None) -> dict[str, str]:
+def _label_route(route: Route | None) -> Labels:
     if route is None:
-        return {'rank': NO_ROUTE, 'kind': NO_ROUTE}
-    return {'rank': str(route.rank), 'kind': route.kind.value}
+        return (NO_ROUTE, NO_ROUTE)
+    return (str(route.rank), route.kind.value)
--- a/src/ebonystream/entryhost/_peers.py
+++ b/src/ebonystream/entryhost/_peers.py
@@ -42,7 +42,7 @@
     store = StoreClient(
         at=parts.settings.store,
         exchange=exchange,
-        count_call=parts.metrics.count_store_call,
+        count_call=parts.metrics.store_calls.add,
     )
     reads = make_store_reads(parts, store)
     datagrams = await open_datagrams(parts.settings.peers)
--- a/src/ebonystream/entryhost/_root.py
+++ b/src/ebonystream/entryhost/_root.py
@@ -11,7 +11,6 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import Timers, start_timers
 from ebonystream.decisionlog import make_note, start_decision_log
-from ebonystream.entryhost._gauges import add_gauges
 from ebonystream.entryhost._leaving import stop_on_signal
 from ebonystream.entryhost._listening import open_addresses
 from ebonystream.entryhost._parts import HostParts
@@ -49,7 +48,6 @@
             facts=FactTable(settings.name, settings.zone),
             incarnation=_make_incarnation(timers),
         )
-        add_gauges(parts)
         parts.note('started', host=settings.name, zone=settings.zone)
         await _start(parts, nursery, path)
 
--- a/src/ebonystream/metrics/_page.py
+++ b/src/ebonystream/metrics/_page.py
@@ -5,11 +5,20 @@
 """
 
 from collections.abc import Callable
+from itertools import accumulate
 
 import attrs
 from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.histogram import Histogram as Buckets
 from aioprometheus.renderer import render
 
+from ebonystream.counting import (
+    BOUNDS_SECONDS,
+    Counts,
+    Latencies,
+    LatencyCounts,
+)
+
 LATENCY_BUCKETS_SECONDS = (
     0.0005,
     0.001,
@@ -65,6 +74,33 @@
             registry=self.registry,
         )
 
+    def take_counts(self, counts: Counts) -> None:
+        """Take over what was counted before the page was made.
+
+        Args:
+            counts: The counts.
+        """
+        counter = self.add_counter(counts.name, counts.doc)
+        for labels, count in counts.series.items():
+            named = dict(zip(counts.labels, labels, strict=True))
+            counter.set(named, count)
+
+    def take_latencies(self, latencies: LatencyCounts) -> None:
+        """Take over latencies that were counted before the page was made.
+
+        Args:
+            latencies: The latencies.
+        """
+        histogram = Histogram(
+            latencies.name,
+            latencies.doc,
+            buckets=list(BOUNDS_SECONDS),
+            registry=self.registry,
+        )
+        for labels, one in latencies.series.items():
+            named = dict(zip(latencies.labels, labels, strict=True))
+            histogram.set_value(named, _convert(one))
+
     def add_gauge(self, name: str, doc: str, read: ReadGauge) -> None:
         """Add a figure that is read when the page is asked for.
 
@@ -82,3 +118,12 @@
             gauge.set({}, read())
         text, headers = render(self.registry, [])
         return text, headers['Content-Type']
+
+
+def _convert(latencies: Latencies) -> Buckets:
+    converted = Buckets(*BOUNDS_SECONDS)
+    counts = accumulate(latencies.buckets)
+    converted.buckets.update(zip(converted.buckets, counts, strict=True))
+    converted.observations = sum(latencies.buckets)
+    converted.sum = latencies.total
+    return converted
--- /dev/null
+++ b/tests/test_counting.py
@@ -0,0 +1,56 @@
+"""Figures that are counted plainly, and shown as metrics later on."""
+
+import pytest
+
+from ebonystream.counting import BOUNDS_SECONDS, Counts, LatencyCounts
+from ebonystream.metrics import MetricsPage
+
+
+def render(*, counts=(), latencies=()):
+    page = MetricsPage()
+    for one in counts:
+        page.take_counts(one)
+    for one in latencies:
+        page.take_latencies(one)
+    text, _ = page.render()
+    return text.decode()
+
+
+@pytest.mark.parametrize(
+    ('added', 'lines'),
+    [
+        ([], []),
+        ([('a', 'x')], ['calls{end="x",kind="a"} 1']),
+        (
+            [('a', 'x'), ('b', 'x'), ('a', 'x')],
+            ['calls{end="x",kind="a"} 2', 'calls{end="x",kind="b"} 1'],
+        ),
+    ],
+)
+def test_counts(added, lines):
+    counts = Counts('calls', 'Calls.', ('kind', 'end'))
+    for labels in added:
+        counts.add(*labels)
+    shown = render(counts=[counts])
+    assert [line for line in shown.splitlines() if line[:1] != '#'] == lines
+
+
+@pytest.mark.parametrize(
+    ('added', 'within', 'total'),
+    [
+        ([0.01], {0.01: 1, 2.0: 1}, 0.01),
+        ([0.011], {0.01: 0, 0.02: 1, 2.0: 1}, 0.011),
+        ([0.3, 0.7, 0.7], {0.2: 0, 0.3: 1, 0.5: 1, 0.8: 3}, 1.7),
+        ([9.0], {bound: 0 for bound in BOUNDS_SECONDS}, 9.0),
+    ],
+)
+def test_latencies(added, within, total):
+    latencies = LatencyCounts('took', 'Took.', ('kind',))
+    for one in added:
+        latencies.add(one, 'a')
+    shown = render(latencies=[latencies])
+    for bound, count in within.items():
+        assert f'took_bucket{{kind="a",le="{bound}"}} {count}' in shown
+    assert f'took_bucket{{kind="a",le="+Inf"}} {len(added)}' in shown
+    assert f'took_count{{kind="a"}} {len(added)}' in shown
+    assert f'took_sum{{kind="a"}} {total}' in shown
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -193,7 +193,13 @@
 
 
 METRICS = list_names(Metrics().page) | set(DOCS)
-HOST_METRICS = list_names(HostMetrics().page) | set(FIGURES)
+HOST_METRICS = set(FIGURES) | {
+    counted.name
+    for counted in (
+        *HostMetrics().list_counts(),
+        *HostMetrics().list_latencies(),
+    )
+}
 PATHS = {
     f'{method.upper()} {path}'
     for path, methods in describe_api(OPERATIONS)['paths'].items()
