--- a/src/ebonystream/placement/_choice.py
+++ b/src/ebonystream/placement/_choice.py
@@ -22,10 +22,6 @@
 LATE_SHARE = 0.9
 """The share of the time left that an expected answer may take."""
 
-LIKELY_TIMES = 1.25
-"""How many times as long as expected an answer may take, to be likely on time:
-four in five take less."""
-
 MIN_RETRY_AFTER = Seconds(0.05)
 
 
@@ -39,8 +35,6 @@
         now: The time.
         late: Whether an answer that is not on time is better than none.
         spare: Whether only a server will do that no other request wants.
-        crowded: Whether others wait that may be on time, so that a slot goes
-            only where the answer is likely to be.
     """
 
     work: Seconds
@@ -48,7 +42,6 @@
     now: Monotonic
     late: bool = False
     spare: bool = False
-    crowded: bool = False
 
 
 def choose_offer(
@@ -163,5 +156,4 @@
     if best.expected > left * LATE_SHARE:
         return False
     on_time = wanted.get_aim() - setting.now
-    longest = best.expected * (LIKELY_TIMES if setting.crowded else 1)
-    return setting.late or longest <= on_time
+    return setting.late or best.expected <= on_time
--- a/src/ebonystream/placement/_finding.py
+++ b/src/ebonystream/placement/_finding.py
@@ -221,6 +221,5 @@
         now=finder.timers.now(),
         late=late,
         spare=spare,
-        crowded=finder.lines.is_crowded(wanted.service),
     )
     return choose_offer(wanted, sightings, setting)
--- a/src/ebonystream/placement/_line.py
+++ b/src/ebonystream/placement/_line.py
@@ -61,15 +61,6 @@
         """
         return not self._lines.get(service)
 
-    def is_crowded(self, service: ServiceName) -> bool:
-        """Tell whether two requests or more wait that may still be on time.
-
-        Args:
-            service: Their service.
-        """
-        line = self._lines.get(service, [])
-        return sum(not place.hopeless for place in line) > 1
-
     def is_hopeful(self, service: ServiceName) -> bool:
         """Tell whether a request waits that may still be on time.
 
