Pack what hosts tell one another

What grows is what hosts tell of a version move and of servers in trouble: names of routes and fields, the same ones in the facts of 17 hosts, twice a second in each direction.

Change: datagrams are packed with zlib; one that unpacks to more than 256 KB or can't be read is left out.

--- a/src/ebonystream/gossip/_socket.py
+++ b/src/ebonystream/gossip/_socket.py
@@ -1,5 +1,6 @@
 """Datagrams between entry hosts: a few facts in each."""
 
+import zlib
 from collections.abc import Iterable, Sequence
 
 import attrs
@@ -11,6 +12,7 @@
 
 FACTS_PER_DATAGRAM = 6
 MAX_DATAGRAM_BYTES = 65_507
+MAX_UNPACKED_BYTES = 262_144
 
 
 class _Telling(msgspec.Struct, frozen=True, array_like=True):
@@ -41,9 +43,7 @@
             addresses: The IP numbers of the hosts.
         """
         parts = [
-            msgspec.msgpack.encode(
-                _Telling(tuple(facts[start : start + FACTS_PER_DATAGRAM]))
-            )
+            _encode(facts[start : start + FACTS_PER_DATAGRAM])
             for start in range(0, len(facts), FACTS_PER_DATAGRAM)
         ]
         for address in addresses:
@@ -54,8 +54,8 @@
         """Wait for the next datagram; empty where it can't be read."""
         content, _ = await self.socket.recvfrom(MAX_DATAGRAM_BYTES)
         try:
-            return msgspec.msgpack.decode(content, type=_Telling).facts
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return _decode(content)
+        except (msgspec.MsgspecError, UnicodeDecodeError, zlib.error):
             return ()
 
     async def _send_part(self, part: bytes, address: str) -> None:
@@ -67,6 +67,15 @@
         self.sent_bytes += len(part)
 
 
+def _encode(facts: Sequence[Facts]) -> bytes:
+    return zlib.compress(msgspec.msgpack.encode(_Telling(tuple(facts))))
+
+
+def _decode(content: bytes) -> tuple[Facts, ...]:
+    unpacked = zlib.decompressobj().decompress(content, MAX_UNPACKED_BYTES)
+    return msgspec.msgpack.decode(unpacked, type=_Telling).facts
+
+
 async def open_datagrams(at: ServerAddress) -> Datagrams:
     """Open the socket for what peers tell.
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,5 +1,6 @@
 """Gossip: who is believed, who speaks for a zone, and what is shared."""
 
+import zlib
 from random import Random
 
 import msgspec
@@ -9,7 +10,14 @@
 
 from ebonystream._ids import Offset, Seconds
 from ebonystream._timers import Timers
-from ebonystream.gossip import Facts, FactTable, Known, make_sharing
+from ebonystream.gossip import (
+    Datagrams,
+    Facts,
+    FactTable,
+    Known,
+    MoveFacts,
+    make_sharing,
+)
 from ebonystream.gossip._sharing import Shared
 from ebonystream.http1 import Message
 from ebonystream.ingress import Presence
@@ -21,6 +29,7 @@
     ServiceTerms,
     index_routes,
 )
+from ebonystream.versionmove import MoveVerdict, RouteCounts
 
 LIMITS = RequestLimits(head_bytes=999, body_bytes=999, receive=1, idle=1)
 
@@ -193,3 +202,66 @@
         method=b'POST',
         status=0,
     )
+
+
+class StoredDatagrams:
+    """A socket that keeps what is sent, and gives it back."""
+
+    def __init__(self, *contents):
+        self.contents = list(contents)
+
+    async def sendto(self, content, address):
+        self.contents.append(content)
+
+    async def recvfrom(self, size):
+        return self.contents.pop(0)[:size], ('10.0.0.9', 1)
+
+
+@pytest.mark.parametrize('count', [1, 6, 7, 40])
+async def test_datagrams_carry_facts(count):
+    told = [make_facts(f'e{number}') for number in range(count)]
+    socket = StoredDatagrams()
+    datagrams = Datagrams(socket, 1)
+    await datagrams.send(told, ['10.0.0.2'])
+    heard = []
+    while socket.contents:
+        heard.extend(await datagrams.receive())
+    assert heard == told
+
+
+def list_moves(hosts):
+    """Make facts of hosts that carry out a move, as they look in earnest."""
+    counts = tuple(
+        RouteCounts(f'r-{number}', number, 2, 100 + number, 1)
+        for number in range(8)
+    )
+    move = MoveFacts('m1', 3.2, False, MoveVerdict.RUNNING, None, counts)
+    return [make_facts(f'e{number}', moves=(move,)) for number in range(hosts)]
+
+
+async def test_datagrams_are_small():
+    socket = StoredDatagrams()
+    told = list_moves(6)
+    await Datagrams(socket, 1).send(told, ['10.0.0.2'])
+    plain = sum(len(msgspec.msgpack.encode(one)) for one in told)
+    assert sum(map(len, socket.contents)) < plain / 3
+
+
+BOMB = zlib.compress(bytes(1_000_000))
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'hello',
+        BOMB,
+        msgspec.msgpack.encode([[]]),
+        zlib.compress(b'hello'),
+        zlib.compress(msgspec.msgpack.encode([['e1']])),
+        zlib.compress(msgspec.msgpack.encode([[]]))[:-5],
+    ],
+)
+async def test_a_datagram_that_cannot_be_read_is_left_out(content):
+    datagrams = Datagrams(StoredDatagrams(content), 1)
+    assert await datagrams.receive() == ()
