Ask two far servers, not six, each time a request in line looks again

Cause: the first of a line has servers asked every 40 ms, six of them in other zones, for as long as it waits; all other hosts do the same.

--- a/src/ebonystream/placement/_finding.py
+++ b/src/ebonystream/placement/_finding.py
@@ -26,6 +26,9 @@
 FAR_ASKED = 6
 """Servers of other zones that are asked where no near one is on time."""
 
+FAR_ASKED_AGAIN = 2
+"""Those asked each time that a request in line looks again."""
+
 SAFE_SHARE = 0.75
 """The share of the time left that a near server's answer may take, so that no
 far one is asked: bytes between zones are dear."""
@@ -113,7 +116,7 @@
             elif finder.lines.take_turn(
                 place, finder.timers.now(), period=ASK_AGAIN_AFTER
             ):
-                found = await _look_once(finder, wanted)
+                found = await _look_once(finder, wanted, again=True)
     if isinstance(found, NoRoom):
         return await _look_late(finder, wanted)
     return found
@@ -159,7 +162,12 @@
 
 
 async def _look_once(
-    finder: Finder, wanted: Wanted, *, late: bool = False, spare: bool = False
+    finder: Finder,
+    wanted: Wanted,
+    *,
+    again: bool = False,
+    late: bool = False,
+    spare: bool = False,
 ) -> Offer | NoRoom:
     """Ask servers of the own zone; those of others where none is on time."""
     near, far = _list_usable(finder, wanted)
@@ -171,7 +179,8 @@
     found = _choose(finder, wanted, sightings)
     if isinstance(found, Offer) and _is_safely_on_time(finder, wanted, found):
         return found
-    sightings += await _survey(finder, far[:FAR_ASKED])
+    most_far = FAR_ASKED_AGAIN if again else FAR_ASKED
+    sightings += await _survey(finder, far[:most_far])
     return _choose(finder, wanted, sightings, late=late, spare=spare)
 
 
