Refuse requests that end servers; give late requests an idle server

Cause: on the platform's path nothing counted them. A connection that ends without an answer is held against the request only where the server leaves the next question or connection unanswered too, so that a lost answer is no crash. Hosts tell one another (suspects/, split from crash/ so that both front ends use it); after the second end at two servers, with no answer between, every host refuses it with 422. A request that will be late did not get an idle server of the own zone: the look that ends a survey at the first good answer forgot that late is allowed, and refused the request although a server was idle.

--- a/src/ebonystream/composition/_servers.py
+++ b/src/ebonystream/composition/_servers.py
@@ -28,14 +28,13 @@
 from ebonystream.crash import (
     CrashRules,
     RunningCalls,
-    SuspectExchange,
-    SuspectTable,
     make_crash_begin,
     make_crash_gate,
     make_crash_guard,
     make_crash_observer,
 )
 from ebonystream.move import Moves
+from ebonystream.suspects import SuspectExchange, SuspectTable
 from ebonystream.version import (
     EvidenceExchange,
     MovesView,
--- a/src/ebonystream/crash/_rules.py
+++ b/src/ebonystream/crash/_rules.py
@@ -18,11 +18,10 @@
     ServerPhase,
 )
 from ebonystream.call import Call
-from ebonystream.crash._crash import CrashId, Suspicion
 from ebonystream.crash._fingerprint import make_fingerprint
 from ebonystream.crash._running import RunningCall, RunningCalls
-from ebonystream.crash._table import SuspectTable
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.suspects import CrashId, SuspectTable, Suspicion
 
 
 @attrs.frozen(kw_only=True)
--- a/src/ebonystream/entryhost/_lines.py
+++ b/src/ebonystream/entryhost/_lines.py
@@ -55,6 +55,24 @@
     )
 
 
+def note_presence(parts: HostParts, sighting: Sighting) -> None:
+    """Log a server that falls silent, or that answers again; once each.
+
+    Args:
+        parts: The state of the host.
+        sighting: What a question brought.
+    """
+    server = sighting.server
+    since = server.silent_since
+    if sighting.report is None and since is None:
+        server.silent_since = sighting.at
+        parts.note('server_silent', server=server.entry.id)
+    elif sighting.report is not None and since is not None:
+        server.silent_since = None
+        silent_s = round(sighting.at - since, 3)
+        parts.note('server_heard', server=server.entry.id, silent_s=silent_s)
+
+
 def _describe_sighting(sighting: Sighting, parts: HostParts) -> str:
     now = parts.timers.now()
     server = sighting.server
--- a/src/ebonystream/entryhost/_meeting.py
+++ b/src/ebonystream/entryhost/_meeting.py
@@ -82,6 +82,7 @@
             known = parts.roster.servers.get(troubled.server)
             if known is not None:
                 known.hear_failures(facts.host, troubled.failures, now)
+        parts.crash_notes.take_notes(facts.crashes)
         if facts.orders_end > parts.orders.end:
             parts.wake_orders()
             parts.hear_news(facts)
@@ -108,6 +109,7 @@
         orders_end=parts.orders.end,
         troubled=_list_troubled(parts, now),
         moves=make_move_facts(parts, now),
+        crashes=parts.crash_notes.list_notes(),
     )
 
 
--- a/src/ebonystream/entryhost/_observers.py
+++ b/src/ebonystream/entryhost/_observers.py
@@ -3,6 +3,7 @@
 from functools import partial
 
 from ebonystream.dispatch import Attempt, Observe
+from ebonystream.entryhost._crashes import note_cut
 from ebonystream.entryhost._lines import note_attempt
 from ebonystream.entryhost._moving import count_attempt
 from ebonystream.entryhost._parts import HostParts
@@ -24,13 +25,9 @@
     Args:
         parts: The state of the host.
     """
-    return (
-        partial(_learn, parts),
-        partial(note_attempt, parts),
-        partial(count_attempt, parts),
-        parts.metrics.count_attempt,
-        partial(_offer_freed, parts),
-    )
+    learn = [partial(one, parts) for one in (_learn, count_attempt, note_cut)]
+    tell = (partial(note_attempt, parts), parts.metrics.count_attempt)
+    return (*learn, *tell, partial(_offer_freed, parts))
 
 
 def _learn(
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -16,6 +16,7 @@
 from ebonystream.orders import Orders
 from ebonystream.placement import WaitingLines, WorkTimes
 from ebonystream.roster import Roster
+from ebonystream.suspects import CutRequests, SuspectExchange, SuspectTable
 from ebonystream.versionmove import VersionMoves
 
 
@@ -40,6 +41,9 @@
         facts: What entry hosts said of themselves.
         incarnation: Names this run of the host.
         moves: The version moves.
+        suspects: Requests that may end servers.
+        crash_notes: What hosts tell one another of these.
+        cuts: Requests that were cut off lately.
         orders_wait: The wait for new orders that is under way.
         detached: Whether the store did not answer this host's last question.
         news_from: The host that last told of orders unknown here.
@@ -64,6 +68,9 @@
     incarnation: Incarnation
     lines: WaitingLines = attrs.field(factory=WaitingLines)
     moves: VersionMoves = attrs.field(factory=VersionMoves)
+    suspects: SuspectTable
+    crash_notes: SuspectExchange
+    cuts: CutRequests = attrs.field(factory=CutRequests)
     orders_wait: trio.CancelScope | None = None
     detached: bool = False
     news_from: Facts | None = None
--- a/src/ebonystream/entryhost/_path.py
+++ b/src/ebonystream/entryhost/_path.py
@@ -8,17 +8,19 @@
     Dispatcher,
     RepeatBudget,
     RepeatTerms,
+    Serve,
     make_send,
     make_serve,
 )
 from ebonystream.entryhost._callers import make_caller_handler
-from ebonystream.entryhost._lines import note_full
+from ebonystream.entryhost._crashes import note_silence, refuse_crashing
+from ebonystream.entryhost._lines import note_full, note_presence
 from ebonystream.entryhost._observers import make_observers
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._settings import HostSettings
-from ebonystream.ingress import HandleConnection
+from ebonystream.ingress import HandleConnection, Presence
 from ebonystream.link import make_exchange
-from ebonystream.placement import Finder, make_ask, make_find_room
+from ebonystream.placement import Finder, Sighting, make_ask, make_find_room
 from ebonystream.platform import make_dialect
 from ebonystream.request import Request, Response
 from ebonystream.roster import KnownServer
@@ -41,7 +43,7 @@
         dialect=dialect,
         list_terms=partial(_list_terms, parts),
         timers=parts.timers,
-        observe=parts.metrics.count_question,
+        observe=partial(_observe_question, parts),
     )
     find_room = make_find_room(
         Finder(
@@ -70,7 +72,26 @@
         get_configuration=lambda: parts.orders.configuration,
         random=parts.random,
     )
-    return make_caller_handler(parts, serve, dialect)
+    return make_caller_handler(parts, _guard(parts, serve), dialect)
+
+
+def _guard(parts: HostParts, serve: Serve) -> Serve:
+    """Keep requests that end servers away from them."""
+
+    async def guarded(request: Request, presence: Presence) -> Response:
+        refused = refuse_crashing(parts, request)
+        if refused is None:
+            return await serve(request, presence)
+        _count_response(parts, request, None, refused)
+        return refused
+
+    return guarded
+
+
+def _observe_question(parts: HostParts, sighting: Sighting) -> None:
+    parts.metrics.count_question(sighting)
+    note_presence(parts, sighting)
+    note_silence(parts, sighting)
 
 
 def _count_response(
--- a/src/ebonystream/entryhost/_root.py
+++ b/src/ebonystream/entryhost/_root.py
@@ -19,6 +19,7 @@
 from ebonystream.gossip import FactTable
 from ebonystream.link import ConnectionPool, PoolLimits
 from ebonystream.platform import SETTINGS_VARIABLE
+from ebonystream.suspects import SuspectExchange, SuspectTable
 
 SERVER_LINKS = PoolLimits(
     idle_connections=4, idle=Seconds(8), connect_timeout=Seconds(0.25)
@@ -36,6 +37,7 @@
     timers = start_timers(wall_clock=time.time)
     settings = read_settings(path)
     buffer = start_decision_log(sys.stdout.fileno())
+    suspects = SuspectTable(timers)
     async with trio.open_nursery() as nursery:
         parts = HostParts(
             settings=settings,
@@ -46,6 +48,8 @@
             background=nursery,
             servers_pool=ConnectionPool(SERVER_LINKS, timers),
             facts=FactTable(settings.name, settings.zone),
+            suspects=suspects,
+            crash_notes=SuspectExchange(suspects, timers, Random()),
             incarnation=_make_incarnation(timers),
         )
         parts.note('started', host=settings.name, zone=settings.zone)
--- a/src/ebonystream/gossip/_facts.py
+++ b/src/ebonystream/gossip/_facts.py
@@ -61,6 +61,7 @@
         orders_end: The offset up to which it knows the orders.
         troubled: Servers that failed its requests lately.
         moves: The version moves that it knows.
+        crashes: What it holds of requests that may end servers.
     """
 
     host: HostId
@@ -73,3 +74,4 @@
     orders_end: Offset
     troubled: tuple[TroubledServer, ...] = ()
     moves: tuple[MoveFacts, ...] = ()
+    crashes: tuple[str, ...] = ()
--- a/src/ebonystream/placement/_finding.py
+++ b/src/ebonystream/placement/_finding.py
@@ -175,7 +175,7 @@
     for asked in (near[:FIRST_ASKED], near[FIRST_ASKED:MOST_NEAR_ASKED]):
         sightings += await _survey(finder, asked)
         if any(map(is_good, sightings)):
-            return _choose(finder, wanted, sightings)
+            return _choose(finder, wanted, sightings, late=late, spare=spare)
     found = _choose(finder, wanted, sightings)
     if isinstance(found, Offer) and _is_safely_on_time(finder, wanted, found):
         return found
--- a/src/ebonystream/roster/_known.py
+++ b/src/ebonystream/roster/_known.py
@@ -24,6 +24,8 @@
         listed: When the entry was last seen in the store.
         cold_until: When it is warm, as far as anybody said.
         avoid_until: Until when nothing is sent to it but questions.
+        silent_since: When it first left a question without an answer, after
+            the last that it answered; None where it answers.
         leaving: Whether it showed itself that it leaves.
         in_flight: Requests of this host that it has in hand.
         last_sent: When this host last sent a request to it.
@@ -37,6 +39,7 @@
     listed: Monotonic
     cold_until: Monotonic = NEVER
     avoid_until: Monotonic = NEVER
+    silent_since: Monotonic | None = None
     leaving: bool = False
     in_flight: int = 0
     last_sent: Monotonic = NEVER
--- /dev/null
+++ b/src/ebonystream/suspects/__init__.py
@@ -0,0 +1,32 @@
+"""Suspects: requests that may end the servers that run them, and the proof."""
+
+from ebonystream.suspects._crash import Crash, CrashId, Suspicion
+from ebonystream.suspects._cuts import Cut, CutRequests
+from ebonystream.suspects._fingerprint import Fingerprint, digest_request
+from ebonystream.suspects._notes import SuspectExchange, SuspectNote
+from ebonystream.suspects._table import (
+    CRASH_AGE,
+    MASS_CRASHES,
+    MASS_WINDOW,
+    MAX_CRASHES,
+    MAX_SUSPECTS,
+    SuspectTable,
+)
+
+__all__ = (
+    'CRASH_AGE',
+    'MASS_CRASHES',
+    'MASS_WINDOW',
+    'MAX_CRASHES',
+    'MAX_SUSPECTS',
+    'Crash',
+    'CrashId',
+    'Cut',
+    'CutRequests',
+    'Fingerprint',
+    'SuspectExchange',
+    'SuspectNote',
+    'SuspectTable',
+    'Suspicion',
+    'digest_request',
+)
--- a/src/ebonystream/crash/_crash.py
+++ b/src/ebonystream/suspects/_crash.py
@@ -6,7 +6,7 @@
 import attrs
 
 from ebonystream._ids import Monotonic, ServerId
-from ebonystream.crash._fingerprint import Fingerprint
+from ebonystream.suspects._fingerprint import Fingerprint
 
 
 class Suspicion(enum.Enum):
--- a/src/ebonystream/crash/_notes.py
+++ b/src/ebonystream/suspects/_notes.py
@@ -8,9 +8,9 @@
 
 from ebonystream._ids import Monotonic, Seconds, ServerId
 from ebonystream._timers import Timers
-from ebonystream.crash._crash import Crash, CrashId, Suspicion
-from ebonystream.crash._fingerprint import Fingerprint
-from ebonystream.crash._table import CRASH_AGE, SuspectTable
+from ebonystream.suspects._crash import Crash, CrashId, Suspicion
+from ebonystream.suspects._fingerprint import Fingerprint
+from ebonystream.suspects._table import CRASH_AGE, SuspectTable
 
 RECENT = Seconds(2)
 """How long a change is told in each heartbeat."""
--- a/src/ebonystream/crash/_table.py
+++ b/src/ebonystream/suspects/_table.py
@@ -6,8 +6,8 @@
 
 from ebonystream._ids import Monotonic, Seconds
 from ebonystream._timers import Timers
-from ebonystream.crash._crash import Crash, CrashId, Suspicion
-from ebonystream.crash._fingerprint import Fingerprint
+from ebonystream.suspects._crash import Crash, CrashId, Suspicion
+from ebonystream.suspects._fingerprint import Fingerprint
 
 MAX_CRASHES = 512
 """Crashes that are remembered; the oldest give way."""
@@ -79,9 +79,17 @@
         for crash in self._list_against(fingerprint):
             crash.suspect(fingerprint, Suspicion.CLEARED, now)
 
-    def is_suspected(self, fingerprint: Fingerprint) -> bool:
-        """Tell whether a request may have ended a server."""
-        return bool(self._list_against(fingerprint))
+    def is_suspected(
+        self, fingerprint: Fingerprint, *, beside: Crash | None = None
+    ) -> bool:
+        """Tell whether a request may have ended a server.
+
+        Args:
+            fingerprint: The request.
+            beside: A crash that doesn't count.
+        """
+        against = self._list_against(fingerprint)
+        return any(crash is not beside for crash in against)
 
     def is_refused(self, fingerprint: Fingerprint) -> bool:
         """Tell whether a request has ended two servers.
--- /dev/null
+++ b/tests/host_mutations.py
@@ -0,0 +1,89 @@
+"""Broken mechanisms of the entry host on the users' platform."""
+
+from server_mutations import Mutation
+
+PLACEMENT = 'tests/test_placement.py'
+CRASHES = 'tests/test_host_crashes.py'
+GOSSIP = 'tests/test_gossip.py'
+
+HOST_MUTATIONS = {
+    'who came back is taken for new': Mutation(
+        'dispatch/_patience.py',
+        'return Monotonic(request.deadline - longest * USUAL_SHARE)',
+        'return request.arrived',
+        'tests/test_patience.py',
+    ),
+    'much time is never forgotten': Mutation(
+        'dispatch/_patience.py',
+        'FADE = 0.998',
+        'FADE = 1.0',
+        'tests/test_patience.py',
+    ),
+    'late requests go first': Mutation(
+        'placement/_line.py',
+        'return place.hopeless, wanted.route.rank, wanted.get_aim()',
+        'return False, wanted.route.rank, wanted.get_aim()',
+        PLACEMENT,
+    ),
+    'late requests take what others want': Mutation(
+        'placement/_finding.py',
+        'spare = finder.lines.is_hopeful(wanted.service)',
+        'spare = False',
+        PLACEMENT,
+    ),
+    'a freed server goes where it may not': Mutation(
+        'placement/_finding.py',
+        'usable = [freed] if freed.server in allowed else []',
+        'usable = [freed]',
+        PLACEMENT,
+    ),
+    'a cold server gets two at a time': Mutation(
+        'placement/_choice.py',
+        'return load.running + load.waiting + server.in_flight == 0',
+        'return True',
+        PLACEMENT,
+    ),
+    'a lost answer is taken for a crash': Mutation(
+        'entryhost/_crashes.py',
+        'parts.cuts.take(sighting.server.entry.id, sighting.at)',
+        'return',
+        CRASHES,
+    ),
+    'one run ends twice': Mutation(
+        'entryhost/_crashes.py',
+        'is_suspected(fingerprint, beside=crash)',
+        'is_suspected(fingerprint)',
+        CRASHES,
+    ),
+    'an old run of a host is believed': Mutation(
+        'gossip/_table.py',
+        'if not same_run and earlier and not silent:',
+        'if False:',
+        GOSSIP,
+    ),
+    'orders go back': Mutation(
+        'orders/_orders.py',
+        'listing.end <= self.end',
+        'listing.end < 0',
+        GOSSIP,
+    ),
+    'a late request leaves an idle server': Mutation(
+        'placement/_finding.py',
+        'return _choose(finder, wanted, sightings, late=late, spare=spare)\n'
+        '    found',
+        'return _choose(finder, wanted, sightings)\n    found',
+        PLACEMENT,
+    ),
+    'connections are not bounded': Mutation(
+        'ingress/_leaving.py',
+        'return self.open >= self.limit',
+        'return False',
+        'tests/test_ingress.py',
+    ),
+    'a request that may have run is sent again': Mutation(
+        'dispatch/_run.py',
+        'return progress.is_repeatable() or attempt.is_not_run()',
+        'return True',
+        'tests/test_dispatch.py',
+    ),
+}
--- a/tests/server_mutations.py
+++ b/tests/server_mutations.py
@@ -89,16 +89,16 @@
         CRASHES,
     ),
     'innocent calls beside it are refused': Mutation(
-        'crash/_table.py',
+        'suspects/_table.py',
         'return _find_common(against) == {fingerprint}',
         'return True',
         CRASHES,
     ),
     'one fault at two servers is proof': Mutation(
-        'crash/_table.py', 'is not Suspicion.AGAIN:', 'is None:', CRASHES
+        'suspects/_table.py', 'is not Suspicion.AGAIN:', 'is None:', CRASHES
     ),
     'a mass failure is proof': Mutation(
-        'crash/_table.py',
+        'suspects/_table.py',
         'return beside < MASS_CRASHES',
         'return True',
         CRASHES,
@@ -107,19 +107,22 @@
         'crash/_rules.py', 'crash.void(rules.timers.now())', 'return', CRASHES
     ),
     'nobody is refused': Mutation(
-        'crash/_table.py',
+        'suspects/_table.py',
         'if not any(self._is_proof(crash, fingerprint) for crash in against):',
         'if against:',
         CRASH_RUNS,
     ),
     'crashes are not told to peers while servers drain': Mutation(
-        'crash/_notes.py',
+        'suspects/_notes.py',
         'for sent in notes:',
         'for sent in ():',
         f'{PAIRS}[crash-drain-0]',
     ),
     'crashes are not told to peers': Mutation(
-        'crash/_notes.py', 'for sent in notes:', 'for sent in ():', CRASH_RUNS
+        'suspects/_notes.py',
+        'for sent in notes:',
+        'for sent in ():',
+        CRASH_RUNS,
     ),
     'a brake does not keep calls away': Mutation(
         'version/_rules.py',
--- a/tests/test_crash_rules.py
+++ b/tests/test_crash_rules.py
@@ -9,14 +9,8 @@
 from ebonystream._ids import ServerId
 from ebonystream.backend import CUT, Directory, ServerPhase
 from ebonystream.crash import (
-    CRASH_AGE,
-    MAX_CRASHES,
-    MAX_SUSPECTS,
-    CrashId,
     CrashRules,
     RunningCalls,
-    SuspectExchange,
-    SuspectTable,
     check_isolation,
     check_refused,
     make_crash_begin,
@@ -25,6 +19,14 @@
     make_fingerprint,
 )
 from ebonystream.errors import EbonystreamError
+from ebonystream.suspects import (
+    CRASH_AGE,
+    MAX_CRASHES,
+    MAX_SUSPECTS,
+    CrashId,
+    SuspectExchange,
+    SuspectTable,
+)
 
 NAMES = ('s', 't', 'u')
 CALLS = {name: make_call(name.encode()) for name in ('bad', 'x', 'y')}
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -211,9 +211,11 @@
         self.contents = list(contents)
 
     async def sendto(self, content, address):
+        """Keep a datagram."""
         self.contents.append(content)
 
     async def recvfrom(self, size):
+        """Give the oldest one."""
         return self.contents.pop(0)[:size], ('10.0.0.9', 1)
 
 
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import pytest
+from host_mutations import HOST_MUTATIONS
 from server_mutations import SERVER_MUTATIONS, Mutation
 
 ROOT = Path(__file__).parent.parent
@@ -227,7 +228,7 @@
 }
 
 
-EVERY = MUTATIONS | SERVER_MUTATIONS
+EVERY = MUTATIONS | SERVER_MUTATIONS | HOST_MUTATIONS
 
 
 @pytest.mark.parametrize('mutation', EVERY.values(), ids=EVERY.keys())
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -139,6 +139,35 @@
     assert lines.is_empty('records')
 
 
+HOPES = [
+    # When each came and whether it is hopeless; who is offered the server.
+    ([(0, True), (1, False)], 1),
+    ([(0, False), (1, False)], 0),
+    ([(0, True), (1, True)], 0),
+]
+
+
+@pytest.mark.parametrize(('waiting', 'first'), HOPES)
+def test_late_requests_stand_behind(waiting, first):
+    lines = WaitingLines()
+    with ExitStack() as stack:
+        places = [
+            stack.enter_context(
+                lines.join(
+                    attrs.evolve(WANTED, first=came, arrived=came),
+                    hopeless=hopeless,
+                )
+            )
+            for came, hopeless in waiting
+        ]
+        hopeful = not all(hopeless for _, hopeless in waiting)
+        assert lines.is_hopeful('records') is hopeful
+        lines.offer(make_sighting('i-1', (0, 0, 2, 1)))
+        assert [place.freed is not None for place in places].index(True) == (
+            first
+        )
+
+
 def make_finder(nursery, answers, *, lines, asked):
     """Make a finder whose servers say what `answers` gives for a time."""
     names = answers(0.0).keys()
@@ -317,3 +346,35 @@
     """Ask a server that says nothing."""
     await trio.sleep(0.001)
     return Sighting(server, None, trio.current_time())
+
+
+@pytest.mark.parametrize(
+    ('others_wait', 'load', 'found'),
+    [
+        (False, IDLE, 'i-1'),
+        (False, SLOW, 'i-1'),
+        # What another may be answered by on time is left to it.
+        (True, IDLE, None),
+        (True, SLOW, 'i-1'),
+    ],
+)
+async def test_a_request_that_came_back_late(
+    autojump_clock, others_wait, load, found
+):
+    """Its aim has passed; it came back with little of its time left."""
+    back = attrs.evolve(WANTED, first=-0.7, until=1.3)
+    async with trio.open_nursery() as nursery:
+        lines = WaitingLines()
+        finder = make_finder(
+            nursery, lambda now: {'i-1': load}, lines=lines, asked=[]
+        )
+        with ExitStack() as stack:
+            if others_wait:
+                hoping = attrs.evolve(WANTED, without=frozenset(('i-1',)))
+                stack.enter_context(lines.join(hoping))
+            result = await make_find_room(finder)(back)
+            assert trio.current_time() < 0.2
+    name = None
+    if isinstance(result, Offer):
+        name = result.sighting.server.entry.id
+    assert name == found
