Spread shared bounds over the hosts that are known; drop unused settings

Cause: the retry budget was spread over a fixed 20 hosts; with 100 each would spend five times its part. Fields of the settings (drain, apply, exposure share, control, heartbeat) were read and used by nothing. `full` in no_room lines named two things: no free server, and free ones that are too slow.

Not measured: 13 and 17 hosts stay below 20, so nothing changes there.

--- a/src/ebonystream/dispatch/_budget.py
+++ b/src/ebonystream/dispatch/_budget.py
@@ -1,6 +1,7 @@
 """The budget of second attempts: this host's part of a shared bound."""
 
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 
@@ -10,6 +11,9 @@
 """The share of the bound that is used, as windows of hosts don't agree."""
 
 
+CountHosts = Callable[[], int]
+
+
 @attrs.frozen(kw_only=True)
 class RepeatTerms:
     """The bound that all hosts share, for each service.
@@ -43,11 +47,11 @@
 
     Attributes:
         terms: The bound that all hosts share.
-        hosts: Over how many hosts the slack is spread.
+        count_hosts: Counts the hosts over which the slack is spread.
     """
 
     terms: RepeatTerms
-    hosts: int
+    count_hosts: CountHosts
     _windows: dict[ServiceName, _Window] = attrs.field(factory=dict)
 
     def count_first(self, service: ServiceName, now: Monotonic) -> None:
@@ -67,7 +71,7 @@
             now: The time.
         """
         window = self._get(service, now)
-        slack = self.terms.slack / max(1, self.hosts)
+        slack = self.terms.slack / max(1, self.count_hosts())
         allowed = SAFETY * (self.terms.ratio * len(window.firsts) + slack)
         if len(window.repeats) + 1 > allowed:
             return False
--- a/src/ebonystream/entryhost/_path.py
+++ b/src/ebonystream/entryhost/_path.py
@@ -17,7 +17,6 @@
 from ebonystream.entryhost._lines import note_full, note_presence
 from ebonystream.entryhost._observers import make_observers
 from ebonystream.entryhost._parts import HostParts
-from ebonystream.entryhost._settings import HostSettings
 from ebonystream.ingress import HandleConnection, Presence
 from ebonystream.link import make_exchange
 from ebonystream.placement import Finder, Sighting, make_ask, make_find_room
@@ -26,8 +25,9 @@
 from ebonystream.roster import KnownServer
 from ebonystream.route import Route, ServiceTerms
 
-EXPECTED_HOSTS = 20
-"""Over how many hosts shared bounds are spread."""
+LEAST_HOSTS = 20
+"""Over how many hosts shared bounds are spread at least: a host that has just
+started, or is cut off, knows few others."""
 
 
 def make_request_handler(parts: HostParts) -> HandleConnection:
@@ -63,7 +63,7 @@
             send=make_send(
                 exchange=exchange, dialect=dialect, timers=parts.timers
             ),
-            budget=_make_budget(parts.settings),
+            budget=_make_budget(parts),
             observers=make_observers(parts),
             note_full=partial(note_full, parts),
             observe_response=partial(_count_response, parts),
@@ -101,18 +101,23 @@
     parts.metrics.count_answer(route, response, took)
 
 
-def _make_budget(settings: HostSettings) -> RepeatBudget:
-    bounds = settings.bounds
+def _make_budget(parts: HostParts) -> RepeatBudget:
+    bounds = parts.settings.bounds
     return RepeatBudget(
         terms=RepeatTerms(
             ratio=bounds.repeat_ratio,
             slack=bounds.repeat_slack,
             window=bounds.repeat_window,
         ),
-        hosts=EXPECTED_HOSTS,
+        count_hosts=partial(_count_hosts, parts),
     )
 
 
+def _count_hosts(parts: HostParts) -> int:
+    known = parts.facts.list_peers(parts.timers.now())
+    return max(LEAST_HOSTS, len(known) + 1)
+
+
 def _list_servers(
     parts: HostParts, service: ServiceName, draw: float
 ) -> list[KnownServer]:
--- a/src/ebonystream/placement/_choice.py
+++ b/src/ebonystream/placement/_choice.py
@@ -76,7 +76,10 @@
     if free and _is_quick_enough(best, wanted, setting):
         return best
     return NoRoom(
-        after=best.expected, asked=asked, why='full', seen=tuple(sightings)
+        after=best.expected,
+        asked=asked,
+        why='too_slow' if free else 'full',
+        seen=tuple(sightings),
     )
 
 
--- a/src/ebonystream/placement/_offer.py
+++ b/src/ebonystream/placement/_offer.py
@@ -47,7 +47,9 @@
     Attributes:
         after: When there may be room, in seconds from now.
         asked: How many servers were asked.
-        why: What stood against it.
+        why: What stood against it: `none_willing`, `full`, `too_slow` (there
+            are free servers, but not for this request), `others_wait` or
+            `caller_left`.
         seen: What the servers said that were asked last.
     """
 
--- a/src/ebonystream/platform/_settings.py
+++ b/src/ebonystream/platform/_settings.py
@@ -21,7 +21,6 @@
 class _Listen(msgspec.Struct):
     front: str
     ready: str
-    control: str | None = None
 
 
 class _Network(msgspec.Struct):
@@ -35,18 +34,14 @@
 
 
 class _Platform(msgspec.Struct):
-    heartbeat: str
     platform: _Store
 
 
 class _Bounds(msgspec.Struct):
-    drain: str = '2000ms'
     grace: str = '6s'
-    config_apply: str = '2000ms'
     retry_budget_ratio: float = 0.2
     retry_budget_slack: float = 20
     budget_window: str = '10s'
-    exposure_share: float = 0.1
 
 
 class _Terms(msgspec.Struct):
@@ -76,22 +71,17 @@
         zone=ZoneName(sent.local.zone),
         callers=parse_address(listen.front),
         readiness=parse_address(listen.ready),
-        control=parse_address(listen.control) if listen.control else None,
         peers=ServerAddress(sent.local.ip, sent.network.internal_ports[0]),
         seeds=tuple(parse_address(seed) for seed in sent.network.seeds),
         store=parse_address(sent.platform.platform.address),
-        heartbeat=parse_length(sent.platform.heartbeat),
         bounds=_decode_bounds(sent.terms.bounds),
     )
 
 
 def _decode_bounds(sent: _Bounds) -> SharedBounds:
     return SharedBounds(
-        drain=parse_length(sent.drain),
         grace=parse_length(sent.grace),
-        apply=parse_length(sent.config_apply),
         repeat_ratio=sent.retry_budget_ratio,
         repeat_slack=sent.retry_budget_slack,
         repeat_window=parse_length(sent.budget_window),
-        exposure_share=sent.exposure_share,
     )
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -82,7 +82,7 @@
     return Dispatcher(
         find_room=find_room,
         send=send,
-        budget=RepeatBudget(terms, 1),
+        budget=RepeatBudget(terms, lambda: 1),
         observers=(observe,),
         note_full=lambda request, route, found: None,
         observe_response=lambda request, route, response: None,
@@ -246,7 +246,7 @@
 )
 def test_budget(firsts, ratio, slack, hosts, allowed):
     terms = RepeatTerms(ratio=ratio, slack=slack, window=Seconds(10))
-    budget = RepeatBudget(terms, hosts)
+    budget = RepeatBudget(terms, lambda: hosts)
     for _ in range(firsts):
         budget.count_first('records', 0.0)
     taken = sum(budget.take('records', 1.0) for _ in range(50))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -67,6 +67,23 @@
     assert name == chosen
 
 
+@pytest.mark.parametrize(
+    ('loads', 'why'),
+    [
+        ({}, 'none_willing'),
+        ({'i-1': None}, 'none_willing'),
+        ({'i-1': (2, 0, 2, 1)}, 'full'),
+        ({'i-1': (0, 0, 2, 4)}, 'too_slow'),
+        ({'i-1': (2, 0, 2, 1), 'i-2': (0, 0, 2, 4)}, 'too_slow'),
+    ],
+)
+def test_what_stands_against_a_request(loads, why):
+    sightings = [make_sighting(name, load) for name, load in loads.items()]
+    found = choose_offer(WANTED, sightings, SETTING)
+    assert isinstance(found, NoRoom)
+    assert found.why == why
+
+
 @pytest.mark.parametrize(
     ('changes', 'willing'),
     [
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -281,7 +281,9 @@
     settings = decode_settings(msgspec.json.encode({**SETTINGS, 'new': 1}))
     assert settings.peers.port == 7720
     assert settings.bounds.repeat_slack == 62
-    assert settings.control is None
+    assert settings.store.port == int(
+        SETTINGS['platform']['platform']['address'].split(':')[1]
+    )
 
 
 @pytest.mark.parametrize(
