--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 STAMP = $(VENV)/.installed
 
-.PHONY: days measure slopes soak install mutations run bench test check format lint types unit features
+.PHONY: days experiment measure slopes soak install mutations run bench test check format lint types unit features
 
 install: $(STAMP)
 
@@ -64,3 +64,6 @@
 
 features: install
 	$(VENV)/bin/behave --format progress --no-capture features
+
+experiment: install
+	$(PY) -m experiment --plot docs/plots/experiment.svg
--- /dev/null
+++ b/tools/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Plays loads against policies of placing, in virtual time and seeded."""
--- /dev/null
+++ b/tools/experiment/hosts.py
@@ -0,0 +1,198 @@
+"""Entry hosts that decide with the product's own functions."""
+
+from functools import partial
+from random import Random
+from types import MappingProxyType
+
+import attrs
+import trio
+
+from ebonystream._ids import (
+    ConfigurationVersion,
+    Monotonic,
+    RouteName,
+    Seconds,
+    ServiceName,
+)
+from ebonystream._timers import Timers
+from ebonystream.dispatch import (
+    Attempt,
+    Dispatcher,
+    RepeatBudget,
+    RepeatTerms,
+    Serve,
+    make_serve,
+)
+from ebonystream.placement import (
+    Finder,
+    Offer,
+    Sighting,
+    WaitingLines,
+    WorkTimes,
+)
+from ebonystream.request import Request, ServerAnswer, Verdict
+from ebonystream.roster import HealthReport, KnownServer, Roster
+from ebonystream.route import (
+    RequestLimits,
+    Route,
+    RouteConfiguration,
+    index_routes,
+)
+from experiment.loads import DEMANDS
+from experiment.policies import Policy
+from experiment.servers import draw_work
+from experiment.world import World, get_zone
+
+ONE_WAY_NEAR = Seconds(0.0002)
+ONE_WAY_FAR = Seconds(0.0009)
+TERMS = RepeatTerms(ratio=0.2, slack=62, window=Seconds(10))
+WORK = MappingProxyType({demand.route.name: demand.work for demand in DEMANDS})
+
+
+@attrs.frozen(kw_only=True)
+class Host:
+    """One entry host.
+
+    Attributes:
+        world: The run that it is part of.
+        number: Its number.
+        timers: Tells the time.
+        roster: The servers that it knows.
+        lines: The requests that wait here.
+        work_times: The usual work of each route.
+        sees_all: Whether it sees servers at once.
+    """
+
+    world: World
+    number: int
+    timers: Timers
+    lines: WaitingLines
+    roster: Roster = attrs.field(factory=Roster)
+    work_times: WorkTimes = attrs.field(factory=WorkTimes)
+    sees_all: bool = False
+
+    def list_servers(
+        self, service: ServiceName, draw: float
+    ) -> list[KnownServer]:
+        """List the servers that may get work."""
+        return self.world.list_open(self.roster.list_service(service))
+
+    async def ask(self, server: KnownServer) -> Sighting:
+        """Ask a server for its load."""
+        at = self.timers.now()
+        way = self._count_way(server, 'question')
+        await trio.sleep(way)
+        report = self._read(server)
+        await trio.sleep(way)
+        return Sighting(server, report, at)
+
+    async def send(
+        self, request: Request, offer: Offer, until: Monotonic
+    ) -> Attempt:
+        """Send a request to a server, and wait for its answer."""
+        known = offer.sighting.server
+        began = self.timers.now()
+        known.in_flight += 1
+        known.last_sent = began
+        way = self._count_way(known, 'send')
+        model = self.world.servers[known.entry.id]
+        work = draw_work(WORK[_name_route(request)], self.world.generator)
+        try:
+            await trio.sleep(way)
+            ran = await model.run(work)
+            await trio.sleep(way)
+        finally:
+            known.in_flight -= 1
+        answer = ServerAnswer(
+            verdict=Verdict.SERVED if ran else Verdict.NOT_RUN,
+            status=200 if ran else 503,
+            headers=(),
+            body=b'',
+            load=model.report(),
+        )
+        took = Seconds(self.timers.now() - began)
+        return Attempt(offer=offer, answer=answer, refused=None, took=took)
+
+    def observe(self, request: Request, route: Route, attempt: Attempt) -> None:
+        """Learn from an attempt; offer the server to who waits."""
+        if not attempt.is_served():
+            return
+        if attempt.offer.free:
+            slowdown = attempt.offer.slowdown
+            self.work_times.learn(route, attempt.took, slowdown)
+        server = attempt.offer.sighting.server
+        now = self.timers.now()
+        self.lines.offer(Sighting(server, self._read(server), now))
+
+    def _read(self, server: KnownServer) -> HealthReport:
+        model = self.world.servers[server.entry.id]
+        return HealthReport(
+            healthy=True,
+            server=server.entry.id,
+            cold=None,
+            load=model.report(),
+        )
+
+    def _count_way(self, server: KnownServer, what: str) -> Seconds:
+        """Count a message; give how long it is on its way."""
+        near = server.entry.zone == get_zone(self.number)
+        self.world.counts[what] += 1
+        self.world.counts[f'far {what}'] += not near
+        if self.sees_all:
+            return Seconds(0)
+        return ONE_WAY_NEAR if near else ONE_WAY_FAR
+
+
+def make_host_serve(
+    host: Host, policy: Policy, *, nursery: trio.Nursery, seed: int
+) -> Serve:
+    """Wire a host with the product's placing and dispatch.
+
+    Args:
+        host: The host.
+        policy: How it finds a server.
+        nursery: Where its questions run.
+        seed: Of its random draws.
+    """
+    entries = [model.entry for model in host.world.servers.values()]
+    host.roster.take(entries, host.timers.now())
+    random = Random(seed)
+    finder = Finder(
+        list_servers=host.list_servers,
+        ask=host.ask,
+        work_times=host.work_times,
+        lines=host.lines,
+        zone=get_zone(host.number),
+        timers=host.timers,
+        random=random,
+        background=nursery,
+    )
+    dispatcher = Dispatcher(
+        find_room=policy.make_find_room(finder),
+        send=host.send,
+        budget=RepeatBudget(TERMS, lambda: host.world.load.hosts),
+        observers=(host.observe,),
+        note_full=partial(_count, host.world, 'no room'),
+        observe_response=lambda request, route, response: None,
+        patience=policy.make_patience(),
+        timers=host.timers,
+    )
+    configuration = RouteConfiguration(
+        version=ConfigurationVersion(1),
+        routes=index_routes([demand.route for demand in DEMANDS]),
+        services={},
+        limits=RequestLimits(
+            head_bytes=0, body_bytes=0, receive=Seconds(1), idle=Seconds(1)
+        ),
+    )
+    return make_serve(
+        dispatcher, get_configuration=lambda: configuration, random=random
+    )
+
+
+def _count(world: World, name: str, *ignored: object) -> None:
+    world.counts[name] += 1
+
+
+def _name_route(request: Request) -> RouteName:
+    return RouteName(request.path.strip('/'))
