Serve the stand-ins' connections from one place

The stand-ins of the store and of a server had the same twelve lines to serve a connection, and one took the other's limits. No behaviour changes; the tests that use them pass (test_entry_host, test_store_client).

--- /dev/null
+++ b/tools/standins/messages.py
@@ -0,0 +1,41 @@
+"""Serves whole HTTP messages on a connection, as the product's hosts do."""
+
+import trio
+
+from ebonystream._ids import Seconds
+from ebonystream._timers import Timers
+from ebonystream.errors import EbonystreamError
+from ebonystream.http1 import ReaderLimits, spell_response
+from ebonystream.ingress import (
+    ConnectionLimits,
+    OpenConnections,
+    Respond,
+    serve_connection,
+)
+
+LIMITS = ConnectionLimits(
+    message=ReaderLimits(head_bytes=16_384, body_bytes=1_048_576),
+    receive=Seconds(5),
+    idle=Seconds(60),
+)
+
+
+async def serve_messages(stream: trio.SocketStream, respond: Respond) -> None:
+    """Answer the requests of one connection.
+
+    Args:
+        stream: The connection.
+        respond: Answers one request.
+    """
+    await serve_connection(
+        stream,
+        respond=respond,
+        refuse=_refuse_plainly,
+        limits=LIMITS,
+        timers=Timers(epoch_at_zero=0),
+        connections=OpenConnections(),
+    )
+
+
+def _refuse_plainly(error: EbonystreamError) -> bytes:
+    return spell_response(error.answer.status, (), b'')
--- a/tools/standins/pacedserver.py
+++ b/tools/standins/pacedserver.py
@@ -10,15 +10,9 @@
 import trio
 
 from ebonystream._ids import Monotonic
-from ebonystream._timers import Timers
 from ebonystream.http1 import Message, spell_response
-from ebonystream.ingress import (
-    OpenConnections,
-    Presence,
-    Spoken,
-    serve_connection,
-)
-from standins.platformstore import LIMITS, refuse_plainly
+from ebonystream.ingress import Presence, Spoken
+from standins.messages import serve_messages
 
 OK, FAILED, FULL, MISDIRECTED = 200, 500, 503, 421
 HEALTH = b'/health'
@@ -66,14 +60,7 @@
         Args:
             stream: The connection.
         """
-        await serve_connection(
-            stream,
-            respond=self.respond,
-            refuse=refuse_plainly,
-            limits=LIMITS,
-            timers=Timers(epoch_at_zero=0),
-            connections=OpenConnections(),
-        )
+        await serve_messages(stream, self.respond)
 
     async def respond(
         self, message: Message, arrived: Monotonic, presence: Presence
--- a/tools/standins/platformstore.py
+++ b/tools/standins/platformstore.py
@@ -13,23 +13,11 @@
 import attrs
 import trio
 
-from ebonystream._ids import Monotonic, Seconds
-from ebonystream._timers import Timers
-from ebonystream.errors import EbonystreamError
-from ebonystream.http1 import Message, ReaderLimits, spell_response
-from ebonystream.ingress import (
-    ConnectionLimits,
-    OpenConnections,
-    Presence,
-    Spoken,
-    serve_connection,
-)
-
-LIMITS = ConnectionLimits(
-    message=ReaderLimits(head_bytes=16_384, body_bytes=1_048_576),
-    receive=Seconds(5),
-    idle=Seconds(60),
-)
+from ebonystream._ids import Monotonic
+from ebonystream.http1 import Message, spell_response
+from ebonystream.ingress import Presence, Spoken
+from standins.messages import serve_messages
+
 OK, UNAVAILABLE, CONDITION_FAILED, NOT_FOUND = 200, 503, 412, 404
 HEAD = struct.Struct('>QQ')
 LENGTH_BYTES = 4
@@ -125,14 +113,7 @@
         Args:
             stream: The connection.
         """
-        await serve_connection(
-            stream,
-            respond=self.respond,
-            refuse=refuse_plainly,
-            limits=LIMITS,
-            timers=Timers(epoch_at_zero=0),
-            connections=OpenConnections(),
-        )
+        await serve_messages(stream, self.respond)
 
     def _get(self, name: str) -> Topic:
         return self.topics.setdefault(name, Topic())
@@ -183,12 +164,3 @@
 
 def _spell(status: int, body: bytes) -> Spoken:
     return Spoken(spell_response(status, (), body), close=False)
-
-
-def refuse_plainly(error: EbonystreamError) -> bytes:
-    """Spell the answer to what is no request.
-
-    Args:
-        error: What was wrong with it.
-    """
-    return spell_response(error.answer.status, (), b'')
