Forget requests that a gone server cut off

Ten seconds now; the test was red before.

Ruled out: a bound on their number, which would drop those that count.

--- a/src/ebonystream/suspects/_cuts.py
+++ b/src/ebonystream/suspects/_cuts.py
@@ -2,9 +2,13 @@
 
 import attrs
 
-from ebonystream._ids import Monotonic, ServerId
+from ebonystream._ids import Monotonic, Seconds, ServerId
 from ebonystream.suspects._fingerprint import Fingerprint
 
+KEPT_FOR = Seconds(10)
+"""How long a server that cut requests off may stay unheard of; what it cut off
+is then forgotten."""
+
 
 @attrs.frozen
 class Cut:
@@ -32,6 +36,7 @@
             server: Where it ran.
             cut: The request.
         """
+        self._forget(Monotonic(cut.at - KEPT_FOR))
         self._by_server.setdefault(server, []).append(cut)
 
     def take(self, server: ServerId, asked: Monotonic) -> tuple[Cut, ...]:
@@ -46,3 +51,8 @@
         if later:
             self._by_server[server] = later
         return tuple(cut for cut in cuts if cut.at < asked)
+
+    def _forget(self, before: Monotonic) -> None:
+        for server, cuts in list(self._by_server.items()):
+            if cuts[-1].at < before:
+                self._by_server.pop(server)
--- a/tests/test_host_crashes.py
+++ b/tests/test_host_crashes.py
@@ -18,7 +18,12 @@
 from ebonystream.link import Refused
 from ebonystream.placement import Offer
 from ebonystream.request import ServerAnswer, Verdict
-from ebonystream.suspects import CutRequests, SuspectExchange, SuspectTable
+from ebonystream.suspects import (
+    Cut,
+    CutRequests,
+    SuspectExchange,
+    SuspectTable,
+)
 
 ROUTE = make_route()
 SERVED = ServerAnswer(
@@ -133,3 +138,13 @@
     play(host, [*ENDS_I1, *ENDS_I1])
     # The same run can't end twice: one of the two was no crash.
     assert refuse_crashing(host, BAD) is None
+
+
+@pytest.mark.parametrize(('later', 'kept'), [(1.0, 1), (9.0, 1), (11.0, 0)])
+def test_servers_that_are_gone_are_forgotten(later, kept):
+    cuts = CutRequests()
+    for number in range(100):
+        cuts.add(f'gone-{number}', Cut('a', 0.0))
+    cuts.add('i-1', Cut('b', later))
+    assert len(cuts.take('gone-7', 99.0)) == kept
+    assert len(cuts.take('i-1', 99.0)) == 1
