--- a/tools/experiment/policies.py
+++ b/tools/experiment/policies.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from ebonystream._ids import Seconds
+from ebonystream._ids import Monotonic, Seconds
 from ebonystream.dispatch import Patience
 from ebonystream.placement import (
     Finder,
@@ -19,6 +19,8 @@
     choose_offer,
     make_find_room,
 )
+from ebonystream.request import Request
+from ebonystream.route import Route
 
 RETRY = Seconds(0.1)
 TWO = 2
@@ -49,7 +51,7 @@
 class _Forgetful(Patience):
     """Takes each request for a new one."""
 
-    def find_first(self, request, route):  # type: ignore[no-untyped-def]
+    def find_first(self, request: Request, route: Route) -> Monotonic:
         """Give when the request came."""
         return request.arrived
 
