End exchanges with servers that send bytes without end

Cause: a server in trouble may send bytes that are no response until its peer closes. A trailer field, the extension of a chunk and informational responses were bounded by nothing but the deadline of the request (the parser keeps an unfinished field), and each exchange could hold 16 MiB whatever the others held. Ruled out: a smaller bound for each exchange, which large responses need; a count of bytes in the parser's callbacks, which are not called for what does not end. Change: bytes without progress of the body count against the bound of a head, trailers count as head, and all exchanges share a bound of memory (ResponseBuffers). Beyond it an exchange fails that holds more than an equal share, so that small responses arrive beside endless ones. Such an attempt ends as 'oversize': it may have run, and its connection closes.

--- a/src/ebonystream/http1/_collector.py
+++ b/src/ebonystream/http1/_collector.py
@@ -76,6 +76,7 @@
         in_body: Whether the head of that message is complete.
         error: The first error found, if any.
         headers: Header fields of the current message.
+        body_bytes: Size of its body so far.
     """
 
     limits: ReaderLimits
@@ -85,10 +86,10 @@
     in_body: bool = False
     error: EbonystreamError | None = None
     headers: list[tuple[bytes, bytes]] = attrs.field(factory=list)
+    body_bytes: int = 0
     _target: bytes = b''
     _body: list[bytes] = attrs.field(factory=list)
     _head_bytes: int = 0
-    _body_bytes: int = 0
 
     def on_message_begin(self) -> None:
         """Reset the state for a new message."""
@@ -98,7 +99,7 @@
         self._target = b''
         self._body = []
         self._head_bytes = 0
-        self._body_bytes = 0
+        self.body_bytes = 0
 
     def on_url(self, data: bytes) -> None:
         """Append a part of the request target."""
@@ -106,11 +107,10 @@
         self._add_head_bytes(len(data))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header field; trailer fields after the body are ignored."""
-        if self.in_body:
-            return
-        self.headers.append((name.lower(), value))
+        """Append a header field; trailer fields are counted and ignored."""
         self._add_head_bytes(len(name) + len(value) + FIELD_OVERHEAD_BYTES)
+        if not self.in_body:
+            self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Mark the head as complete."""
@@ -119,8 +119,8 @@
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
         self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > self.limits.body_bytes:
+        self.body_bytes += len(data)
+        if self.body_bytes > self.limits.body_bytes:
             self._record_oversize(
                 ErrorKind.BODY_TOO_LARGE, self.limits.body_bytes
             )
--- a/src/ebonystream/http1/_reader.py
+++ b/src/ebonystream/http1/_reader.py
@@ -31,7 +31,8 @@
 
     collector: MessageCollector
     parser: Parser
-    _head_bytes_fed: int = 0
+    _unfinished_bytes: int = 0
+    _body_bytes_seen: int = 0
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -50,7 +51,7 @@
         except httptools.HttpParserUpgrade:
             self._record_malformed('upgrades are not supported')
         self.raise_for_error()
-        self._check_incomplete_head(len(data))
+        self._check_unfinished_part(len(data))
 
     def next_message(self) -> Message | None:
         """Return the next complete message, or None if there is none yet."""
@@ -103,19 +104,22 @@
                 ErrorKind.MALFORMED_REQUEST, detail
             )
 
-    def _check_incomplete_head(self, size: int) -> None:
-        """Limit an incomplete head by the bytes fed.
+    def _check_unfinished_part(self, size: int) -> None:
+        """Limit the bytes fed without a body byte or the end of a message.
 
-        The parser reports a header field only once it is complete, so the
-        collector cannot count one that never ends.
+        The parser reports a field of the head or the trailer only once it is
+        complete, and nothing of informational responses and the extensions of
+        chunks, so the collector cannot count one that never ends.
         """
         collector = self.collector
-        if not collector.in_message or collector.in_body:
-            self._head_bytes_fed = 0
+        has_body_bytes = collector.body_bytes != self._body_bytes_seen
+        self._body_bytes_seen = collector.body_bytes
+        if not collector.in_message or has_body_bytes:
+            self._unfinished_bytes = 0
             return
-        self._head_bytes_fed += size
+        self._unfinished_bytes += size
         limit = collector.limits.head_bytes
-        if self._head_bytes_fed > limit + RECEIVE_BYTES:
+        if self._unfinished_bytes > limit + RECEIVE_BYTES:
             raise EbonystreamError(
                 ErrorKind.HEAD_TOO_LARGE, f'more than {limit} bytes'
             )
--- a/src/ebonystream/link/__init__.py
+++ b/src/ebonystream/link/__init__.py
@@ -1,5 +1,6 @@
 """Outgoing connections: a bounded pool and one exchange per connection."""
 
+from ebonystream.link._buffers import BufferShare, ResponseBuffers
 from ebonystream.link._exchange import (
     Exchange,
     ExchangeFailure,
@@ -11,6 +12,8 @@
 from ebonystream.link._pool import ConnectionPool, PoolLimits
 
 __all__ = (
+    'BufferShare',
+    'ResponseBuffers',
     'ConnectionPool',
     'Exchange',
     'ResponseMatcher',
--- a/src/ebonystream/link/_exchange.py
+++ b/src/ebonystream/link/_exchange.py
@@ -8,7 +8,7 @@
 from ebonystream._address import ServerAddress
 from ebonystream._calls import Headers
 from ebonystream._ids import Seconds
-from ebonystream.errors import EbonystreamError
+from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.http1 import (
     RECEIVE_BYTES,
     Message,
@@ -16,6 +16,7 @@
     ReaderLimits,
     make_response_reader,
 )
+from ebonystream.link._buffers import BufferShare, ResponseBuffers
 from ebonystream.link._pool import ConnectionPool
 
 MAX_HEAD_BYTES = 65_536
@@ -27,15 +28,13 @@
 """Responses to other requests that one exchange discards before it fails."""
 
 KEEP_ALIVE_HEADER = b'keep-alive'
+MAX_KEEP_ALIVE_DIGITS = 9
 KEEP_ALIVE_MARGIN = Seconds(1)
 """Subtracted from the server's keep-alive timeout, so that no request is sent
 on a connection that the server is about to close."""
 
-EXCHANGE_ERRORS = (
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-    EbonystreamError,
-)
+CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+OVERSIZE_KINDS = frozenset((ErrorKind.HEAD_TOO_LARGE, ErrorKind.BODY_TOO_LARGE))
 
 
 class ExchangeFailure(enum.Enum):
@@ -48,6 +47,10 @@
     """The connection failed or delivered no valid response after the request
     may have been sent."""
 
+    OVERSIZE = 'oversize'
+    """The server sent more bytes than a response may have, after the request
+    may have been sent."""
+
 
 ExchangeResult = Message | ExchangeFailure
 """A complete response, or the reason why there is none."""
@@ -65,12 +68,17 @@
 """
 
 
-def make_exchange(*, pool: ConnectionPool) -> Exchange:
+def make_exchange(
+    *, pool: ConnectionPool, buffers: ResponseBuffers | None = None
+) -> Exchange:
     """Return a function that performs exchanges on pooled connections.
 
     Args:
         pool: Pool that connections are taken from and returned to.
+        buffers: Bounds the memory of the responses of all exchanges; None for
+            a bound of their own.
     """
+    shared_buffers = buffers or ResponseBuffers()
 
     async def exchange(
         at: ServerAddress, request: bytes, matches: ResponseMatcher
@@ -81,7 +89,10 @@
         result: ExchangeResult = ExchangeFailure.INTERRUPTED
         usable = False
         try:
-            result, usable = await perform_exchange(stream, request, matches)
+            with shared_buffers.open_share() as share:
+                result, usable = await perform_exchange(
+                    stream, request, matches, share
+                )
         finally:
             if not usable:
                 await trio.aclose_forcefully(stream)
@@ -95,7 +106,10 @@
 
 
 async def perform_exchange(
-    stream: trio.abc.Stream, request: bytes, matches: ResponseMatcher
+    stream: trio.abc.Stream,
+    request: bytes,
+    matches: ResponseMatcher,
+    share: BufferShare,
 ) -> tuple[ExchangeResult, bool]:
     """Send a request and wait for its response.
 
@@ -104,6 +118,7 @@
         request: The encoded request.
         matches: Returns whether a response answers this request; others
             are discarded.
+        share: Counts the bytes received.
 
     Returns:
         The result, and whether the connection can carry another request.
@@ -111,8 +126,12 @@
     reader = make_response_reader(RESPONSE_LIMITS)
     try:
         await stream.send_all(request)
-        message = await _receive_matching(stream, reader, matches)
-    except EXCHANGE_ERRORS:
+        message = await _receive_matching(stream, reader, matches, share)
+    except CONNECTION_ERRORS:
+        return ExchangeFailure.INTERRUPTED, False
+    except EbonystreamError as error:
+        if error.kind in OVERSIZE_KINDS:
+            return ExchangeFailure.OVERSIZE, False
         return ExchangeFailure.INTERRUPTED, False
     if message is None:
         return ExchangeFailure.INTERRUPTED, False
@@ -120,10 +139,13 @@
 
 
 async def _receive_matching(
-    stream: trio.abc.Stream, reader: MessageReader, matches: ResponseMatcher
+    stream: trio.abc.Stream,
+    reader: MessageReader,
+    matches: ResponseMatcher,
+    share: BufferShare,
 ) -> Message | None:
     for _ in range(MAX_UNMATCHED_RESPONSES):
-        message = await _receive(stream, reader)
+        message = await _receive(stream, reader, share)
         if message is None:
             return None
         if matches(message.headers):
@@ -134,7 +156,7 @@
 
 
 async def _receive(
-    stream: trio.abc.Stream, reader: MessageReader
+    stream: trio.abc.Stream, reader: MessageReader, share: BufferShare
 ) -> Message | None:
     """Receive one complete response.
 
@@ -146,6 +168,7 @@
         data = await stream.receive_some(RECEIVE_BYTES)
         if not data:
             return reader.finish()
+        share.add(len(data))
         message = _feed(reader, bytes(data))
     return message
 
@@ -180,7 +203,8 @@
 def _parse_keep_alive_timeout(field: bytes) -> Seconds | None:
     for parameter in field.split(b','):
         key, _, value = parameter.strip().partition(b'=')
-        if key.lower() == b'timeout' and value.strip().isdigit():
-            timeout = int(value.strip())
+        digits = value.strip()
+        if key.lower() == b'timeout' and digits.isdigit():
+            timeout = int(digits[:MAX_KEEP_ALIVE_DIGITS])
             return Seconds(max(0, timeout - KEEP_ALIVE_MARGIN))
     return None
--- a/tests/test_link_exchange.py
+++ b/tests/test_link_exchange.py
@@ -5,7 +5,11 @@
 import trio.testing
 
 from ebonystream.http1 import Message
-from ebonystream.link import ExchangeFailure, perform_exchange
+from ebonystream.link import (
+    ExchangeFailure,
+    ResponseBuffers,
+    perform_exchange,
+)
 from ebonystream.link._exchange import _parse_keep_alive_timeout
 
 OWN = b'HTTP/1.1 200 OK\r\nid: a\r\ncontent-length: 2\r\n\r\nhi'
@@ -37,7 +41,8 @@
                     await server.send_eof()
 
             nursery.start_soon(serve)
-            result = await perform_exchange(client, b'GET', matches)
+            with ResponseBuffers().open_share() as share:
+                result = await perform_exchange(client, b'GET', matches, share)
             nursery.cancel_scope.cancel()
             return result
     return None
