--- a/src/ebonystream/entryhost/_gauges.py
+++ b/src/ebonystream/entryhost/_gauges.py
@@ -45,6 +45,10 @@
             'Backend servers that are known.',
             lambda parts: len(parts.roster.servers),
         ),
+        'ebonystream_records_unreadable': _Gauge(
+            'Records in the store that cannot be decoded.',
+            lambda parts: parts.unreadable_records.count(),
+        ),
         'ebonystream_requests_serving': _Gauge(
             'Requests that are being answered.',
             lambda parts: parts.caller_connections.active_requests,
@@ -61,6 +65,10 @@
             'Connections opened to backend servers so far.',
             lambda parts: parts.server_pool.opened_count,
         ),
+        'ebonystream_response_buffer_peak_bytes': _Gauge(
+            'The most memory that responses took while they were received.',
+            lambda parts: parts.response_buffers.peak_bytes,
+        ),
         'ebonystream_log_lines_dropped_total': _Gauge(
             'Log lines that found no room.',
             lambda parts: parts.log_buffer.total_drops,
--- a/src/ebonystream/entryhost/_gossip.py
+++ b/src/ebonystream/entryhost/_gossip.py
@@ -1,6 +1,7 @@
 """Gossip with the other hosts, and the facts sent to them."""
 
 from collections.abc import Awaitable, Callable
+from itertools import islice
 
 from ebonystream._ids import Monotonic, Seconds
 from ebonystream.entryhost._parts import HostParts
@@ -10,16 +11,18 @@
     FailingServer,
     GossipSocket,
     HostFacts,
+    LeavingServer,
     announce,
     receive_gossip,
     send_gossip,
 )
+from ebonystream.roster import EntryState
 
 MIN_REPORTED_FAILURES = 0.4
 """Failure weight from which a server is reported as failing."""
 
 MAX_REPORTED_SERVERS = 20
-"""Maximum number of failing servers that are reported."""
+"""Maximum number of failing servers, and of leaving ones, that are reported."""
 
 REGISTER_RETRY_DELAY = Seconds(1)
 """Delay before the next attempt after a failed registration, in seconds."""
@@ -95,6 +98,8 @@
                 server.record_reported_failures(
                     facts.host, failing.failures, now
                 )
+        for leaving in facts.leaving_servers:
+            parts.roster.mark_leaving(leaving.server, leaving.started)
         parts.suspect_exchange.update_from_notes(facts.suspect_notes)
         if facts.orders_end > parts.orders.end:
             parts.cancel_orders_wait()
@@ -125,9 +130,19 @@
         failing_servers=_list_failing_servers(parts, now),
         moves=make_move_facts(parts, now),
         suspect_notes=parts.suspect_exchange.encode_notes(),
+        leaving_servers=_list_leaving_servers(parts),
     )
 
 
+def _list_leaving_servers(parts: HostParts) -> tuple[LeavingServer, ...]:
+    leaving = (
+        LeavingServer(server.entry.id, server.entry.started)
+        for server in parts.roster.servers.values()
+        if server.leaving and server.entry.state is EntryState.SERVING
+    )
+    return tuple(islice(leaving, MAX_REPORTED_SERVERS))
+
+
 def _list_failing_servers(
     parts: HostParts, now: Monotonic
 ) -> tuple[FailingServer, ...]:
--- a/src/ebonystream/entryhost/_metrics.py
+++ b/src/ebonystream/entryhost/_metrics.py
@@ -70,6 +70,13 @@
             ('call',),
         )
     )
+    failed_tasks: LabeledCounter = attrs.field(
+        factory=lambda: LabeledCounter(
+            'ebonystream_failed_tasks_total',
+            'Errors that ended a task, which was then started again.',
+            ('task',),
+        )
+    )
 
     def count_response(
         self, route: Route | None, response: Response, duration: Seconds
@@ -118,6 +125,7 @@
             self.error_responses,
             self.probes,
             self.store_calls,
+            self.failed_tasks,
         )
         return (*without_attempts, self.attempts)
 
--- a/src/ebonystream/entryhost/_observers.py
+++ b/src/ebonystream/entryhost/_observers.py
@@ -5,7 +5,7 @@
 from ebonystream.dispatch import Attempt, ObserveAttempt
 from ebonystream.entryhost._crashes import update_suspects_from_attempt
 from ebonystream.entryhost._parts import HostParts
-from ebonystream.entryhost._request_log import log_attempt
+from ebonystream.entryhost._request_log import log_attempt, log_notice
 from ebonystream.entryhost._version_moves import record_move_attempt
 from ebonystream.link import ExchangeFailure
 from ebonystream.placement import ProbeResult
@@ -47,6 +47,8 @@
     if response is None:
         server.record_failure(now, _get_failure_weight(attempt))
         return
+    if server.update_from_notice(response.notice, now):
+        log_notice(parts, server, response.notice)
     if response.verdict is ResponseVerdict.SERVED:
         if attempt.candidate.has_free_slot:
             slowdown = attempt.candidate.slowdown
@@ -84,6 +86,6 @@
     """Return the failure weight of an attempt without a response."""
     if attempt.failure is ExchangeFailure.UNREACHABLE:
         return UNREACHABLE_WEIGHT
-    if attempt.failure is ExchangeFailure.INTERRUPTED or attempt.is_overdue():
+    if attempt.failure is not None or attempt.is_overdue():
         return INTERRUPTED_WEIGHT
     return 0
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -10,9 +10,10 @@
 from ebonystream.decisionlog import EventLogger, LineBuffer
 from ebonystream.entryhost._metrics import HostMetrics
 from ebonystream.entryhost._settings import HostSettings
+from ebonystream.entryhost._unreadable import UnreadableRecords
 from ebonystream.gossip import HostFacts, HostFactTable
 from ebonystream.ingress import OpenConnections
-from ebonystream.link import ConnectionPool
+from ebonystream.link import ConnectionPool, ResponseBuffers
 from ebonystream.orders import Orders
 from ebonystream.placement import ProcessingTimes, WaitQueues
 from ebonystream.roster import Roster
@@ -37,6 +38,7 @@
         metrics: Counts and latencies for the metrics page.
         background: Nursery of the tasks that no other task waits for.
         server_pool: Connections to backend servers.
+        response_buffers: Memory of the responses that are being received.
         roster: The known backend servers.
         orders: Orders of operators.
         processing_times: Usual processing time of each route.
@@ -56,8 +58,7 @@
             None if there is none.
         orders_announced: Set when `orders_source` is set.
         facts_sequence: Sequence number of the latest facts of this host.
-        logged_unreadable: Keys of unreadable records in the store and the
-            reasons, as far as they were logged.
+        unreadable_records: Records in the store that cannot be decoded.
         caller_connections: Connections from callers.
         leaving: Set once this host is shutting down.
     """
@@ -70,6 +71,7 @@
     metrics: HostMetrics = attrs.field(factory=HostMetrics)
     background: trio.Nursery
     server_pool: ConnectionPool
+    response_buffers: ResponseBuffers = attrs.field(factory=ResponseBuffers)
     roster: Roster = attrs.field(factory=Roster)
     orders: Orders = attrs.field(factory=Orders)
     processing_times: ProcessingTimes = attrs.field(factory=ProcessingTimes)
@@ -87,7 +89,7 @@
     orders_source: HostFacts | None = None
     orders_announced: trio.Event = attrs.field(factory=trio.Event)
     facts_sequence: int = 0
-    logged_unreadable: set[tuple[str, str]] = attrs.field(factory=set)
+    unreadable_records: UnreadableRecords = attrs.field(init=False)
     caller_connections: OpenConnections = attrs.field(factory=OpenConnections)
     leaving: trio.Event = attrs.field(factory=trio.Event)
 
@@ -110,3 +112,7 @@
         """
         self.orders_source = source
         self.orders_announced.set()
+
+    @unreadable_records.default
+    def _make_unreadable_records(self) -> UnreadableRecords:
+        return UnreadableRecords(self.log_event)
--- a/src/ebonystream/entryhost/_peer_fetch.py
+++ b/src/ebonystream/entryhost/_peer_fetch.py
@@ -14,6 +14,7 @@
     SharedRequest,
     SharedResponse,
 )
+from ebonystream.roster import EntriesListing
 
 FETCH_PERIOD = Seconds(0.35)
 """Period of fetching from the zone leader, in seconds."""
@@ -125,5 +126,5 @@
     if shared.entries is None:
         parts.roster.confirm_listing(read_at)
     else:
-        update_roster(parts, shared.entries, read_at)
+        update_roster(parts, EntriesListing(shared.entries), read_at)
     return True
--- a/src/ebonystream/entryhost/_request_log.py
+++ b/src/ebonystream/entryhost/_request_log.py
@@ -4,7 +4,7 @@
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.placement import NoCapacity, ProbeResult
 from ebonystream.request import Request
-from ebonystream.roster import LoadReport
+from ebonystream.roster import KnownServer, LoadReport, ServerNotice
 from ebonystream.route import Route
 
 
@@ -59,6 +59,24 @@
     )
 
 
+def log_notice(
+    parts: HostParts, server: KnownServer, notice: ServerNotice
+) -> None:
+    """Log that a server is leaving or refuses requests.
+
+    Args:
+        parts: The state of the host.
+        server: The server.
+        notice: What its response says.
+    """
+    parts.log_event(
+        'server_notice',
+        server=server.entry.id,
+        leaving=notice.is_leaving,
+        refusing_s=notice.retry_after,
+    )
+
+
 def update_silence(parts: HostParts, result: ProbeResult) -> None:
     """Update since when a server has been silent, and log each change.
 
--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -20,6 +20,7 @@
 from ebonystream.entryhost._observers import make_attempt_observers
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._request_log import log_no_capacity, update_silence
+from ebonystream.entryhost._supervision import supervise_probe
 from ebonystream.ingress import CallerPresence, HandleConnection
 from ebonystream.link import make_exchange
 from ebonystream.placement import (
@@ -45,7 +46,9 @@
         parts: The state of the host.
     """
     codec = make_codec()
-    exchange = make_exchange(pool=parts.server_pool)
+    exchange = make_exchange(
+        pool=parts.server_pool, buffers=parts.response_buffers
+    )
     probe = make_probe(
         exchange=exchange,
         codec=codec,
@@ -56,7 +59,7 @@
     find_server = make_find_server(
         SearchContext(
             list_servers=partial(_list_servers, parts),
-            probe=probe,
+            probe=supervise_probe(parts, probe),
             processing_times=parts.processing_times,
             queues=parts.wait_queues,
             zone=parts.settings.zone,
--- a/src/ebonystream/entryhost/_root.py
+++ b/src/ebonystream/entryhost/_root.py
@@ -17,7 +17,7 @@
 from ebonystream.entryhost._shutdown import stop_on_signal
 from ebonystream.entryhost._sync_tasks import start_sync_tasks
 from ebonystream.gossip import HostFactTable
-from ebonystream.link import ConnectionPool, PoolLimits
+from ebonystream.link import ConnectionPool, PoolLimits, ResponseBuffers
 from ebonystream.platform import SETTINGS_VARIABLE
 from ebonystream.suspects import SuspectExchange, SuspectTable
 
@@ -47,6 +47,9 @@
             log_buffer=buffer,
             background=nursery,
             server_pool=ConnectionPool(SERVER_POOL_LIMITS, timers),
+            response_buffers=ResponseBuffers(
+                settings.limits.response_buffer_bytes
+            ),
             facts=HostFactTable(settings.name, settings.zone),
             suspects=suspects,
             suspect_exchange=SuspectExchange(suspects, timers, Random()),
--- a/src/ebonystream/entryhost/_settings.py
+++ b/src/ebonystream/entryhost/_settings.py
@@ -4,24 +4,49 @@
 
 from ebonystream._address import ServerAddress
 from ebonystream._ids import HostId, Seconds, ZoneName
+from ebonystream._validation import (
+    make_range_validator,
+    validate_duration,
+    validate_endpoint,
+    validate_name,
+    validate_token,
+)
+
+MAX_RETRY_RATIO = 100
+MAX_RETRIES = 1_000_000
+MAX_PROBE_RATE = 1_000_000
 
 
 @attrs.frozen(kw_only=True)
 class HostLimits:
     """Limits that the platform sets.
 
+    A limit that is out of range raises `ValueError`.
+
     Attributes:
         shutdown_grace: How long a host may take to shut down, in seconds.
         retry_ratio: Retries allowed for each first attempt, over all hosts.
         base_retries: Retries allowed in each window in addition to the ratio,
             over all hosts.
         retry_window: Length of the sliding window, in seconds.
+        probe_rate: Probes per second that one backend server may get from all
+            hosts together.
+        response_buffer_bytes: Memory of this host that incomplete responses of
+            backend servers may take together.
     """
 
-    shutdown_grace: Seconds
-    retry_ratio: float
-    base_retries: float
-    retry_window: Seconds
+    shutdown_grace: Seconds = attrs.field(validator=validate_duration)
+    retry_ratio: float = attrs.field(
+        validator=make_range_validator(0, MAX_RETRY_RATIO)
+    )
+    base_retries: float = attrs.field(
+        validator=make_range_validator(0, MAX_RETRIES)
+    )
+    retry_window: Seconds = attrs.field(validator=validate_duration)
+    probe_rate: float = attrs.field(
+        validator=make_range_validator(1, MAX_PROBE_RATE)
+    )
+    response_buffer_bytes: int
 
 
 @attrs.frozen(kw_only=True)
@@ -40,11 +65,11 @@
         limits: Limits that the platform sets.
     """
 
-    name: HostId
-    zone: ZoneName
+    name: HostId = attrs.field(validator=validate_token)
+    zone: ZoneName = attrs.field(validator=validate_name)
     caller_endpoint: ServerAddress
     readiness_endpoint: ServerAddress
-    peer_endpoint: ServerAddress
+    peer_endpoint: ServerAddress = attrs.field(validator=validate_endpoint)
     seeds: tuple[ServerAddress, ...]
     store_endpoint: ServerAddress
     limits: HostLimits
--- a/src/ebonystream/entryhost/_store.py
+++ b/src/ebonystream/entryhost/_store.py
@@ -2,7 +2,7 @@
 
 from functools import partial
 
-from ebonystream._ids import Offset, Seconds
+from ebonystream._ids import Offset, Seconds, ServerId
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_sync import StoreReader
 from ebonystream.entryhost._version_moves import StoredReport
@@ -20,7 +20,7 @@
     encode_move_status,
     find_reported_verdict,
 )
-from ebonystream.roster import ServerEntry
+from ebonystream.roster import EntriesListing
 from ebonystream.versionmove import VersionMove
 
 
@@ -32,21 +32,22 @@
         store: The client for the store.
     """
 
-    def log_unreadable(key: str, why: str) -> None:
-        if (key, why) not in parts.logged_unreadable:
-            parts.logged_unreadable.add((key, why))
-            parts.log_event('record_unreadable', key=key, why=why)
-
     async def list_orders() -> OrdersListing:
         listing = await store.list_newest(OPERATOR_TOPIC)
-        return decode_orders(listing, log_unreadable)
+        unreadable: dict[str, str] = {}
+        orders = decode_orders(listing, unreadable.__setitem__)
+        parts.unreadable_records.update(OPERATOR_TOPIC, unreadable)
+        return orders
 
     async def wait_for_orders(end: Offset, wait: Seconds) -> Offset:
         return await store.wait_for_append(OPERATOR_TOPIC, end, wait=wait)
 
-    async def list_entries() -> tuple[ServerEntry, ...]:
+    async def list_entries() -> EntriesListing:
         listing = await store.list_newest(SERVERS_TOPIC)
-        return decode_servers(listing, log_unreadable)
+        unreadable: dict[str, str] = {}
+        entries = decode_servers(listing, unreadable.__setitem__)
+        parts.unreadable_records.update(SERVERS_TOPIC, unreadable)
+        return EntriesListing(entries, frozenset(map(ServerId, unreadable)))
 
     return StoreReader(
         list_orders=list_orders,
@@ -70,7 +71,12 @@
     settings = parts.settings
     record = encode_host_record(settings.name, settings.peer_endpoint.address)
     await store.append_keyed(HOSTS_TOPIC, record)
-    return decode_host_addresses(await store.list_newest(HOSTS_TOPIC))
+    unreadable: dict[str, str] = {}
+    addresses = decode_host_addresses(
+        await store.list_newest(HOSTS_TOPIC), unreadable.__setitem__
+    )
+    parts.unreadable_records.update(HOSTS_TOPIC, unreadable)
+    return addresses
 
 
 async def read_report(store: StoreClient, move: VersionMove) -> StoredReport:
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -15,7 +15,7 @@
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.errors import EbonystreamError
 from ebonystream.orders import OrdersListing
-from ebonystream.roster import ServerEntry
+from ebonystream.roster import EntriesListing
 
 ORDERS_POLL_TIMEOUT = Seconds(2)
 """Upper bound on one long poll for new orders, in seconds."""
@@ -45,7 +45,7 @@
 The second argument bounds the wait, in seconds.
 """
 
-ListEntries = Callable[[], Awaitable[tuple[ServerEntry, ...]]]
+ListEntries = Callable[[], Awaitable[EntriesListing]]
 """Reads the entries of all servers; raises if the store fails."""
 
 
@@ -101,7 +101,7 @@
             continue
         started_at = parts.timers.now()
         try:
-            entries = await reader.list_entries()
+            listing = await reader.list_entries()
         except EbonystreamError as error:
             store.record_failure(str(error))
             parts.store_unreachable = True
@@ -111,7 +111,7 @@
         parts.store_unreachable = False
         if store.record_success():
             parts.cancel_orders_wait()
-        update_roster(parts, entries, started_at)
+        update_roster(parts, listing, started_at)
         await trio.sleep_until(started_at + SERVERS_READ_PERIOD)
 
 
@@ -140,16 +140,18 @@
 
 
 def update_roster(
-    parts: HostParts, entries: tuple[ServerEntry, ...], read_at: Monotonic
+    parts: HostParts, listing: EntriesListing, read_at: Monotonic
 ) -> None:
     """Update the roster, and log the change if there is one.
 
     Args:
         parts: The state of the host.
-        entries: The entries of all servers.
+        listing: The entries of all servers.
         read_at: When the entries were read from the store.
     """
-    change = parts.roster.apply_listing(entries, read_at)
+    change = parts.roster.apply_listing(
+        listing.entries, read_at, unreadable=listing.unreadable
+    )
     if change.has_changes():
         parts.log_event(
             'roster_changed',
--- a/src/ebonystream/entryhost/_sync_tasks.py
+++ b/src/ebonystream/entryhost/_sync_tasks.py
@@ -1,5 +1,6 @@
 """Start of the tasks that synchronise a host with the store and its peers."""
 
+from collections.abc import Mapping
 from functools import partial
 
 import trio
@@ -20,8 +21,13 @@
     register_host,
 )
 from ebonystream.entryhost._store_sync import sync_orders, sync_servers
+from ebonystream.entryhost._supervision import RunTask, run_supervised
 from ebonystream.entryhost._version_moves import run_version_moves
-from ebonystream.gossip import make_fetch_shared, open_gossip_socket
+from ebonystream.gossip import (
+    GossipSocket,
+    make_fetch_shared,
+    open_gossip_socket,
+)
 from ebonystream.ingress import serve_listener
 from ebonystream.link import ConnectionPool, PoolLimits, make_exchange
 from ebonystream.platform import StoreClient
@@ -46,7 +52,6 @@
         exchange=exchange,
         count_call=parts.metrics.store_calls.increment,
     )
-    reader = make_store_reader(parts, store)
     gossip_socket = await open_gossip_socket(parts.settings.peer_endpoint)
     peer_endpoint = parts.settings.peer_endpoint
     await nursery.start(
@@ -57,13 +62,36 @@
             connection_nursery=nursery,
         )
     )
+    tasks: Mapping[str, RunTask] = {
+        **_list_gossip_tasks(parts, gossip_socket, store),
+        **_list_store_tasks(parts, store),
+        'fetch_from_peers': partial(
+            fetch_from_peers, parts, make_fetch_shared(exchange=exchange)
+        ),
+    }
+    for name, run_task in tasks.items():
+        nursery.start_soon(run_supervised, parts, name, run_task)
+
+
+def _list_gossip_tasks(
+    parts: HostParts, gossip_socket: GossipSocket, store: StoreClient
+) -> Mapping[str, RunTask]:
     register = partial(register_host, parts, store)
-    nursery.start_soon(announce_to_peers, parts, gossip_socket, register)
-    nursery.start_soon(receive_facts, parts, gossip_socket)
-    nursery.start_soon(send_facts, parts, gossip_socket)
-    nursery.start_soon(
-        fetch_from_peers, parts, make_fetch_shared(exchange=exchange)
-    )
-    nursery.start_soon(sync_orders, parts, reader)
-    nursery.start_soon(sync_servers, parts, reader)
-    nursery.start_soon(run_version_moves, parts, partial(read_report, store))
+    return {
+        'announce': partial(announce_to_peers, parts, gossip_socket, register),
+        'receive_facts': partial(receive_facts, parts, gossip_socket),
+        'send_facts': partial(send_facts, parts, gossip_socket),
+    }
+
+
+def _list_store_tasks(
+    parts: HostParts, store: StoreClient
+) -> Mapping[str, RunTask]:
+    reader = make_store_reader(parts, store)
+    return {
+        'sync_orders': partial(sync_orders, parts, reader),
+        'sync_servers': partial(sync_servers, parts, reader),
+        'version_moves': partial(
+            run_version_moves, parts, partial(read_report, store)
+        ),
+    }
--- a/src/ebonystream/gossip/__init__.py
+++ b/src/ebonystream/gossip/__init__.py
@@ -1,6 +1,11 @@
 """Gossip between entry hosts, and sharing of state read from the store."""
 
-from ebonystream.gossip._facts import FailingServer, HostFacts, MoveFacts
+from ebonystream.gossip._facts import (
+    FailingServer,
+    HostFacts,
+    LeavingServer,
+    MoveFacts,
+)
 from ebonystream.gossip._rounds import announce, receive_gossip, send_gossip
 from ebonystream.gossip._shared import (
     FetchShared,
@@ -25,6 +30,7 @@
     'SharedEntries',
     'SharedOrders',
     'FailingServer',
+    'LeavingServer',
     'announce',
     'receive_gossip',
     'make_fetch_shared',
--- a/src/ebonystream/gossip/_facts.py
+++ b/src/ebonystream/gossip/_facts.py
@@ -1,8 +1,11 @@
 """Messages in which an entry host reports its state and observations."""
 
+from typing import Annotated
+
 import msgspec
 
 from ebonystream._ids import (
+    EpochMs,
     HostId,
     Incarnation,
     MoveId,
@@ -11,8 +14,14 @@
     ServerId,
     ZoneName,
 )
+from ebonystream._validation import MAX_DURATION_S, MAX_NAME_LENGTH
 from ebonystream.versionmove import MoveCounts, MoveVerdict
 
+MAX_FAILURES = 1_000_000
+MAX_SEQUENCE = 9_007_199_254_740_991
+IP_ADDRESS = r'^[0-9]{1,3}(\.[0-9]{1,3}){3}$'
+_NAME = msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)
+
 
 class FailingServer(msgspec.Struct, frozen=True, array_like=True):
     """A backend server with recent failed requests.
@@ -23,7 +32,20 @@
     """
 
     server: ServerId
-    failures: float
+    failures: Annotated[float, msgspec.Meta(ge=0, le=MAX_FAILURES)]
+
+
+class LeavingServer(msgspec.Struct, frozen=True, array_like=True):
+    """A backend server whose responses say that it is leaving.
+
+    Attributes:
+        server: Name of the backend server.
+        started: Start of the run that is leaving, in Unix milliseconds; None if
+            its entry does not report it.
+    """
+
+    server: ServerId
+    started: EpochMs | None
 
 
 class MoveFacts(msgspec.Struct, frozen=True, array_like=True):
@@ -41,7 +63,7 @@
     """
 
     move: MoveId
-    elapsed: Seconds
+    elapsed: Annotated[Seconds, msgspec.Meta(ge=0, le=MAX_DURATION_S)]
     complete: bool
     verdict: MoveVerdict
     reported_verdict: MoveVerdict | None
@@ -65,16 +87,19 @@
         moves: Version moves known to the host.
         suspect_notes: Encoded notes on requests that may crash backend
             servers.
+        leaving_servers: Backend servers that are leaving although their
+            entries do not say so.
     """
 
-    host: HostId
-    incarnation: Incarnation
-    sequence: int
-    zone: ZoneName
-    address: str
+    host: Annotated[HostId, _NAME]
+    incarnation: Annotated[Incarnation, _NAME]
+    sequence: Annotated[int, msgspec.Meta(ge=1, le=MAX_SEQUENCE)]
+    zone: Annotated[ZoneName, _NAME]
+    address: Annotated[str, msgspec.Meta(pattern=IP_ADDRESS)]
     leaving: bool
     store_unreachable: bool
-    orders_end: Offset
+    orders_end: Annotated[Offset, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
     failing_servers: tuple[FailingServer, ...] = ()
     moves: tuple[MoveFacts, ...] = ()
     suspect_notes: tuple[str, ...] = ()
+    leaving_servers: tuple[LeavingServer, ...] = ()
--- a/src/ebonystream/gossip/_shared.py
+++ b/src/ebonystream/gossip/_shared.py
@@ -1,6 +1,7 @@
 """Sharing of orders and server entries that a peer has read from the store."""
 
 from collections.abc import Awaitable, Callable
+from typing import Annotated
 
 import msgspec
 
@@ -8,6 +9,7 @@
 from ebonystream._calls import Headers
 from ebonystream._ids import Incarnation, Monotonic, Offset, Seconds
 from ebonystream._timers import Timers
+from ebonystream._validation import MAX_DURATION_S, UNDECODABLE
 from ebonystream.http1 import Message, encode_request, encode_response
 from ebonystream.ingress import CallerPresence, EncodedResponse, Respond
 from ebonystream.link import Exchange, ExchangeFailure
@@ -17,6 +19,7 @@
 OK = 200
 BAD_REQUEST = 400
 SHARED_TARGET = b'/shared'
+_AGE = msgspec.Meta(ge=0, le=MAX_DURATION_S)
 
 
 class SharedRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -41,7 +44,7 @@
         listing: All orders; None if the requesting host already has them.
     """
 
-    age: Seconds
+    age: Annotated[Seconds, _AGE]
     listing: OrdersListing | None
 
 
@@ -55,7 +58,7 @@
         entries: All entries; None if the requesting host already has them.
     """
 
-    age: Seconds
+    age: Annotated[Seconds, _AGE]
     revision: int
     entries: tuple[ServerEntry, ...] | None
 
@@ -97,7 +100,7 @@
     ) -> EncodedResponse:
         try:
             request = msgspec.msgpack.decode(message.body, type=SharedRequest)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except UNDECODABLE:
             return EncodedResponse(encode_response(BAD_REQUEST, (), b''), True)
         shared = SharedResponse(
             source=source,
@@ -134,7 +137,7 @@
             return None
         try:
             return msgspec.msgpack.decode(result.body, type=SharedResponse)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except UNDECODABLE:
             return None
 
     return fetch
@@ -156,7 +159,7 @@
         return None
     has_newer = orders.end > request.orders_end
     return SharedOrders(
-        age=Seconds(now - orders.confirmed_at),
+        age=Seconds(max(0, now - orders.confirmed_at)),
         listing=orders.listing if has_newer else None,
     )
 
@@ -170,7 +173,7 @@
         request.source == source and request.revision == roster.revision
     )
     return SharedEntries(
-        age=Seconds(now - roster.last_listed_at),
+        age=Seconds(max(0, now - roster.last_listed_at)),
         revision=roster.revision,
         entries=None if is_current else roster.entries,
     )
--- a/src/ebonystream/gossip/_socket.py
+++ b/src/ebonystream/gossip/_socket.py
@@ -8,6 +8,7 @@
 import trio
 
 from ebonystream._address import ServerAddress
+from ebonystream._validation import UNDECODABLE
 from ebonystream.gossip._facts import HostFacts
 
 HOSTS_PER_DATAGRAM = 6
@@ -15,6 +16,8 @@
 MAX_DECOMPRESSED_BYTES = 262_144
 """Upper bound on the decompressed size of one datagram."""
 
+MALFORMED = (*UNDECODABLE, zlib.error)
+
 
 class _FactsBatch(msgspec.Struct, frozen=True, array_like=True):
     facts: tuple[HostFacts, ...]
@@ -28,11 +31,13 @@
         socket: Bound datagram socket.
         port: Gossip port, the same on all hosts.
         sent_bytes: Total number of payload bytes sent.
+        malformed_datagrams: Number of datagrams that could not be decoded.
     """
 
     socket: trio.socket.SocketType
     port: int
     sent_bytes: int = 0
+    malformed_datagrams: int = 0
 
     async def send(
         self, facts: Sequence[HostFacts], addresses: Iterable[str]
@@ -56,7 +61,8 @@
         payload, _ = await self.socket.recvfrom(MAX_DATAGRAM_BYTES)
         try:
             return _decode(payload)
-        except (msgspec.MsgspecError, UnicodeDecodeError, zlib.error):
+        except MALFORMED:
+            self.malformed_datagrams += 1
             return ()
 
     async def _send_datagram(self, payload: bytes, address: str) -> None:
--- a/src/ebonystream/orders/_orders.py
+++ b/src/ebonystream/orders/_orders.py
@@ -11,6 +11,7 @@
     VersionName,
     ZoneName,
 )
+from ebonystream._validation import validate_duration, validate_name
 from ebonystream.route import RouteConfiguration
 
 INITIAL_OFFSET = Offset(0)
@@ -28,9 +29,9 @@
     """
 
     id: MoveId
-    service: ServiceName
-    version: VersionName
-    within: Seconds
+    service: ServiceName = attrs.field(validator=validate_name)
+    version: VersionName = attrs.field(validator=validate_name)
+    within: Seconds = attrs.field(validator=validate_duration)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/ebonystream/placement/_probe.py
+++ b/src/ebonystream/placement/_probe.py
@@ -84,6 +84,7 @@
     if report is None:
         server.avoid_until = Monotonic(now + SILENT_BACKOFF)
         return
+    server.update_from_notice(report.notice, now)
     if report.server_id is not None and report.server_id != server.entry.id:
         server.leaving = True
         return
--- a/src/ebonystream/placement/_search.py
+++ b/src/ebonystream/placement/_search.py
@@ -150,7 +150,8 @@
     allowed = context.list_servers(request.service, request.version_draw)
     # The server's zone may have been taken out of service, or its version
     # rolled back, since this host sent its last request to the server.
-    usable = [freed] if freed.server in allowed else []
+    is_usable = freed.server.is_usable(context.timers.now())
+    usable = [freed] if is_usable and freed.server in allowed else []
     result = _select(context, request, usable)
     if isinstance(result, NoCapacity):
         context.queues.offer_server(freed, behind=waiter)
--- a/src/ebonystream/placement/_selection.py
+++ b/src/ebonystream/placement/_selection.py
@@ -135,6 +135,8 @@
     server = result.server
     if report is None or not report.healthy or server.leaving:
         return False
+    if server.refusing_until > result.sent_at:
+        return False
     load = get_load(result)
     if server.cold_until > result.sent_at:
         return load.running + load.waiting + server.in_flight == 0
--- a/src/ebonystream/platform/__init__.py
+++ b/src/ebonystream/platform/__init__.py
@@ -2,13 +2,10 @@
 
 from ebonystream.platform._codec import make_codec
 from ebonystream.platform._errors import FormatError
-from ebonystream.platform._hosts import (
-    HOSTS_TOPIC,
-    decode_host_addresses,
-    encode_host_record,
-)
+from ebonystream.platform._hosts import HOSTS_TOPIC, encode_host_record
 from ebonystream.platform._listing import (
     UnreadableRecordCallback,
+    decode_host_addresses,
     decode_orders,
     decode_servers,
 )
--- a/src/ebonystream/platform/_configuration.py
+++ b/src/ebonystream/platform/_configuration.py
@@ -1,6 +1,6 @@
 """Decoding of the configuration that operators write."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from types import MappingProxyType
 
 import msgspec
@@ -12,8 +12,13 @@
     Seconds,
     ServiceName,
 )
+from ebonystream._validation import quote
 from ebonystream.platform._durations import parse_duration
-from ebonystream.platform._errors import FormatError, decode_json
+from ebonystream.platform._errors import (
+    FormatError,
+    decode_json,
+    reject_invalid_values,
+)
 from ebonystream.route import (
     RequestLimits,
     Route,
@@ -54,6 +59,14 @@
     version: int
     resources: tuple[_Resource, ...]
 
+    def list_resources(self, kind: str) -> list[_Resource]:
+        """List the resources of one kind."""
+        return [
+            resource
+            for resource in self.resources
+            if resource.resource_kind == kind
+        ]
+
 
 class _TrafficShare(msgspec.Struct):
     service: str
@@ -96,21 +109,26 @@
         FormatError: If any part of the configuration is invalid.
     """
     document = decode_json(content, _Document)
+    with reject_invalid_values():
+        return _make_configuration(document)
+
+
+def _make_configuration(document: _Document) -> RouteConfiguration:
     limits = [
         _decode_limits(decode_json(resource.spec, _Limits))
-        for resource in _select_resources(document, 'limits')
+        for resource in document.list_resources('limits')
     ]
     services = {
         ServiceName(resource.metadata.name): _decode_service(
             decode_json(resource.spec, _Service)
         )
-        for resource in _select_resources(document, 'services')
+        for resource in document.list_resources('services')
     }
     routes = [
         _decode_route(
             resource.metadata.name, decode_json(resource.spec, _Route)
         )
-        for resource in _select_resources(document, 'routes')
+        for resource in document.list_resources('routes')
     ]
     return RouteConfiguration(
         version=ConfigurationVersion(document.version),
@@ -120,25 +138,17 @@
     )
 
 
-def _select_resources(document: _Document, kind: str) -> Iterable[_Resource]:
-    return (
-        resource
-        for resource in document.resources
-        if resource.resource_kind == kind
-    )
-
-
 def _decode_route(name: str, spec: _Route) -> Route:
     if spec.kind not in CALL_KINDS:
-        raise FormatError(f'unknown kind of route: {spec.kind!r}')
+        raise FormatError(f'unknown kind of route: {quote(spec.kind)}')
+    if not spec.path_prefix.startswith('/'):
+        raise FormatError(f'not a path: {quote(spec.path_prefix)}')
     shares = tuple(
         Share(ServiceName(share.service), share.weight)
         for share in spec.traffic_split
     )
     if spec.service is not None:
         shares = (Share(ServiceName(spec.service), 1),)
-    if not shares:
-        raise FormatError(f'route {name!r} names no service')
     return Route(
         name=RouteName(name),
         host=spec.host.lower(),
--- a/src/ebonystream/platform/_headers.py
+++ b/src/ebonystream/platform/_headers.py
@@ -15,6 +15,7 @@
 
 INSTANCE_ID = b'ebonystream-instance-id'
 COLD_MS = b'ebonystream-cold-ms'
+SERVER_LEAVING = b'server-leaving'
 RETRY_AFTER = b'retry-after'
 
 HOP_BY_HOP_HEADERS = frozenset(
--- a/src/ebonystream/platform/_health.py
+++ b/src/ebonystream/platform/_health.py
@@ -3,6 +3,7 @@
 from ebonystream._calls import Headers
 from ebonystream._ids import Seconds, ServerId
 from ebonystream._timers import MS_PER_SECOND
+from ebonystream._validation import MAX_DURATION_S
 from ebonystream.http1 import Message
 from ebonystream.platform._headers import (
     ATTEMPT_ID,
@@ -11,10 +12,13 @@
     SERVER_LOAD,
     find_header,
 )
+from ebonystream.platform._notices import parse_notice
+from ebonystream.platform._numbers import parse_whole_number
 from ebonystream.roster import HealthReport, LoadReport, ServerEntry
 
 USUAL_PACE_PERCENT = 100
 MIN_LOAD_FIELDS = 3
+MAX_LOAD_FIELDS = 16
 OK_STATUS = 200
 
 
@@ -47,16 +51,14 @@
         message: The HTTP response that the server sent.
     """
     instance = find_header(message.headers, INSTANCE_ID)
-    cold_ms = find_header(message.headers, COLD_MS)
-    has_cold_ms = cold_ms is not None and cold_ms.isdigit()
+    cold_ms = parse_whole_number(find_header(message.headers, COLD_MS))
     server_id = None if instance is None else instance.decode('latin-1')
     return HealthReport(
         healthy=message.status == OK_STATUS,
         server_id=None if server_id is None else ServerId(server_id),
-        cold_left=Seconds(int(cold_ms or 0) / MS_PER_SECOND)
-        if has_cold_ms
-        else None,
+        cold_left=None if cold_ms is None else _limit_cold_time(cold_ms),
         load=parse_load(message.headers),
+        notice=parse_notice(message),
     )
 
 
@@ -67,10 +69,11 @@
         headers: The header fields of the server's response.
     """
     text = find_header(headers, SERVER_LOAD)
-    figures = [part.strip() for part in (text or b'').split(b',')]
-    if len(figures) < MIN_LOAD_FIELDS or not all(map(bytes.isdigit, figures)):
+    fields = (text or b'').split(b',', MAX_LOAD_FIELDS)
+    figures = _parse_figures(fields)
+    if len(figures) < MIN_LOAD_FIELDS:
         return None
-    running, waiting, slots, *pace = map(int, figures)
+    running, waiting, slots, *pace = figures
     percent = pace[0] if pace else USUAL_PACE_PERCENT
     return LoadReport(
         running=running,
@@ -78,3 +81,18 @@
         slots=slots,
         pace=percent / USUAL_PACE_PERCENT,
     )
+
+
+def _parse_figures(fields: list[bytes]) -> list[int]:
+    """Parse the figures; the result is empty if any of them is malformed."""
+    figures: list[int] = []
+    for field in fields:
+        figure = parse_whole_number(field.strip())
+        if figure is None:
+            return []
+        figures.append(figure)
+    return figures
+
+
+def _limit_cold_time(cold_ms: int) -> Seconds:
+    return Seconds(min(cold_ms / MS_PER_SECOND, MAX_DURATION_S))
--- a/src/ebonystream/platform/_hosts.py
+++ b/src/ebonystream/platform/_hosts.py
@@ -3,7 +3,9 @@
 import msgspec
 
 from ebonystream._ids import HostId
-from ebonystream.platform._store import KeyedRecord, Listing
+from ebonystream._validation import is_host_address, quote
+from ebonystream.platform._errors import FormatError, decode_json
+from ebonystream.platform._store import KeyedRecord
 
 HOSTS_TOPIC = 'keyed.hosts'
 
@@ -22,19 +24,16 @@
     return KeyedRecord(name, msgspec.json.encode(_HostRecord(address)))
 
 
-def decode_host_addresses(listing: Listing) -> tuple[str, ...]:
-    """Decode the IP addresses of all hosts that ever registered.
-
-    Records that cannot be decoded are skipped.
+def decode_host_address(record: KeyedRecord) -> str:
+    """Decode the IP address at which the other hosts reach a host.
 
     Args:
-        listing: The newest record of each host.
+        record: The record by which the host registered.
+
+    Raises:
+        FormatError: If the record has no IP address of a host.
     """
-    addresses: list[str] = []
-    for record in listing.records:
-        try:
-            host = msgspec.json.decode(record.content, type=_HostRecord)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
-            continue
-        addresses.append(host.address)
-    return tuple(addresses)
+    address = decode_json(record.content, _HostRecord).address
+    if not is_host_address(address):
+        raise FormatError(f'not an IP address: {quote(address)}')
+    return address
--- a/src/ebonystream/platform/_listing.py
+++ b/src/ebonystream/platform/_listing.py
@@ -1,13 +1,15 @@
 """Decoding of whole topics; invalid records are reported and skipped."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from typing import TypeVar
 
-from ebonystream.orders import OrdersListing, VersionOrder
+from ebonystream.orders import OrdersListing
 from ebonystream.platform._configuration import (
     CONFIGURATION_KEY,
     decode_configuration,
 )
 from ebonystream.platform._errors import FormatError
+from ebonystream.platform._hosts import decode_host_address
 from ebonystream.platform._orders import (
     ROLLOUT_PREFIX,
     decode_version_order,
@@ -18,6 +20,8 @@
 from ebonystream.roster import ServerEntry
 from ebonystream.route import RouteConfiguration
 
+Decoded = TypeVar('Decoded')
+
 UnreadableRecordCallback = Callable[[str, str], None]
 """Called with the key of a record that can't be decoded and the reason."""
 
@@ -31,13 +35,21 @@
         listing: The newest records of the servers' topic.
         on_unreadable: Called for each record that can't be decoded.
     """
-    entries: list[ServerEntry] = []
-    for record in listing.records:
-        try:
-            entries.append(decode_server(record))
-        except FormatError as error:
-            on_unreadable(record.key, str(error))
-    return tuple(entries)
+    return tuple(_decode_each(listing.records, decode_server, on_unreadable))
+
+
+def decode_host_addresses(
+    listing: Listing, on_unreadable: UnreadableRecordCallback
+) -> tuple[str, ...]:
+    """Decode the IP addresses of all hosts that ever registered.
+
+    Args:
+        listing: The newest record of each host.
+        on_unreadable: Called for each record that can't be decoded.
+    """
+    return tuple(
+        _decode_each(listing.records, decode_host_address, on_unreadable)
+    )
 
 
 def decode_orders(
@@ -50,34 +62,38 @@
         on_unreadable: Called for each record that can't be decoded.
     """
     zones = (parse_evacuated_zone(record) for record in listing.records)
+    configurations = (
+        record for record in listing.records if record.key == CONFIGURATION_KEY
+    )
+    rollouts = (
+        record
+        for record in listing.records
+        if record.key.startswith(ROLLOUT_PREFIX)
+    )
     return OrdersListing(
         end=listing.end,
-        configuration=_decode_configuration(listing.records, on_unreadable),
+        configuration=next(
+            _decode_each(configurations, _decode_configuration, on_unreadable),
+            None,
+        ),
         zones_out=frozenset(zone for zone in zones if zone is not None),
-        moves=tuple(_decode_version_orders(listing.records, on_unreadable)),
+        moves=tuple(
+            _decode_each(rollouts, decode_version_order, on_unreadable)
+        ),
     )
 
 
-def _decode_configuration(
-    records: Iterable[KeyedRecord], on_unreadable: UnreadableRecordCallback
-) -> RouteConfiguration | None:
-    for record in records:
-        if record.key != CONFIGURATION_KEY:
-            continue
-        try:
-            return decode_configuration(record.content)
-        except FormatError as error:
-            on_unreadable(record.key, str(error))
-    return None
+def _decode_configuration(record: KeyedRecord) -> RouteConfiguration:
+    return decode_configuration(record.content)
 
 
-def _decode_version_orders(
-    records: Iterable[KeyedRecord], on_unreadable: UnreadableRecordCallback
-) -> Iterable[VersionOrder]:
+def _decode_each(
+    records: Iterable[KeyedRecord],
+    decode: Callable[[KeyedRecord], Decoded],
+    on_unreadable: UnreadableRecordCallback,
+) -> Iterator[Decoded]:
     for record in records:
-        if not record.key.startswith(ROLLOUT_PREFIX):
-            continue
         try:
-            yield decode_version_order(record)
+            yield decode(record)
         except FormatError as error:
             on_unreadable(record.key, str(error))
--- a/src/ebonystream/platform/_orders.py
+++ b/src/ebonystream/platform/_orders.py
@@ -5,7 +5,7 @@
 from ebonystream._ids import MoveId, ServiceName, VersionName, ZoneName
 from ebonystream.orders import VersionOrder
 from ebonystream.platform._durations import parse_duration
-from ebonystream.platform._errors import decode_json
+from ebonystream.platform._errors import decode_json, reject_invalid_values
 from ebonystream.platform._store import KeyedRecord
 
 ROLLOUT_PREFIX = 'rollout/'
@@ -41,9 +41,10 @@
         FormatError: If the content of the record is invalid.
     """
     rollout = decode_json(record.content, _Rollout)
-    return VersionOrder(
-        id=MoveId(f'{record.key}@{record.offset}'),
-        service=ServiceName(rollout.service),
-        version=VersionName(rollout.target_version),
-        within=parse_duration(rollout.duration),
-    )
+    with reject_invalid_values():
+        return VersionOrder(
+            id=MoveId(f'{record.key}@{record.offset}'),
+            service=ServiceName(rollout.service),
+            version=VersionName(rollout.target_version),
+            within=parse_duration(rollout.duration),
+        )
--- a/src/ebonystream/platform/_requests.py
+++ b/src/ebonystream/platform/_requests.py
@@ -13,6 +13,7 @@
     drop_headers,
     find_header,
 )
+from ebonystream.platform._numbers import parse_whole_number
 from ebonystream.request import Request
 from ebonystream.roster import ServerEntry
 
@@ -65,7 +66,8 @@
     )
 
 
-def _add_ms(start: Monotonic, duration: bytes | None) -> Monotonic | None:
-    if duration is None or not duration.isdigit():
+def _add_ms(start: Monotonic, field: bytes | None) -> Monotonic | None:
+    duration_ms = parse_whole_number(field)
+    if duration_ms is None:
         return None
-    return Monotonic(start + int(duration) / MS_PER_SECOND)
+    return Monotonic(start + duration_ms / MS_PER_SECOND)
--- a/src/ebonystream/platform/_responses.py
+++ b/src/ebonystream/platform/_responses.py
@@ -13,6 +13,7 @@
     find_header,
 )
 from ebonystream.platform._health import parse_load
+from ebonystream.platform._notices import parse_notice
 from ebonystream.request import (
     Request,
     Response,
@@ -53,6 +54,7 @@
         headers=drop_headers(message.headers, HOP_BY_HOP_HEADERS),
         body=message.body,
         load=parse_load(message.headers),
+        notice=parse_notice(message),
     )
 
 
--- a/src/ebonystream/platform/_servers.py
+++ b/src/ebonystream/platform/_servers.py
@@ -1,5 +1,6 @@
 """Decoding of the heartbeats that backend servers write to the store."""
 
+import re
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Annotated
@@ -14,8 +15,13 @@
     VersionName,
     ZoneName,
 )
+from ebonystream._validation import MAX_PORT, is_host_address, quote
 from ebonystream.platform._durations import parse_duration
-from ebonystream.platform._errors import FormatError, decode_json
+from ebonystream.platform._errors import (
+    FormatError,
+    decode_json,
+    reject_invalid_values,
+)
 from ebonystream.platform._store import KeyedRecord
 from ebonystream.roster import EntryState, ServerEntry
 
@@ -24,6 +30,10 @@
 )
 
 
+MAX_SEQUENCE = 9_007_199_254_740_991
+PORT = re.compile('[1-9][0-9]{0,4}')
+
+
 class _Heartbeat(msgspec.Struct):
     """One heartbeat; `born` is the server's start in Unix milliseconds."""
 
@@ -31,10 +41,10 @@
     address: str
     zone: str
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: int
     state: str
     cold_remaining: str
-    sequence: int
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
     born: int | None = None
 
 
@@ -49,18 +59,19 @@
     """
     heartbeat = decode_json(record.content, _Heartbeat)
     if heartbeat.state not in ENTRY_STATES:
-        raise FormatError(f'unknown state of server: {heartbeat.state!r}')
-    return ServerEntry(
-        id=ServerId(record.key),
-        at=parse_address(heartbeat.address),
-        service=ServiceName(heartbeat.service),
-        zone=ZoneName(heartbeat.zone),
-        version=VersionName(heartbeat.version),
-        slots=heartbeat.slots,
-        state=ENTRY_STATES[heartbeat.state],
-        cold=parse_duration(heartbeat.cold_remaining),
-        started=None if heartbeat.born is None else EpochMs(heartbeat.born),
-    )
+        raise FormatError(f'unknown state of server: {quote(heartbeat.state)}')
+    with reject_invalid_values():
+        return ServerEntry(
+            id=ServerId(record.key),
+            at=parse_address(heartbeat.address),
+            service=ServiceName(heartbeat.service),
+            zone=ZoneName(heartbeat.zone),
+            version=VersionName(heartbeat.version),
+            slots=heartbeat.slots,
+            state=ENTRY_STATES[heartbeat.state],
+            cold=parse_duration(heartbeat.cold_remaining),
+            started=None if heartbeat.born is None else EpochMs(heartbeat.born),
+        )
 
 
 def parse_address(text: str) -> ServerAddress:
@@ -73,6 +84,8 @@
         FormatError: If the text has no address or no numeric port.
     """
     address, _, port = text.rpartition(':')
-    if not address or not port.isdigit():
-        raise FormatError(f'not an address: {text!r}')
+    if not (is_host_address(address) and PORT.fullmatch(port)):
+        raise FormatError(f'not an address: {quote(text)}')
+    if int(port) > MAX_PORT:
+        raise FormatError(f'no port above {MAX_PORT}: {quote(text)}')
     return ServerAddress(address, int(port))
--- a/src/ebonystream/platform/_settings.py
+++ b/src/ebonystream/platform/_settings.py
@@ -1,21 +1,39 @@
 """Decoding of the settings file that the platform gives each process."""
 
+from typing import Annotated
+
 import msgspec
 
 from ebonystream._address import ServerAddress
 from ebonystream._ids import HostId, ZoneName
+from ebonystream._validation import MAX_PORT
 from ebonystream.entryhost import HostLimits, HostSettings
 from ebonystream.platform._durations import parse_duration
-from ebonystream.platform._errors import decode_json
+from ebonystream.platform._errors import decode_json, reject_invalid_values
 from ebonystream.platform._servers import parse_address
 
 SETTINGS_VARIABLE = 'EBONYSTREAM_SETTINGS'
 
+MAX_MEMORY_MB = 1_048_576
+BYTES_PER_MB = 1_048_576
+RESPONSE_BUFFER_SHARE = 0.1
+"""Share of the memory of a process that incomplete responses may take."""
+
+MAX_PEER_PORT = MAX_PORT - 1
+"""The port after it is used as well."""
+
+_PeerPort = Annotated[int, msgspec.Meta(ge=1, le=MAX_PEER_PORT)]
+
+
+class _ProcessLimits(msgspec.Struct):
+    memory_mb: Annotated[int, msgspec.Meta(ge=1, le=MAX_MEMORY_MB)] = 200
+
 
 class _Local(msgspec.Struct):
     node_name: str
     zone: str
     ip: str
+    limits: _ProcessLimits = msgspec.field(default_factory=_ProcessLimits)
 
 
 class _Listen(msgspec.Struct):
@@ -25,7 +43,7 @@
 
 class _Network(msgspec.Struct):
     listen: _Listen
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[_PeerPort, _PeerPort]
     seeds: tuple[str, ...] = ()
 
 
@@ -42,6 +60,7 @@
     retry_budget_ratio: float = 0.2
     retry_budget_slack: float = 20
     budget_window: str = '10s'
+    probes_per_s: float = 60
 
 
 class _Terms(msgspec.Struct):
@@ -65,6 +84,11 @@
         FormatError: If any setting is missing or invalid.
     """
     settings = decode_json(content, _Settings)
+    with reject_invalid_values():
+        return _make_settings(settings)
+
+
+def _make_settings(settings: _Settings) -> HostSettings:
     listen = settings.network.listen
     return HostSettings(
         name=HostId(settings.local.node_name),
@@ -76,14 +100,20 @@
         ),
         seeds=tuple(parse_address(seed) for seed in settings.network.seeds),
         store_endpoint=parse_address(settings.platform.platform.address),
-        limits=_decode_limits(settings.terms.bounds),
+        limits=_decode_limits(
+            settings.terms.bounds, memory_mb=settings.local.limits.memory_mb
+        ),
     )
 
 
-def _decode_limits(bounds: _Bounds) -> HostLimits:
+def _decode_limits(bounds: _Bounds, *, memory_mb: int) -> HostLimits:
     return HostLimits(
         shutdown_grace=parse_duration(bounds.grace),
         retry_ratio=bounds.retry_budget_ratio,
         base_retries=bounds.retry_budget_slack,
         retry_window=parse_duration(bounds.budget_window),
+        probe_rate=bounds.probes_per_s,
+        response_buffer_bytes=int(
+            memory_mb * BYTES_PER_MB * RESPONSE_BUFFER_SHARE
+        ),
     )
--- a/src/ebonystream/platform/_status.py
+++ b/src/ebonystream/platform/_status.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ebonystream._ids import MoveId, ServiceName, VersionName
+from ebonystream.platform._errors import FormatError, decode_json
 from ebonystream.platform._orders import ROLLOUT_PREFIX
 from ebonystream.platform._store import KeyedRecord, Listing
 from ebonystream.versionmove import MoveVerdict, VersionMove
@@ -75,8 +76,8 @@
         if record.key != f'{ROLLOUT_PREFIX}{service}':
             continue
         try:
-            status = msgspec.json.decode(record.content, type=_StatusRecord)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+            status = decode_json(record.content, _StatusRecord)
+        except FormatError:
             return None
         return (
             VERDICTS_BY_STATE[status.state] if status.order == move_id else None
--- a/src/ebonystream/platform/_store.py
+++ b/src/ebonystream/platform/_store.py
@@ -17,6 +17,7 @@
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.http1 import Message, encode_request
 from ebonystream.link import Exchange, ExchangeFailure
+from ebonystream.platform._errors import FormatError, decode_json
 
 Decoded = TypeVar('Decoded')
 
@@ -224,13 +225,17 @@
 
 def _decode(body: bytes, expected_type: type[Decoded]) -> Decoded:
     try:
-        return msgspec.json.decode(body, type=expected_type)
-    except msgspec.MsgspecError as error:
+        return decode_json(body, expected_type)
+    except FormatError as error:
         raise EbonystreamError(ErrorKind.LOG_UNAVAILABLE, str(error)) from error
 
 
 def _decode_item(item: _Item) -> KeyedRecord:
-    return KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
+    try:
+        content = base64.b64decode(item.value, validate=True)
+    except ValueError as error:
+        raise EbonystreamError(ErrorKind.LOG_UNAVAILABLE, str(error)) from error
+    return KeyedRecord(item.key, content, item.offset)
 
 
 def _encode_record(record: KeyedRecord) -> bytes:
--- a/src/ebonystream/request/_response.py
+++ b/src/ebonystream/request/_response.py
@@ -8,7 +8,7 @@
 from ebonystream._calls import Headers
 from ebonystream._ids import Seconds
 from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
-from ebonystream.roster import LoadReport
+from ebonystream.roster import LoadReport, ServerNotice
 
 JSON_HEADER = (b'content-type', b'application/json')
 
@@ -42,6 +42,7 @@
         headers: End-to-end header fields.
         body: Complete body.
         load: The server's load; None if the response does not report it.
+        notice: Whether the server is leaving or refuses requests.
     """
 
     verdict: ResponseVerdict
@@ -49,6 +50,7 @@
     headers: Headers
     body: bytes
     load: LoadReport | None
+    notice: ServerNotice = ServerNotice()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/ebonystream/roster/__init__.py
+++ b/src/ebonystream/roster/__init__.py
@@ -1,11 +1,12 @@
 """The roster of known backend servers, with their state and load."""
 
-from ebonystream.roster._entry import EntryState, ServerEntry
-from ebonystream.roster._report import HealthReport, LoadReport
+from ebonystream.roster._entry import EntriesListing, EntryState, ServerEntry
+from ebonystream.roster._report import HealthReport, LoadReport, ServerNotice
 from ebonystream.roster._roster import Roster, RosterChange
 from ebonystream.roster._server import KnownServer
 
 __all__ = (
+    'EntriesListing',
     'EntryState',
     'HealthReport',
     'KnownServer',
@@ -13,4 +14,5 @@
     'Roster',
     'RosterChange',
     'ServerEntry',
+    'ServerNotice',
 )
--- a/src/ebonystream/roster/_report.py
+++ b/src/ebonystream/roster/_report.py
@@ -32,6 +32,20 @@
         return self.running < self.slots and not self.waiting
 
 
+@attrs.frozen(kw_only=True)
+class ServerNotice:
+    """What any response says about the server that sent it.
+
+    Attributes:
+        is_leaving: Whether the server is leaving.
+        retry_after: For how long the server wants no requests from this host,
+            in seconds; None if it does not refuse them.
+    """
+
+    is_leaving: bool = False
+    retry_after: Seconds | None = None
+
+
 @attrs.frozen(kw_only=True)
 class HealthReport:
     """The response of a server to a health check.
@@ -41,9 +55,11 @@
         server_id: Id of the server; None if not reported.
         cold_left: Remaining warm-up time, in seconds; None if not reported.
         load: Load of the server; None if not reported.
+        notice: Whether the server is leaving or refuses requests.
     """
 
     healthy: bool
     server_id: ServerId | None
     cold_left: Seconds | None
     load: LoadReport | None
+    notice: ServerNotice = ServerNotice()
--- a/src/ebonystream/roster/_roster.py
+++ b/src/ebonystream/roster/_roster.py
@@ -4,7 +4,13 @@
 
 import attrs
 
-from ebonystream._ids import Monotonic, Seconds, ServerId, ServiceName
+from ebonystream._ids import (
+    EpochMs,
+    Monotonic,
+    Seconds,
+    ServerId,
+    ServiceName,
+)
 from ebonystream.roster._entry import EntryState, ServerEntry
 from ebonystream.roster._server import KnownServer
 
@@ -12,6 +18,8 @@
 """How long a server without an entry is kept after an outage of the store, in
 seconds: its entry may have lapsed during the outage."""
 
+MAX_DEPARTED = 1000
+
 
 @attrs.frozen
 class RosterChange:
@@ -43,6 +51,8 @@
         entries: Entries of that listing, sorted by id.
         revision: Incremented at each change of the entries.
         keep_missing_until: Until when servers without an entry are kept.
+        departed: Latest entries of servers that were leaving and have no entry
+            any more, by id. An older listing that has them may still arrive.
     """
 
     servers: dict[ServerId, KnownServer] = attrs.field(factory=dict)
@@ -50,6 +60,7 @@
     entries: tuple[ServerEntry, ...] = ()
     revision: int = 0
     keep_missing_until: Monotonic = Monotonic(float('-inf'))
+    departed: dict[ServerId, ServerEntry] = attrs.field(factory=dict)
 
     def record_outage(self, now: Monotonic) -> None:
         """Record that the store could not be read.
@@ -60,15 +71,27 @@
         self.keep_missing_until = Monotonic(now + MISSING_ENTRY_GRACE)
 
     def apply_listing(
-        self, entries: Iterable[ServerEntry], now: Monotonic
+        self,
+        entries: Iterable[ServerEntry],
+        now: Monotonic,
+        *,
+        unreadable: Iterable[ServerId] = (),
     ) -> RosterChange:
         """Apply a complete listing of the store.
 
+        A known server whose entry is unreadable keeps its latest one.
+
         Args:
             entries: Entries of all servers.
             now: When the listing was read.
+            unreadable: Ids of the servers whose entry is unreadable.
         """
-        self._replace_entries(entries)
+        kept = (
+            self.servers[server_id].entry
+            for server_id in unreadable
+            if server_id in self.servers
+        )
+        self._replace_entries((*entries, *kept))
         entries_by_id = {entry.id: entry for entry in self.entries}
         joined = [
             listed_entry
@@ -101,14 +124,17 @@
             if server.entry.service == service
         ]
 
-    def mark_replaced(self, server_id: ServerId) -> None:
-        """Stop using a server whose address belongs to another one.
+    def mark_leaving(
+        self, server_id: ServerId, started: EpochMs | None
+    ) -> None:
+        """Stop using a run of a server that is leaving.
 
         Args:
             server_id: Id of the server.
+            started: Start of the run, in Unix milliseconds; None if not known.
         """
         known = self.servers.get(server_id)
-        if known is not None:
+        if known is not None and known.entry.started == started:
             known.leaving = True
 
     def confirm_listing(self, read_at: Monotonic) -> None:
@@ -129,7 +155,7 @@
     def _apply_entry(self, entry: ServerEntry, now: Monotonic) -> bool:
         """Apply one entry and return whether it is a new run of a server."""
         known = self.servers.get(entry.id)
-        if known is not None and _is_same_run(known.entry, entry):
+        if known is not None and known.entry.is_same_run(entry):
             known.entry = entry
             known.last_listed_at = now
             return False
@@ -138,6 +164,8 @@
         )
         if entry.cold > 0:
             server.update_cold_until(entry.cold, now)
+        departed = self.departed.pop(entry.id, None)
+        server.leaving = departed is not None and departed.is_same_run(entry)
         self.servers[entry.id] = server
         return True
 
@@ -157,13 +185,13 @@
             if server_id not in entries_by_id
         ]
         for server_id in missing:
-            self.servers.pop(server_id)
+            server = self.servers.pop(server_id)
+            if server.leaving:
+                self.departed[server_id] = server.entry
+        while len(self.departed) > MAX_DEPARTED:
+            self.departed.pop(next(iter(self.departed)))
         return tuple(missing)
 
 
-def _is_same_run(old: ServerEntry, new: ServerEntry) -> bool:
-    return old.started == new.started and old.at == new.at
-
-
 def _get_id(entry: ServerEntry) -> ServerId:
     return entry.id
--- a/src/ebonystream/roster/_server.py
+++ b/src/ebonystream/roster/_server.py
@@ -4,10 +4,15 @@
 
 from ebonystream._ids import HostId, Monotonic, Seconds
 from ebonystream.roster._entry import EntryState, ServerEntry
+from ebonystream.roster._report import ServerNotice
 
 FAILURE_HALF_LIFE = Seconds(3)
 """Time after which a failure counts half, in seconds."""
 
+MAX_REFUSAL = Seconds(60)
+"""Upper bound on the time for which a server that refuses a request gets
+none, in seconds."""
+
 REPORTED_FAILURE_WEIGHT = 0.7
 """Weight of a failure that another host reports, relative to one of this
 host's own requests."""
@@ -25,11 +30,12 @@
             store.
         last_listed_at: When this host last saw the entry in the store.
         cold_until: When its warm-up ends, according to the latest report.
+        refusing_until: Until when it has asked this host to send nothing.
         avoid_until: Until when it gets health checks only, and no requests.
         silent_since: When the first unanswered health check was sent since the
             last answered one; None if the last one was answered.
-        leaving: Whether it has announced that it is leaving, or its address
-            belongs to another server.
+        leaving: Whether it has announced that it is leaving, in its entry or
+            a response, or its address belongs to another server.
         in_flight: Number of outstanding requests of this host.
         last_request_at: When this host last sent it a request.
         failures: Weighted number of failed requests, as of
@@ -43,6 +49,7 @@
     first_listed_at: Monotonic
     last_listed_at: Monotonic
     cold_until: Monotonic = NEVER
+    refusing_until: Monotonic = NEVER
     avoid_until: Monotonic = NEVER
     silent_since: Monotonic | None = None
     leaving: bool = False
@@ -61,7 +68,28 @@
             now: Current time on the monotonic clock, in seconds.
         """
         serving = self.entry.state is EntryState.SERVING
-        return serving and not self.leaving and now >= self.avoid_until
+        is_available = now >= max(self.avoid_until, self.refusing_until)
+        return serving and not self.leaving and is_available
+
+    def update_from_notice(self, notice: ServerNotice, now: Monotonic) -> bool:
+        """Update the state from what a response says about its server.
+
+        Args:
+            notice: What the response says.
+            now: When the response was received.
+
+        Returns:
+            Whether it says anything new.
+        """
+        is_new = notice.is_leaving and not self.leaving
+        self.leaving = self.leaving or notice.is_leaving
+        if notice.retry_after is None:
+            return is_new
+        delay = min(notice.retry_after, MAX_REFUSAL)
+        until = Monotonic(now + delay)
+        is_new = is_new or until > self.refusing_until
+        self.refusing_until = max(self.refusing_until, until)
+        return is_new
 
     def is_cold(self, now: Monotonic) -> bool:
         """Return whether it is still warming up.
--- a/src/ebonystream/route/_configuration.py
+++ b/src/ebonystream/route/_configuration.py
@@ -5,8 +5,18 @@
 import attrs
 
 from ebonystream._ids import ConfigurationVersion, Seconds, ServiceName
+from ebonystream._validation import (
+    make_range_validator,
+    validate_duration,
+    validate_token,
+)
 from ebonystream.route._route import Route
 
+MAX_CONNECTIONS = 1_000_000
+MAX_COLD_RATE = 1_000_000
+MAX_MESSAGE_BYTES = 1_073_741_824
+MAX_VERSION = 9_007_199_254_740_991
+
 RoutesByHost = Mapping[str, tuple[Route, ...]]
 """Routes by host name, sorted from the longest prefix to the shortest."""
 
@@ -24,10 +34,16 @@
         cold_rate: Requests per second that one cold server can handle.
     """
 
-    health_path: str
-    max_connections: int
-    cold_start: Seconds
-    cold_rate: float
+    health_path: str = attrs.field(
+        validator=[validate_token, attrs.validators.matches_re('/.*')]
+    )
+    max_connections: int = attrs.field(
+        validator=make_range_validator(1, MAX_CONNECTIONS)
+    )
+    cold_start: Seconds = attrs.field(validator=validate_duration)
+    cold_rate: float = attrs.field(
+        validator=make_range_validator(0, MAX_COLD_RATE)
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -41,10 +57,14 @@
         idle: Timeout of a connection without a request, in seconds.
     """
 
-    head_bytes: int
-    body_bytes: int
-    receive: Seconds
-    idle: Seconds
+    head_bytes: int = attrs.field(
+        validator=make_range_validator(1, MAX_MESSAGE_BYTES)
+    )
+    body_bytes: int = attrs.field(
+        validator=make_range_validator(0, MAX_MESSAGE_BYTES)
+    )
+    receive: Seconds = attrs.field(validator=validate_duration)
+    idle: Seconds = attrs.field(validator=validate_duration)
 
 
 @attrs.frozen(kw_only=True)
@@ -58,7 +78,9 @@
         limits: Limits on the requests of callers.
     """
 
-    version: ConfigurationVersion
+    version: ConfigurationVersion = attrs.field(
+        validator=make_range_validator(0, MAX_VERSION)
+    )
     routes: RoutesByHost
     services: Mapping[ServiceName, ServiceSettings]
     limits: RequestLimits
--- a/src/ebonystream/route/_route.py
+++ b/src/ebonystream/route/_route.py
@@ -6,6 +6,21 @@
 
 from ebonystream._calls import CallKind
 from ebonystream._ids import RouteName, Seconds, ServiceName
+from ebonystream._validation import (
+    MAX_DURATION_S,
+    make_range_validator,
+    quote,
+    validate_name,
+)
+
+MAX_WEIGHT = 1_000_000
+MAX_ATTEMPTS = 1000
+MAX_RANK = 1_000_000
+MIN_DURATION_S = 0.001
+
+validate_positive_duration = make_range_validator(
+    MIN_DURATION_S, MAX_DURATION_S
+)
 
 
 @attrs.frozen
@@ -17,14 +32,16 @@
         weight: Weight relative to the route's other services.
     """
 
-    service: ServiceName
-    weight: float
+    service: ServiceName = attrs.field(validator=validate_name)
+    weight: float = attrs.field(validator=make_range_validator(0, MAX_WEIGHT))
 
 
 @attrs.frozen(kw_only=True)
 class Route:
     """Route for requests to one host name under one path prefix.
 
+    A route with an attribute that is out of range raises `ValueError`.
+
     Attributes:
         name: Unique name in a configuration.
         host: Host name, in lower case.
@@ -41,11 +58,20 @@
     host: str
     prefix: str
     kind: CallKind
-    timeout: Seconds
-    objective: Seconds
-    attempts: int
-    rank: int
-    shares: tuple[Share, ...]
+    timeout: Seconds = attrs.field(validator=validate_positive_duration)
+    objective: Seconds = attrs.field(validator=validate_positive_duration)
+    attempts: int = attrs.field(validator=make_range_validator(1, MAX_ATTEMPTS))
+    rank: int = attrs.field(validator=make_range_validator(0, MAX_RANK))
+    shares: tuple[Share, ...] = attrs.field()
+
+    @shares.validator
+    def _require_weight(
+        self,
+        attribute: 'attrs.Attribute[tuple[Share, ...]]',
+        shares: tuple[Share, ...],
+    ) -> None:
+        if not sum(share.weight for share in shares) > 0:
+            raise ValueError(f'no service of route {quote(self.name)}')
 
 
 def select_service(route: Route, random: Random) -> ServiceName:
--- a/src/ebonystream/suspects/_notes.py
+++ b/src/ebonystream/suspects/_notes.py
@@ -8,6 +8,7 @@
 
 from ebonystream._ids import Monotonic, Seconds, ServerId
 from ebonystream._timers import Timers
+from ebonystream._validation import UNDECODABLE
 from ebonystream.suspects._crash import Crash, CrashId, Suspicion
 from ebonystream.suspects._fingerprint import Fingerprint
 from ebonystream.suspects._table import CRASH_RETENTION, SuspectTable
@@ -92,7 +93,7 @@
         for encoded in notes:
             try:
                 note = _decoder.decode(encoded)
-            except msgspec.MsgspecError:
+            except UNDECODABLE:
                 self.dropped += 1
                 continue
             self._apply(note)
--- a/tests/host_mutations.py
+++ b/tests/host_mutations.py
@@ -4,6 +4,7 @@
 
 PLACEMENT = 'tests/test_placement.py'
 CRASHES = 'tests/test_host_crashes.py'
+NOTICES = 'tests/test_server_notices.py'
 GOSSIP = 'tests/test_gossip.py'
 
 HOST_MUTATIONS = {
@@ -33,10 +34,46 @@
     ),
     'a freed server that is no longer listed is selected': Mutation(
         'placement/_search.py',
-        'usable = [freed] if freed.server in allowed else []',
-        'usable = [freed]',
+        'usable = [freed] if is_usable and freed.server in allowed else []',
+        'usable = [freed] if is_usable else []',
         PLACEMENT,
     ),
+    'nesting is not bounded': Mutation(
+        'platform/_errors.py',
+        'if opening > MAX_NESTING and _is_too_deep(content):',
+        'if False:',
+        'tests/test_odd_records.py',
+    ),
+    'an unreadable entry removes its server': Mutation(
+        'roster/_roster.py',
+        'self._replace_entries((*entries, *kept))',
+        'self._replace_entries(entries)',
+        NOTICES,
+    ),
+    'a server that has left is used again': Mutation(
+        'roster/_roster.py',
+        'self.departed[server_id] = server.entry',
+        'continue',
+        NOTICES,
+    ),
+    'a refusing server gets requests': Mutation(
+        'roster/_server.py',
+        'is_available = now >= max(self.avoid_until, self.refusing_until)',
+        'is_available = now >= self.avoid_until',
+        NOTICES,
+    ),
+    'an error ends a task': Mutation(
+        'entryhost/_supervision.py',
+        'record_failed_task(parts, name, error)',
+        'raise error',
+        'tests/test_supervision.py',
+    ),
+    'the memory of responses is not bounded': Mutation(
+        'link/_buffers.py',
+        'if is_full and self.held_bytes > equal_share:',
+        'if False:',
+        'tests/test_endless_responses.py',
+    ),
     'a cold server gets two requests at a time': Mutation(
         'placement/_selection.py',
         'return load.running + load.waiting + server.in_flight == 0',
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -258,15 +258,20 @@
 
 
 @pytest.mark.parametrize(
-    ('content', 'addresses'),
+    ('content', 'addresses', 'unreadable'),
     [
-        (encode_host_record('edge-1', '10.1.0.1').content, ('10.1.0.1',)),
-        (b'{', ()),
+        (encode_host_record('edge-1', '10.1.0.1').content, ('10.1.0.1',), []),
+        (b'{', (), ['edge-1']),
     ],
 )
-def test_hosts(content, addresses):
+def test_hosts(content, addresses, unreadable):
+    reported = []
     listing = Listing((make_record('edge-1', content),), Offset(1))
-    assert decode_host_addresses(listing) == addresses
+    decoded = decode_host_addresses(
+        listing, lambda key, why: reported.append(key)
+    )
+    assert decoded == addresses
+    assert reported == unreadable
 
 
 @pytest.mark.parametrize(
