Bound the probes of all hosts, and introduce new hosts without floods

Change: each host has a token bucket with its share of 0.85 of the bound (hosts and servers in sight); repeated searches of a queue leave half of it to first searches. Cause, gossip: every host that heard of another, at first or second hand, sent it all facts it had: hosts x new hosts x facts, across zones too; each new host sent all its facts to all that had ever registered. Ruled out: sending only one's own facts to a new host: one that is born in an outage knows the seeds only, and would never learn of its zone. Change: only who hears a new host directly replies; the leader of its zone with all facts, others with their own and those of the leaders. A host contacts all of its zone and three of each other zone, up to three times. Leaders forward what they received since the last round, and everything every four seconds. Twenty hosts share a datagram. A late copy of the response to a health check no longer matches a request.

--- a/src/ebonystream/entryhost/_gossip.py
+++ b/src/ebonystream/entryhost/_gossip.py
@@ -12,8 +12,10 @@
     GossipSocket,
     HostFacts,
     LeavingServer,
+    RegisteredHost,
     announce,
     receive_gossip,
+    select_contacts,
     send_gossip,
 )
 from ebonystream.roster import EntryState
@@ -27,8 +29,14 @@
 REGISTER_RETRY_DELAY = Seconds(1)
 """Delay before the next attempt after a failed registration, in seconds."""
 
-RegisterHost = Callable[[], Awaitable[tuple[str, ...]]]
-"""Stores this host's address; returns the addresses of all hosts.
+ANNOUNCEMENTS = 3
+"""How often hosts that are not known yet are contacted, as messages may be
+lost and hosts may be starting."""
+
+ANNOUNCE_PERIOD = Seconds(1)
+
+RegisterHost = Callable[[], Awaitable[tuple[RegisteredHost, ...]]]
+"""Stores this host's address and zone; returns those of all hosts.
 
 Raises `EbonystreamError` if the store fails.
 """
@@ -37,7 +45,7 @@
 async def announce_to_peers(
     parts: HostParts, gossip_socket: GossipSocket, register: RegisterHost
 ) -> None:
-    """Announce this host to the seeds and to all registered hosts.
+    """Announce this host to the seeds and to registered hosts.
 
     The registration in the store is retried until it succeeds.
 
@@ -52,17 +60,30 @@
     await announce(
         parts.facts, gossip_socket, sorted(seeds), now=parts.timers.now()
     )
-    registered: tuple[str, ...] | None = None
-    while registered is None:
+    registered = await _register(parts, register)
+    for _ in range(ANNOUNCEMENTS):
+        now = parts.timers.now()
+        parts.facts.update(make_facts(parts), now)
+        known = {facts.address for facts in parts.facts.list_peers(now)}
+        contacts = select_contacts(
+            registered,
+            local_zone=parts.settings.zone,
+            known=frozenset((own_address, *known)),
+            random=parts.random,
+        )
+        await announce(parts.facts, gossip_socket, contacts, now=now)
+        await parts.timers.wait(ANNOUNCE_PERIOD)
+
+
+async def _register(
+    parts: HostParts, register: RegisterHost
+) -> tuple[RegisteredHost, ...]:
+    while True:
         try:
-            registered = await register()
+            return await register()
         except EbonystreamError as error:
             parts.log_event('not_registered', why=str(error))
             await parts.timers.wait(REGISTER_RETRY_DELAY)
-    peer_addresses = sorted(set(registered) - {own_address})
-    now = parts.timers.now()
-    parts.facts.update(make_facts(parts), now)
-    await announce(parts.facts, gossip_socket, peer_addresses, now=now)
 
 
 async def send_facts(parts: HostParts, gossip_socket: GossipSocket) -> None:
--- a/src/ebonystream/entryhost/_store.py
+++ b/src/ebonystream/entryhost/_store.py
@@ -6,6 +6,7 @@
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_sync import StoreReader
 from ebonystream.entryhost._version_moves import StoredReport
+from ebonystream.gossip import RegisteredHost
 from ebonystream.orders import OrdersListing
 from ebonystream.platform import (
     HOSTS_TOPIC,
@@ -13,7 +14,7 @@
     SERVERS_TOPIC,
     STATUS_TOPIC,
     StoreClient,
-    decode_host_addresses,
+    decode_hosts,
     decode_orders,
     decode_servers,
     encode_host_record,
@@ -58,8 +59,8 @@
 
 async def register_host(
     parts: HostParts, store: StoreClient
-) -> tuple[str, ...]:
-    """Register this host's address; return the addresses of all hosts.
+) -> tuple[RegisteredHost, ...]:
+    """Register this host's address and zone; return those of all hosts.
 
     Args:
         parts: The state of the host.
@@ -69,14 +70,15 @@
         EbonystreamError: The store does not respond.
     """
     settings = parts.settings
-    record = encode_host_record(settings.name, settings.peer_endpoint.address)
+    host = RegisteredHost(settings.peer_endpoint.address, settings.zone)
+    record = encode_host_record(host, settings.name)
     await store.append_keyed(HOSTS_TOPIC, record)
     unreadable: dict[str, str] = {}
-    addresses = decode_host_addresses(
+    hosts = decode_hosts(
         await store.list_newest(HOSTS_TOPIC), unreadable.__setitem__
     )
     parts.unreadable_records.update(HOSTS_TOPIC, unreadable)
-    return addresses
+    return hosts
 
 
 async def read_report(store: StoreClient, move: VersionMove) -> StoredReport:
--- a/src/ebonystream/gossip/__init__.py
+++ b/src/ebonystream/gossip/__init__.py
@@ -6,6 +6,10 @@
     LeavingServer,
     MoveFacts,
 )
+from ebonystream.gossip._registration import (
+    RegisteredHost,
+    select_contacts,
+)
 from ebonystream.gossip._rounds import announce, receive_gossip, send_gossip
 from ebonystream.gossip._shared import (
     FetchShared,
@@ -24,6 +28,8 @@
     'GossipSocket',
     'HostFactTable',
     'HostFacts',
+    'RegisteredHost',
+    'select_contacts',
     'SharedRequest',
     'MoveFacts',
     'SharedResponse',
--- a/src/ebonystream/gossip/_rounds.py
+++ b/src/ebonystream/gossip/_rounds.py
@@ -6,6 +6,7 @@
 from ebonystream._ids import Monotonic, Seconds
 from ebonystream._timers import Timers
 from ebonystream.gossip._facts import HostFacts
+from ebonystream.gossip._introduction import select_introduction
 from ebonystream.gossip._socket import GossipSocket
 from ebonystream.gossip._table import HostFactTable
 
@@ -15,6 +16,12 @@
 ROUNDS_PER_REMOTE_SEND = 2
 """Rounds per send to other zones, unless gossip is urgent."""
 
+ROUNDS_PER_FULL_SEND = 8
+"""Rounds per send of all facts from a leader to its zone, so that hosts that
+missed one another's first facts become known."""
+
+NEVER = Monotonic(float('-inf'))
+
 MakeFacts = Callable[[], HostFacts]
 """Return the current facts of the local host."""
 
@@ -49,11 +56,20 @@
         random: Chooses the receiver in a zone without a live host.
     """
     round_number = 0
+    forwarded_at = NEVER
     async for now in timers.subscribe(period=ROUND_PERIOD):
         round_number += 1
         own_facts = make_facts()
         table.update(own_facts, now)
-        await _send_within_zone(table, gossip_socket, own_facts, now)
+        is_full = round_number % ROUNDS_PER_FULL_SEND == 0
+        await _send_within_zone(
+            table,
+            gossip_socket,
+            own_facts,
+            now=now,
+            since=NEVER if is_full else forwarded_at,
+        )
+        forwarded_at = now
         if is_urgent() or round_number % ROUNDS_PER_REMOTE_SEND == 0:
             await _send_to_other_zones(table, gossip_socket, now, random)
 
@@ -67,7 +83,8 @@
 ) -> None:
     """Receive gossip from peers, without end.
 
-    A host that is unknown or has restarted is sent all known facts.
+    A host that is unknown or has restarted is introduced to the others if it
+    has sent its facts itself.
 
     Args:
         table: Stores the facts.
@@ -77,22 +94,31 @@
         timers: Source of the time of receipt.
     """
     while True:
-        for facts in await gossip_socket.receive():
+        received = await gossip_socket.receive()
+        for facts in received.facts:
             if facts.host == table.local_host:
                 continue
             now = timers.now()
             is_new = table.update(facts, now)
             on_facts(facts)
-            if is_new:
-                await gossip_socket.send(table.list_alive(now), [facts.address])
+            if is_new and facts.address == received.sender:
+                introduction = select_introduction(table, facts, now)
+                await gossip_socket.send(introduction, [facts.address])
 
 
 async def _send_within_zone(
     table: HostFactTable,
     gossip_socket: GossipSocket,
     own_facts: HostFacts,
+    *,
     now: Monotonic,
+    since: Monotonic,
 ) -> None:
+    """Send the facts of the local host; a leader also forwards others.
+
+    These are the facts of other zones that it has received since the last
+    round, or the facts of all hosts if it has never forwarded any.
+    """
     addresses = [
         facts.address
         for facts in table.list_peers(now)
@@ -100,12 +126,13 @@
     ]
     batch: Sequence[HostFacts] = (own_facts,)
     if table.is_leader(now):
-        remote_facts = (
+        batch = [
             facts
-            for facts in table.list_alive(now)
-            if facts.zone != table.local_zone
-        )
-        batch = (own_facts, *remote_facts)
+            for facts in table.list_updated(since, now)
+            if since == NEVER
+            or facts.zone != table.local_zone
+            or facts.host == table.local_host
+        ]
     await gossip_socket.send(batch, addresses)
 
 
@@ -135,7 +162,7 @@
     *,
     now: Monotonic,
 ) -> None:
-    """Send all known facts to hosts that may not know the local one.
+    """Send the facts of the local host to hosts that may not know it.
 
     Args:
         table: Facts known to the local host.
@@ -143,4 +170,9 @@
         addresses: IP addresses of the receiving hosts.
         now: Current time.
     """
-    await gossip_socket.send(table.list_alive(now), addresses)
+    own_facts = [
+        facts
+        for facts in table.list_alive(now)
+        if facts.host == table.local_host
+    ]
+    await gossip_socket.send(own_facts, addresses)
--- a/src/ebonystream/gossip/_socket.py
+++ b/src/ebonystream/gossip/_socket.py
@@ -11,7 +11,7 @@
 from ebonystream._validation import UNDECODABLE
 from ebonystream.gossip._facts import HostFacts
 
-HOSTS_PER_DATAGRAM = 6
+HOSTS_PER_DATAGRAM = 20
 MAX_DATAGRAM_BYTES = 65_507  # largest UDP payload over IPv4
 MAX_DECOMPRESSED_BYTES = 262_144
 """Upper bound on the decompressed size of one datagram."""
@@ -23,6 +23,19 @@
     facts: tuple[HostFacts, ...]
 
 
+@attrs.frozen
+class ReceivedFacts:
+    """The facts of one datagram.
+
+    Attributes:
+        facts: The facts of the sender, and facts that it forwards.
+        sender: IP address of the sender.
+    """
+
+    facts: tuple[HostFacts, ...]
+    sender: str
+
+
 @attrs.define
 class GossipSocket:
     """Send and receive facts as compressed datagrams.
@@ -56,14 +69,14 @@
             for payload in payloads:
                 await self._send_datagram(payload, address)
 
-    async def receive(self) -> tuple[HostFacts, ...]:
-        """Return the facts of the next datagram; empty if it is malformed."""
-        payload, _ = await self.socket.recvfrom(MAX_DATAGRAM_BYTES)
+    async def receive(self) -> ReceivedFacts:
+        """Return the facts of the next datagram; none if it is malformed."""
+        payload, sender = await self.socket.recvfrom(MAX_DATAGRAM_BYTES)
         try:
-            return _decode(payload)
+            return ReceivedFacts(_decode(payload), sender[0])
         except MALFORMED:
             self.malformed_datagrams += 1
-            return ()
+            return ReceivedFacts((), sender[0])
 
     async def _send_datagram(self, payload: bytes, address: str) -> None:
         try:
--- a/src/ebonystream/gossip/_table.py
+++ b/src/ebonystream/gossip/_table.py
@@ -64,6 +64,10 @@
         self._entries[facts.host] = _Entry(facts, now)
         return not same_incarnation
 
+    def count_hosts(self) -> int:
+        """Count the known hosts; the local one always counts."""
+        return max(1, len(self._entries))
+
     def list_alive(self, now: Monotonic) -> list[HostFacts]:
         """List the newest facts of all hosts that are alive.
 
@@ -106,7 +110,13 @@
             if facts.zone == zone and not facts.leaving
         ]
 
-    def find_leader(self, zone: ZoneName, now: Monotonic) -> HostFacts | None:
+    def find_leader(
+        self,
+        zone: ZoneName,
+        now: Monotonic,
+        *,
+        excluded: HostId | None = None,
+    ) -> HostFacts | None:
         """Return the leader of a zone; None if it has no candidate.
 
         The leader is the host with the lowest name among those that are alive
@@ -116,9 +126,11 @@
         Args:
             zone: Availability zone to search.
             now: Current time.
+            excluded: A host that is not chosen; None if any may be.
         """
+        candidates = self.list_candidates(zone, now)
         return min(
-            self.list_candidates(zone, now),
+            (facts for facts in candidates if facts.host != excluded),
             key=lambda facts: (facts.store_unreachable, facts.host),
             default=None,
         )
@@ -134,6 +146,20 @@
         leader = self.find_leader(self.local_zone, now)
         return leader is None or leader.host == self.local_host
 
+    def list_updated(self, since: Monotonic, now: Monotonic) -> list[HostFacts]:
+        """List the facts of live hosts that were received after a time.
+
+        Args:
+            since: Facts received until then are left out.
+            now: Current time.
+        """
+        oldest = max(since, now - ALIVE_TIMEOUT)
+        return [
+            entry.facts
+            for entry in self._entries.values()
+            if entry.received_at > oldest
+        ]
+
     def select_remote_leaders(
         self, now: Monotonic, random: Random
     ) -> list[HostFacts]:
--- a/src/ebonystream/placement/__init__.py
+++ b/src/ebonystream/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from ebonystream.placement._estimate import ProcessingTimes
 from ebonystream.placement._probe import Probe, make_probe
+from ebonystream.placement._probe_budget import ProbeBudget
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._results import Candidate, NoCapacity, ProbeResult
 from ebonystream.placement._search import (
@@ -19,6 +20,7 @@
     'NoCapacity',
     'Candidate',
     'SelectionCriteria',
+    'ProbeBudget',
     'ProbeResult',
     'WaitQueues',
     'PlacementRequest',
--- a/src/ebonystream/placement/_search.py
+++ b/src/ebonystream/placement/_search.py
@@ -1,6 +1,6 @@
 """Search for a server with capacity for one request."""
 
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 
 import attrs
@@ -11,6 +11,10 @@
 from ebonystream.placement._estimate import ProcessingTimes
 from ebonystream.placement._probe import Probe
 from ebonystream.placement._probe_batch import probe_servers
+from ebonystream.placement._probe_budget import (
+    ProbeBudget,
+    make_unlimited_budget,
+)
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._results import Candidate, NoCapacity, ProbeResult
 from ebonystream.placement._selection import (
@@ -75,6 +79,7 @@
         timers: Source of the current time.
         random: Random number generator.
         background: Nursery in which probes run.
+        budget: This host's share of the probes of all hosts.
     """
 
     list_servers: ListServers
@@ -85,6 +90,7 @@
     timers: Timers
     random: Random
     background: trio.Nursery
+    budget: ProbeBudget = attrs.field(factory=make_unlimited_budget)
 
 
 def make_find_server(context: SearchContext) -> FindServer:
@@ -220,7 +226,7 @@
         local[:INITIAL_PROBES],
         local[INITIAL_PROBES:MAX_LOCAL_PROBES],
     ):
-        results += await _probe(context, batch)
+        results += await _probe(context, batch, repeated=repeated)
         if any(map(is_ideal, results)):
             # If the first server to respond is idle, capacity is plentiful.
             is_plentiful = len(results) == 1
@@ -238,7 +244,7 @@
     ):
         return result
     remote_count = REPEATED_REMOTE_PROBES if repeated else REMOTE_PROBES
-    results += await _probe(context, remote[:remote_count])
+    results += await _probe(context, remote[:remote_count], repeated=repeated)
     return _select(
         context, request, results, allow_late=allow_late, spare_only=spare_only
     )
@@ -270,10 +276,14 @@
 
 
 async def _probe(
-    context: SearchContext, servers: Iterable[KnownServer]
+    context: SearchContext, servers: Sequence[KnownServer], *, repeated: bool
 ) -> list[ProbeResult]:
+    """Probe as many of the servers as the budget grants."""
+    granted = context.budget.take(
+        len(servers), context.timers.now(), reserve=repeated
+    )
     return await probe_servers(
-        servers,
+        servers[:granted],
         probe=context.probe,
         is_sufficient=is_ideal,
         background=context.background,
--- a/src/ebonystream/platform/__init__.py
+++ b/src/ebonystream/platform/__init__.py
@@ -5,7 +5,7 @@
 from ebonystream.platform._hosts import HOSTS_TOPIC, encode_host_record
 from ebonystream.platform._listing import (
     UnreadableRecordCallback,
-    decode_host_addresses,
+    decode_hosts,
     decode_orders,
     decode_servers,
 )
@@ -34,7 +34,7 @@
     'Listing',
     'UnreadableRecordCallback',
     'StoreClient',
-    'decode_host_addresses',
+    'decode_hosts',
     'decode_orders',
     'decode_servers',
     'decode_settings',
--- a/src/ebonystream/platform/_listing.py
+++ b/src/ebonystream/platform/_listing.py
@@ -3,13 +3,14 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import TypeVar
 
+from ebonystream.gossip import RegisteredHost
 from ebonystream.orders import OrdersListing
 from ebonystream.platform._configuration import (
     CONFIGURATION_KEY,
     decode_configuration,
 )
 from ebonystream.platform._errors import FormatError
-from ebonystream.platform._hosts import decode_host_address
+from ebonystream.platform._hosts import decode_host
 from ebonystream.platform._orders import (
     ROLLOUT_PREFIX,
     decode_version_order,
@@ -38,18 +39,16 @@
     return tuple(_decode_each(listing.records, decode_server, on_unreadable))
 
 
-def decode_host_addresses(
+def decode_hosts(
     listing: Listing, on_unreadable: UnreadableRecordCallback
-) -> tuple[str, ...]:
-    """Decode the IP addresses of all hosts that ever registered.
+) -> tuple[RegisteredHost, ...]:
+    """Decode the addresses and zones of all hosts that ever registered.
 
     Args:
         listing: The newest record of each host.
         on_unreadable: Called for each record that can't be decoded.
     """
-    return tuple(
-        _decode_each(listing.records, decode_host_address, on_unreadable)
-    )
+    return tuple(_decode_each(listing.records, decode_host, on_unreadable))
 
 
 def decode_orders(
--- a/src/ebonystream/platform/_responses.py
+++ b/src/ebonystream/platform/_responses.py
@@ -6,6 +6,7 @@
 from ebonystream.platform._headers import (
     ATTEMPT_ID,
     HOP_BY_HOP_HEADERS,
+    INSTANCE_ID,
     NOT_EXECUTED,
     RESPONSE_SEAL,
     RETRY_AFTER,
@@ -29,7 +30,8 @@
 def make_response_matcher(request: Request) -> ResponseMatcher:
     """Return a predicate that matches the response to a request.
 
-    A response without an attempt id matches too: refusals may omit it.
+    A response without an attempt id matches too, as refusals may omit it,
+    unless it is that to a health check: a late copy of one may arrive.
 
     Args:
         request: The request whose response is expected.
@@ -37,7 +39,11 @@
     attempt_id = request.attempt_id.encode('latin-1')
 
     def matches(headers: Headers) -> bool:
-        return find_header(headers, ATTEMPT_ID) in {None, attempt_id}
+        received_id = find_header(headers, ATTEMPT_ID)
+        if received_id is not None:
+            return received_id == attempt_id
+        is_refusal = find_header(headers, NOT_EXECUTED) is not None
+        return is_refusal or find_header(headers, INSTANCE_ID) is None
 
     return matches
 
--- a/tests/host_mutations.py
+++ b/tests/host_mutations.py
@@ -4,6 +4,7 @@
 
 PLACEMENT = 'tests/test_placement.py'
 CRASHES = 'tests/test_host_crashes.py'
+SCALE = 'tests/test_gossip_scale.py'
 NOTICES = 'tests/test_server_notices.py'
 GOSSIP = 'tests/test_gossip.py'
 
@@ -44,6 +45,36 @@
         'if False:',
         'tests/test_odd_records.py',
     ),
+    'every host introduces a newcomer to all': Mutation(
+        'gossip/_introduction.py',
+        'if leader is not None and leader.host == table.local_host:',
+        'if True:',
+        SCALE,
+    ),
+    'no host introduces a newcomer to all': Mutation(
+        'gossip/_introduction.py',
+        'if leader is not None and leader.host == table.local_host:',
+        'if False:',
+        SCALE,
+    ),
+    'hosts that are heard of at second hand are replied to': Mutation(
+        'gossip/_rounds.py',
+        'if is_new and facts.address == received.sender:',
+        'if is_new:',
+        SCALE,
+    ),
+    'probes are not limited': Mutation(
+        'placement/_probe_budget.py',
+        'granted = max(0, min(wanted, int(self.tokens - kept)))',
+        'granted = wanted',
+        'tests/test_probe_budget.py',
+    ),
+    'a late copy of a health check answers a request': Mutation(
+        'platform/_responses.py',
+        'return is_refusal or find_header(headers, INSTANCE_ID) is None',
+        'return True',
+        'tests/test_platform_formats.py',
+    ),
     'an unreadable entry removes its server': Mutation(
         'roster/_roster.py',
         'self._replace_entries((*entries, *kept))',
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -230,7 +230,7 @@
     await datagrams.send(sent, ['10.0.0.2'])
     received = []
     while socket.contents:
-        received.extend(await datagrams.receive())
+        received.extend((await datagrams.receive()).facts)
     assert received == sent
 
 
@@ -269,4 +269,4 @@
 )
 async def test_malformed_datagrams_are_ignored(content):
     datagrams = GossipSocket(LoopbackSocket(content), 1)
-    assert await datagrams.receive() == ()
+    assert (await datagrams.receive()).facts == ()
--- a/tests/test_link_exchange.py
+++ b/tests/test_link_exchange.py
@@ -1,5 +1,8 @@
 """An exchange returns only the complete response to its own request."""
 
+import socket
+import struct
+
 import pytest
 import trio
 import trio.testing
@@ -96,3 +99,33 @@
 )
 def test_keep_alive_timeout(field, idle):
     assert _parse_keep_alive_timeout(field) == idle
+
+
+async def serve_and_reset(stream, content):
+    """Send a part of a response, then reset the connection."""
+    await stream.receive_some(999)
+    await stream.send_all(content)
+    await trio.sleep(0.05)
+    stream.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    await trio.aclose_forcefully(stream)
+
+
+@pytest.mark.parametrize(
+    'content', [WITHOUT_LENGTH, CHUNKED[:-5], OWN[:-1], OWN[:20], CHUNKED[:-2]]
+)
+async def test_a_response_that_is_reset_is_not_complete(content):
+    """Even one that ends with its connection, and looks whole."""
+    listener, *_ = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    port = listener.socket.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        client = await trio.open_tcp_stream('127.0.0.1', port)
+        nursery.start_soon(serve_and_reset, await listener.accept(), content)
+        with ResponseBuffers().open_share() as share:
+            result, usable = await perform_exchange(
+                client, b'GET', matches, share
+            )
+    await listener.aclose()
+    assert result is ExchangeFailure.INTERRUPTED
+    assert not usable
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -30,7 +30,7 @@
 from ebonystream.platform import (
     FormatError,
     Listing,
-    decode_host_addresses,
+    decode_hosts,
     decode_orders,
     decode_servers,
     decode_settings,
@@ -229,10 +229,8 @@
         ),
         Offset(2),
     )
-    addresses = decode_host_addresses(
-        listing, lambda key, why: unreadable.append(key)
-    )
-    assert addresses == ('10.0.0.2',)
+    hosts = decode_hosts(listing, lambda key, why: unreadable.append(key))
+    assert [host.address for host in hosts] == ['10.0.0.2']
     assert unreadable == ['e1']
 
 
--- a/tests/test_odd_responses.py
+++ b/tests/test_odd_responses.py
@@ -110,14 +110,14 @@
 )
 async def test_facts_out_of_range_are_ignored_and_counted(changes):
     datagrams = GossipSocket(LoopbackSocket(encode_facts(**changes)), 1)
-    assert await datagrams.receive() == ()
+    assert (await datagrams.receive()).facts == ()
     assert datagrams.malformed_datagrams == 1
 
 
 async def test_deeply_nested_datagrams_are_ignored():
     content = zlib.compress(b'\x91' * 100_000)
     datagrams = GossipSocket(LoopbackSocket(content), 1)
-    assert await datagrams.receive() == ()
+    assert (await datagrams.receive()).facts == ()
 
 
 @pytest.mark.parametrize(
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -5,12 +5,13 @@
 
 from ebonystream._calls import CallKind
 from ebonystream._ids import MoveId, Offset, ServiceName, VersionName
+from ebonystream.gossip import RegisteredHost
 from ebonystream.http1 import Message
 from ebonystream.platform import (
     FormatError,
     KeyedRecord,
     Listing,
-    decode_host_addresses,
+    decode_hosts,
     decode_orders,
     decode_servers,
     decode_settings,
@@ -28,6 +29,7 @@
 from ebonystream.versionmove import MoveVerdict, VersionMove
 
 CODEC = make_codec()
+HOST = RegisteredHost('10.1.0.1', 'a')
 HEARTBEAT = {
     'service': 'records',
     'address': '10.0.0.9:8080',
@@ -258,19 +260,22 @@
 
 
 @pytest.mark.parametrize(
-    ('content', 'addresses', 'unreadable'),
+    ('content', 'hosts', 'unreadable'),
     [
-        (encode_host_record('edge-1', '10.1.0.1').content, ('10.1.0.1',), []),
+        (
+            encode_host_record(HOST, 'edge-1').content,
+            (HOST,),
+            [],
+        ),
+        (b'{"address":"10.1.0.1"}', (RegisteredHost('10.1.0.1', ''),), []),
         (b'{', (), ['edge-1']),
     ],
 )
-def test_hosts(content, addresses, unreadable):
+def test_hosts(content, hosts, unreadable):
     reported = []
     listing = Listing((make_record('edge-1', content),), Offset(1))
-    decoded = decode_host_addresses(
-        listing, lambda key, why: reported.append(key)
-    )
-    assert decoded == addresses
+    decoded = decode_hosts(listing, lambda key, why: reported.append(key))
+    assert decoded == hosts
     assert reported == unreadable
 
 
@@ -391,11 +396,23 @@
 
 
 @pytest.mark.parametrize(
-    ('attempt_id', 'matches'), [(b'a1', True), (b'a2', False), (None, True)]
+    ('sent', 'matches'),
+    [
+        ({'ebonystream_attempt_id': 'a1'}, True),
+        ({'ebonystream_attempt_id': 'a2'}, False),
+        ({'ebonystream_attempt_id': ''}, False),
+        ({}, True),
+        # A late copy of the response to a health check answers no request.
+        ({'ebonystream_instance_id': 'i-1'}, False),
+        (
+            {'ebonystream_instance_id': 'i-1', 'ebonystream_not_executed': 1},
+            True,
+        ),
+    ],
 )
-def test_response_matching(attempt_id, matches):
+def test_response_matching(sent, matches):
     request = CODEC.decode_request(
         make_message(host='h', ebonystream_attempt_id='a1'), 10.0
     )
-    headers = ((b'ebonystream-attempt-id', attempt_id),) if attempt_id else ()
+    headers = make_message(**sent).headers
     assert CODEC.make_response_matcher(request)(headers) is matches
--- /dev/null
+++ b/tests/test_probe_budget.py
@@ -0,0 +1,143 @@
+"""Probes: all hosts together stay within the bound, and callers are served."""
+
+import attrs
+import pytest
+import trio
+from test_placement import REQUEST, make_context
+
+from ebonystream.placement import (
+    Candidate,
+    ProbeBudget,
+    WaitQueues,
+    make_find_server,
+)
+
+RATE = 100.0
+
+
+@pytest.mark.parametrize(
+    ('takes', 'granted'),
+    [
+        # Each take: time, wanted, whether the reserve is left.
+        ([(0, 5, False)], [5]),
+        ([(0, 500, False), (0, 1, False)], [200, 0]),
+        ([(0, 500, True), (0, 500, True), (0, 9, False)], [100, 0, 9]),
+        ([(0, 500, False), (0.1, 50, False)], [200, 10]),
+        ([(0, 500, False), (0.1, 50, True)], [200, 0]),
+        ([(0, 500, False), (99, 500, False)], [200, 200]),
+        ([(0, 0, False)], [0]),
+    ],
+)
+def test_budget(takes, granted):
+    budget = ProbeBudget(lambda: RATE)
+    assert [
+        budget.take(wanted, float(now), reserve=reserve)
+        for now, wanted, reserve in takes
+    ] == granted
+
+
+@pytest.mark.parametrize('rates', [(0, 0), (0, 100), (100, 0)])
+def test_rate_that_changes(rates):
+    """A host that knows no servers yet has nothing to probe."""
+    known = list(rates)
+    budget = ProbeBudget(lambda: known[0])
+    budget.take(0, 0.0, reserve=False)
+    known[0] = known[1]
+    assert budget.take(50, 1.0, reserve=False) == min(50, known[1])
+
+
+@pytest.mark.parametrize(('hosts', 'servers'), [(1, 5), (14, 27), (312, 330)])
+def test_all_hosts_stay_within_the_bound(hosts, servers):
+    """Each host probes as much as it may, for ten seconds."""
+    share = 60 * 0.85 * servers / hosts
+    budgets = [ProbeBudget(lambda: share) for _ in range(hosts)]
+    sent = sum(
+        budget.take(13, step * 0.04, reserve=bool(step % 2))
+        for step in range(250)
+        for budget in budgets
+    )
+    assert sent <= (10 + 2) * 60 * 0.85 * servers
+
+
+@pytest.mark.parametrize(
+    ('rate', 'least_served'), [(1_000_000.0, 36), (150.0, 36), (60.0, 36)]
+)
+async def test_a_burst_with_few_probes(autojump_clock, rate, least_served):
+    """Forty requests arrive at once, at twelve servers with two slots each.
+
+    Each server is free again 0.1 s after a request. Fewer probes must not
+    serve fewer callers.
+    """
+    running = {}
+
+    def get_loads(now):
+        for name in list(running):
+            running[name] = [end for end in running[name] if end > now]
+        return {
+            f'i-{number}': (len(running.get(f'i-{number}', ())), 0, 2, 1)
+            for number in range(12)
+        }
+
+    served = []
+    async with trio.open_nursery() as nursery:
+        context = make_context(
+            nursery, get_loads, queues=WaitQueues(), probed=[]
+        )
+        context = attrs.evolve(context, budget=ProbeBudget(lambda: rate))
+        find_server = make_find_server(context)
+
+        async def call():
+            now = trio.current_time()
+            request = attrs.evolve(
+                REQUEST,
+                first_requested_at=now,
+                arrived_at=now,
+                deadline=now + 1.5,
+            )
+            result = await find_server(request)
+            if not isinstance(result, Candidate):
+                return
+            name = result.probe_result.server.entry.id
+            get_loads(trio.current_time())
+            ends = running.setdefault(name, [])
+            if len(ends) < 2:
+                ends.append(trio.current_time() + 0.1)
+                served.append(name)
+            await trio.sleep(0.1)
+            freed = attrs.evolve(
+                result.probe_result, sent_at=trio.current_time()
+            )
+            context.queues.offer_server(freed)
+
+        await trio.sleep(1)
+        for _ in range(40):
+            nursery.start_soon(call)
+            await trio.sleep(0.002)
+    assert len(served) >= least_served
+
+
+@pytest.mark.parametrize('rate', [40.0, 150.0, 400.0])
+async def test_a_queue_stays_within_the_budget(autojump_clock, rate):
+    """Requests that wait for full servers ask again, but not without end."""
+    probed = []
+    async with trio.open_nursery() as nursery:
+        context = make_context(
+            nursery,
+            lambda now: {f'i-{number}': (2, 2, 2, 1) for number in range(20)},
+            queues=WaitQueues(),
+            probed=probed,
+        )
+        context = attrs.evolve(context, budget=ProbeBudget(lambda: rate))
+        find_server = make_find_server(context)
+        for _ in range(100):
+            now = trio.current_time()
+            request = attrs.evolve(
+                REQUEST,
+                first_requested_at=now,
+                arrived_at=now,
+                deadline=now + 1.5,
+            )
+            nursery.start_soon(find_server, request)
+            await trio.sleep(0.03)
+        elapsed = trio.current_time()
+    assert len(probed) <= rate * (elapsed + 2 + 0.5)
