Let peers serve hosts that start, and free what exchanges received

Change: the seeds introduce a host, peers give it orders and entries; only the first three of a zone register, only leaders list the others (every 15 s too, so that parts of a deployment find one another), and only leaders look for an earlier verdict, which they tell the others. Ruled out: no registration at all, as seeds may all be stale. A server with more slots counts as ideal if one more request does not slow it.

--- a/src/ebonystream/entryhost/_gossip.py
+++ b/src/ebonystream/entryhost/_gossip.py
@@ -1,21 +1,19 @@
 """Gossip with the other hosts, and the facts sent to them."""
 
-from collections.abc import Awaitable, Callable
 from itertools import islice
 
-from ebonystream._ids import Monotonic, Seconds
+from ebonystream._ids import Monotonic
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._version_moves import make_move_facts
-from ebonystream.errors import EbonystreamError
 from ebonystream.gossip import (
     FailingServer,
     GossipSocket,
     HostFacts,
+    HostRegistry,
+    Joining,
     LeavingServer,
-    RegisteredHost,
-    announce,
+    join_hosts,
     receive_gossip,
-    select_contacts,
     send_gossip,
 )
 from ebonystream.roster import EntryState
@@ -26,64 +24,30 @@
 MAX_REPORTED_SERVERS = 20
 """Maximum number of failing servers, and of leaving ones, that are reported."""
 
-REGISTER_RETRY_DELAY = Seconds(1)
-"""Delay before the next attempt after a failed registration, in seconds."""
 
-ANNOUNCEMENTS = 3
-"""How often hosts that are not known yet are contacted, as messages may be
-lost and hosts may be starting."""
-
-ANNOUNCE_PERIOD = Seconds(1)
-
-RegisterHost = Callable[[], Awaitable[tuple[RegisteredHost, ...]]]
-"""Stores this host's address and zone; returns those of all hosts.
-
-Raises `EbonystreamError` if the store fails.
-"""
-
-
-async def announce_to_peers(
-    parts: HostParts, gossip_socket: GossipSocket, register: RegisterHost
+async def join_peers(
+    parts: HostParts, gossip_socket: GossipSocket, registry: HostRegistry
 ) -> None:
-    """Announce this host to the seeds and to registered hosts.
-
-    The registration in the store is retried until it succeeds.
+    """Make this host known to the others; never return.
 
     Args:
         parts: The state of the host.
         gossip_socket: The socket for gossip.
-        register: Registers this host's address in the store.
+        registry: The hosts that are registered in the store.
     """
-    parts.facts.update(make_facts(parts), parts.timers.now())
-    own_address = parts.settings.peer_endpoint.address
-    seeds = {seed.address for seed in parts.settings.seeds} - {own_address}
-    await announce(
-        parts.facts, gossip_socket, sorted(seeds), now=parts.timers.now()
-    )
-    registered = await _register(parts, register)
-    for _ in range(ANNOUNCEMENTS):
-        now = parts.timers.now()
-        parts.facts.update(make_facts(parts), now)
-        known = {facts.address for facts in parts.facts.list_peers(now)}
-        contacts = select_contacts(
-            registered,
-            local_zone=parts.settings.zone,
-            known=frozenset((own_address, *known)),
+    await join_hosts(
+        Joining(
+            table=parts.facts,
+            gossip_socket=gossip_socket,
+            registry=registry,
+            seeds=[seed.address for seed in parts.settings.seeds],
+            own_address=parts.settings.peer_endpoint.address,
+            make_facts=lambda: make_facts(parts),
+            on_failure=lambda why: parts.log_event('not_registered', why=why),
+            timers=parts.timers,
             random=parts.random,
         )
-        await announce(parts.facts, gossip_socket, contacts, now=now)
-        await parts.timers.wait(ANNOUNCE_PERIOD)
-
-
-async def _register(
-    parts: HostParts, register: RegisterHost
-) -> tuple[RegisteredHost, ...]:
-    while True:
-        try:
-            return await register()
-        except EbonystreamError as error:
-            parts.log_event('not_registered', why=str(error))
-            await parts.timers.wait(REGISTER_RETRY_DELAY)
+    )
 
 
 async def send_facts(parts: HostParts, gossip_socket: GossipSocket) -> None:
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -5,7 +5,7 @@
 import attrs
 import trio
 
-from ebonystream._ids import Incarnation
+from ebonystream._ids import Incarnation, Monotonic
 from ebonystream._timers import Timers
 from ebonystream.decisionlog import EventLogger, LineBuffer
 from ebonystream.entryhost._metrics import HostMetrics
@@ -58,6 +58,7 @@
             None if there is none.
         orders_announced: Set when `orders_source` is set.
         facts_sequence: Sequence number of the latest facts of this host.
+        started_at: When this host started.
         unreadable_records: Records in the store that cannot be decoded.
         caller_connections: Connections from callers.
         leaving: Set once this host is shutting down.
@@ -89,6 +90,7 @@
     orders_source: HostFacts | None = None
     orders_announced: trio.Event = attrs.field(factory=trio.Event)
     facts_sequence: int = 0
+    started_at: Monotonic = attrs.field(init=False)
     unreadable_records: UnreadableRecords = attrs.field(init=False)
     caller_connections: OpenConnections = attrs.field(factory=OpenConnections)
     leaving: trio.Event = attrs.field(factory=trio.Event)
@@ -99,6 +101,11 @@
         has_servers = self.roster.last_listed_at is not None
         return has_configuration and has_servers and not self.leaving.is_set()
 
+    def has_read(self) -> bool:
+        """Return whether this host has orders and entries of servers."""
+        has_orders = self.orders.listing is not None
+        return has_orders and self.roster.last_listed_at is not None
+
     def cancel_orders_wait(self) -> None:
         """Cancel the wait for new orders, so that they are read at once."""
         if self.orders_wait_scope is not None:
@@ -113,6 +120,10 @@
         self.orders_source = source
         self.orders_announced.set()
 
+    @started_at.default
+    def _read_start(self) -> Monotonic:
+        return self.timers.now()
+
     @unreadable_records.default
     def _make_unreadable_records(self) -> UnreadableRecords:
         return UnreadableRecords(self.log_event)
--- a/src/ebonystream/entryhost/_peer_fetch.py
+++ b/src/ebonystream/entryhost/_peer_fetch.py
@@ -19,6 +19,9 @@
 FETCH_PERIOD = Seconds(0.35)
 """Period of fetching from the zone leader, in seconds."""
 
+FIRST_FETCH_PERIOD = Seconds(0.05)
+"""Period of fetching until this host has orders and entries."""
+
 FETCH_TIMEOUT = Seconds(0.3)
 ANY_HOST_STALE_AFTER = Seconds(1.5)
 """Age of the server entries, in seconds, above which a host fetches from any
@@ -39,7 +42,8 @@
     leader = Dependency('speaker of the zone', parts.log_event, parts.timers)
     request = SharedRequest(parts.orders.end, NO_SOURCE, 0)
     while True:
-        with trio.move_on_after(FETCH_PERIOD):
+        period = FETCH_PERIOD if parts.has_read() else FIRST_FETCH_PERIOD
+        with trio.move_on_after(period):
             await parts.orders_announced.wait()
         host = _select_host(parts, parts.timers.now())
         if host is None:
@@ -79,9 +83,8 @@
 
 
 def _is_stale(parts: HostParts, now: Monotonic) -> bool:
-    listed_at = parts.roster.last_listed_at
-    never_read = listed_at is None or parts.orders.listing is None
-    return never_read or now - (listed_at or 0) > ANY_HOST_STALE_AFTER
+    listed_at = parts.roster.last_listed_at or 0
+    return not parts.has_read() or now - listed_at > ANY_HOST_STALE_AFTER
 
 
 async def _fetch_with_timeout(
--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -39,7 +39,7 @@
 """Lower bound on the number of hosts that the retry budget is divided by: a
 host that has just started, or is partitioned, knows few others."""
 
-USED_PROBE_SHARE = 0.85
+USED_PROBE_SHARE = 0.95
 """Share of the allowed probes that is used, as hosts may not know all of the
 others."""
 
--- a/src/ebonystream/entryhost/_store.py
+++ b/src/ebonystream/entryhost/_store.py
@@ -3,10 +3,10 @@
 from functools import partial
 
 from ebonystream._ids import Offset, Seconds, ServerId
+from ebonystream.entryhost._move_reports import StoredReport
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_sync import StoreReader
-from ebonystream.entryhost._version_moves import StoredReport
-from ebonystream.gossip import RegisteredHost
+from ebonystream.gossip import HostRegistry, RegisteredHost
 from ebonystream.orders import OrdersListing
 from ebonystream.platform import (
     HOSTS_TOPIC,
@@ -57,28 +57,28 @@
     )
 
 
-async def register_host(
-    parts: HostParts, store: StoreClient
-) -> tuple[RegisteredHost, ...]:
-    """Register this host's address and zone; return those of all hosts.
+def make_host_registry(parts: HostParts, store: StoreClient) -> HostRegistry:
+    """Make the functions that register this host and list all hosts.
 
     Args:
         parts: The state of the host.
         store: The client for the store.
-
-    Raises:
-        EbonystreamError: The store does not respond.
     """
-    settings = parts.settings
-    host = RegisteredHost(settings.peer_endpoint.address, settings.zone)
-    record = encode_host_record(host, settings.name)
-    await store.append_keyed(HOSTS_TOPIC, record)
-    unreadable: dict[str, str] = {}
-    hosts = decode_hosts(
-        await store.list_newest(HOSTS_TOPIC), unreadable.__setitem__
-    )
-    parts.unreadable_records.update(HOSTS_TOPIC, unreadable)
-    return hosts
+
+    async def register() -> None:
+        settings = parts.settings
+        host = RegisteredHost(settings.peer_endpoint.address, settings.zone)
+        record = encode_host_record(host, settings.name)
+        await store.append_keyed(HOSTS_TOPIC, record)
+
+    async def list_hosts() -> tuple[RegisteredHost, ...]:
+        listing = await store.list_newest(HOSTS_TOPIC)
+        unreadable: dict[str, str] = {}
+        hosts = decode_hosts(listing, unreadable.__setitem__)
+        parts.unreadable_records.update(HOSTS_TOPIC, unreadable)
+        return hosts
+
+    return HostRegistry(register=register, list_hosts=list_hosts)
 
 
 async def read_report(store: StoreClient, move: VersionMove) -> StoredReport:
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -30,10 +30,17 @@
 ORDERS_STALE_AFTER = Seconds(4.5)
 """Likewise, the age of the orders, in seconds."""
 
+LEADER_START_WAIT = Seconds(0.3)
+"""How long a host that has just started leaves it to its peers to provide
+what they have read, if it takes itself for the leader of its zone."""
+
+START_WAIT = Seconds(1)
+"""How long any other host does."""
+
 STORE_RETRY_DELAY = Seconds(0.5)
 """Delay before the next read after a failed one, in seconds."""
 
-LEADER_CHECK_PERIOD = Seconds(0.2)
+LEADER_CHECK_PERIOD = Seconds(0.1)
 """How often a host checks whether it has to read the store, in seconds."""
 
 ListOrders = Callable[[], Awaitable[OrdersListing]]
@@ -167,9 +174,11 @@
     parts: HostParts, read_at: Monotonic | None, stale_after: Seconds
 ) -> bool:
     now = parts.timers.now()
-    if read_at is None or parts.facts.is_leader(now):
-        return True
-    return now - read_at > stale_after
+    is_leader = parts.facts.is_leader(now)
+    if read_at is None:
+        wait = LEADER_START_WAIT if is_leader else START_WAIT
+        return now - parts.started_at >= wait
+    return is_leader or now - read_at > stale_after
 
 
 async def _read_orders(
--- a/src/ebonystream/entryhost/_sync_tasks.py
+++ b/src/ebonystream/entryhost/_sync_tasks.py
@@ -8,7 +8,7 @@
 from ebonystream._address import ServerAddress
 from ebonystream._ids import Seconds
 from ebonystream.entryhost._gossip import (
-    announce_to_peers,
+    join_peers,
     receive_facts,
     send_facts,
 )
@@ -16,9 +16,9 @@
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._peer_fetch import fetch_from_peers
 from ebonystream.entryhost._store import (
+    make_host_registry,
     make_store_reader,
     read_report,
-    register_host,
 )
 from ebonystream.entryhost._store_sync import sync_orders, sync_servers
 from ebonystream.entryhost._supervision import RunTask, run_supervised
@@ -76,9 +76,9 @@
 def _list_gossip_tasks(
     parts: HostParts, gossip_socket: GossipSocket, store: StoreClient
 ) -> Mapping[str, RunTask]:
-    register = partial(register_host, parts, store)
+    registry = make_host_registry(parts, store)
     return {
-        'announce': partial(announce_to_peers, parts, gossip_socket, register),
+        'join_peers': partial(join_peers, parts, gossip_socket, registry),
         'receive_facts': partial(receive_facts, parts, gossip_socket),
         'send_facts': partial(send_facts, parts, gossip_socket),
     }
--- a/src/ebonystream/gossip/__init__.py
+++ b/src/ebonystream/gossip/__init__.py
@@ -6,11 +6,12 @@
     LeavingServer,
     MoveFacts,
 )
+from ebonystream.gossip._joining import HostRegistry, Joining, join_hosts
 from ebonystream.gossip._registration import (
     RegisteredHost,
     select_contacts,
 )
-from ebonystream.gossip._rounds import announce, receive_gossip, send_gossip
+from ebonystream.gossip._rounds import receive_gossip, send_gossip
 from ebonystream.gossip._shared import (
     FetchShared,
     SharedEntries,
@@ -37,7 +38,9 @@
     'SharedOrders',
     'FailingServer',
     'LeavingServer',
-    'announce',
+    'HostRegistry',
+    'Joining',
+    'join_hosts',
     'receive_gossip',
     'make_fetch_shared',
     'make_shared_handler',
--- a/src/ebonystream/gossip/_facts.py
+++ b/src/ebonystream/gossip/_facts.py
@@ -60,6 +60,8 @@
         reported_verdict: State of the move in the newest report in the store;
             None if there is no report.
         counts: Results of this host's own attempts on both versions.
+        store_checked: Whether this host knows of a verdict that was reported
+            earlier, if there is one.
     """
 
     move: MoveId
@@ -68,6 +70,7 @@
     verdict: MoveVerdict
     reported_verdict: MoveVerdict | None
     counts: MoveCounts
+    store_checked: bool = False
 
 
 class HostFacts(msgspec.Struct, frozen=True, array_like=True):
--- a/src/ebonystream/gossip/_registration.py
+++ b/src/ebonystream/gossip/_registration.py
@@ -7,8 +7,8 @@
 
 from ebonystream._ids import ZoneName
 
-CONTACTS_PER_ZONE = 3
-"""Hosts of each other zone that a host contacts first. Some may have ended."""
+CONTACTS_PER_ZONE = 4
+"""Registered hosts of each zone that are contacted. Some may have ended."""
 
 
 @attrs.frozen
@@ -27,28 +27,25 @@
 def select_contacts(
     registered: Iterable[RegisteredHost],
     *,
-    local_zone: ZoneName,
     known: frozenset[str],
     random: Random,
 ) -> list[str]:
-    """Select the addresses that a host which has started contacts.
+    """Select the addresses of registered hosts to contact.
 
-    These are all hosts of its own zone, where messages are cheap, and a few of
-    each other zone: the leader of a zone tells its zone of the others.
+    These are a few unknown hosts of each zone: whoever is contacted names the
+    leader of its zone, and that one tells its zone.
 
     Args:
         registered: All hosts that ever registered.
-        local_zone: Zone of the local host.
         known: Addresses that are known already, that of the local host too.
-        random: Chooses the hosts of other zones.
+        random: Chooses the hosts.
     """
     by_zone: dict[ZoneName, list[str]] = {}
     for host in registered:
         if host.address not in known:
             by_zone.setdefault(host.zone, []).append(host.address)
     contacts: list[str] = []
-    for zone, addresses in sorted(by_zone.items()):
-        is_local = zone in {local_zone, ''}
-        limit = len(addresses) if is_local else CONTACTS_PER_ZONE
-        contacts += random.sample(addresses, min(limit, len(addresses)))
+    for _, addresses in sorted(by_zone.items()):
+        count = min(CONTACTS_PER_ZONE, len(addresses))
+        contacts += random.sample(addresses, count)
     return contacts
--- a/src/ebonystream/gossip/_rounds.py
+++ b/src/ebonystream/gossip/_rounds.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from ebonystream._ids import Monotonic, Seconds
+from ebonystream._ids import HostId, Incarnation, Monotonic, Seconds
 from ebonystream._timers import Timers
 from ebonystream.gossip._facts import HostFacts
 from ebonystream.gossip._introduction import select_introduction
@@ -83,8 +83,7 @@
 ) -> None:
     """Receive gossip from peers, without end.
 
-    A host that is unknown or has restarted is introduced to the others if it
-    has sent its facts itself.
+    A host is introduced to the others when its facts first come from itself.
 
     Args:
         table: Stores the facts.
@@ -93,15 +92,18 @@
             newer ones are known.
         timers: Source of the time of receipt.
     """
+    met: dict[HostId, Incarnation] = {}
     while True:
         received = await gossip_socket.receive()
         for facts in received.facts:
             if facts.host == table.local_host:
                 continue
             now = timers.now()
-            is_new = table.update(facts, now)
+            table.update(facts, now)
             on_facts(facts)
-            if is_new and facts.address == received.sender:
+            is_met = met.get(facts.host) == facts.incarnation
+            if facts.address == received.sender and not is_met:
+                met[facts.host] = facts.incarnation
                 introduction = select_introduction(table, facts, now)
                 await gossip_socket.send(introduction, [facts.address])
 
@@ -153,26 +155,3 @@
     await gossip_socket.send(
         local_facts, [leader.address for leader in leaders]
     )
-
-
-async def announce(
-    table: HostFactTable,
-    gossip_socket: GossipSocket,
-    addresses: Sequence[str],
-    *,
-    now: Monotonic,
-) -> None:
-    """Send the facts of the local host to hosts that may not know it.
-
-    Args:
-        table: Facts known to the local host.
-        gossip_socket: Socket to send on.
-        addresses: IP addresses of the receiving hosts.
-        now: Current time.
-    """
-    own_facts = [
-        facts
-        for facts in table.list_alive(now)
-        if facts.host == table.local_host
-    ]
-    await gossip_socket.send(own_facts, addresses)
--- a/src/ebonystream/http1/_collector.py
+++ b/src/ebonystream/http1/_collector.py
@@ -133,6 +133,13 @@
         self.in_message = False
         self.completed.append(self.build_message(info))
 
+    def discard(self) -> None:
+        """Drop what has been received of messages that were not taken."""
+        self.completed.clear()
+        self.headers = []
+        self._target = b''
+        self._body = []
+
     def build_message(self, info: MessageInfo) -> Message:
         """Build a message from the parts received so far.
 
--- a/src/ebonystream/http1/_reader.py
+++ b/src/ebonystream/http1/_reader.py
@@ -88,6 +88,14 @@
             return False
         return any(_is_expect_continue(field) for field in collector.headers)
 
+    def close(self) -> None:
+        """Free the memory of what was received and not taken.
+
+        The parser and the collector refer to one another, so that it would be
+        kept until the next garbage collection.
+        """
+        self.collector.discard()
+
     def raise_for_error(self) -> None:
         """Raise the error found in the bytes so far, if any.
 
--- a/src/ebonystream/link/_exchange.py
+++ b/src/ebonystream/link/_exchange.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Awaitable, Callable
+from contextlib import closing
 
 import trio
 
@@ -123,7 +124,17 @@
     Returns:
         The result, and whether the connection can carry another request.
     """
-    reader = make_response_reader(RESPONSE_LIMITS)
+    with closing(make_response_reader(RESPONSE_LIMITS)) as reader:
+        return await _perform(stream, request, matches, reader, share)
+
+
+async def _perform(
+    stream: trio.abc.Stream,
+    request: bytes,
+    matches: ResponseMatcher,
+    reader: MessageReader,
+    share: BufferShare,
+) -> tuple[ExchangeResult, bool]:
     try:
         await stream.send_all(request)
         message = await _receive_matching(stream, reader, matches, share)
--- a/src/ebonystream/placement/__init__.py
+++ b/src/ebonystream/placement/__init__.py
@@ -1,15 +1,12 @@
 """Placement: selects the backend server for a request, or none."""
 
+from ebonystream.placement._context import SearchContext
 from ebonystream.placement._estimate import ProcessingTimes
 from ebonystream.placement._probe import Probe, make_probe
-from ebonystream.placement._probe_budget import ProbeBudget
+from ebonystream.placement._probe_budget import ProbeBudget, ProbePurpose
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._results import Candidate, NoCapacity, ProbeResult
-from ebonystream.placement._search import (
-    FindServer,
-    SearchContext,
-    make_find_server,
-)
+from ebonystream.placement._search import FindServer, make_find_server
 from ebonystream.placement._selection import SelectionCriteria, select_server
 from ebonystream.placement._wait_queue import WaitQueues
 
@@ -21,6 +18,7 @@
     'Candidate',
     'SelectionCriteria',
     'ProbeBudget',
+    'ProbePurpose',
     'ProbeResult',
     'WaitQueues',
     'PlacementRequest',
--- /dev/null
+++ b/src/ebonystream/placement/_context.py
@@ -0,0 +1,49 @@
+"""Dependencies and state of the search for a server."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+import attrs
+import trio
+
+from ebonystream._ids import ServiceName, ZoneName
+from ebonystream._timers import Timers
+from ebonystream.placement._estimate import ProcessingTimes
+from ebonystream.placement._probe import Probe
+from ebonystream.placement._probe_budget import (
+    ProbeBudget,
+    make_unlimited_budget,
+)
+from ebonystream.placement._wait_queue import WaitQueues
+from ebonystream.roster import KnownServer
+
+ListServers = Callable[[ServiceName, float], Sequence[KnownServer]]
+"""Lists the servers of a service that may now receive a request, given the
+random number that selects its version."""
+
+
+@attrs.frozen(kw_only=True)
+class SearchContext:
+    """Dependencies and state of the search for a server.
+
+    Attributes:
+        list_servers: Lists the servers that may receive a request.
+        probe: Probes one server for its load.
+        processing_times: Usual processing time of each route.
+        queues: Requests that wait for capacity.
+        zone: Availability zone of this host.
+        timers: Source of the current time.
+        random: Random number generator.
+        background: Nursery in which probes run.
+        budget: This host's share of the probes of all hosts.
+    """
+
+    list_servers: ListServers
+    probe: Probe
+    processing_times: ProcessingTimes
+    queues: WaitQueues
+    zone: ZoneName
+    timers: Timers
+    random: Random
+    background: trio.Nursery
+    budget: ProbeBudget = attrs.field(factory=make_unlimited_budget)
--- a/src/ebonystream/placement/_probe_budget.py
+++ b/src/ebonystream/placement/_probe_budget.py
@@ -1,21 +1,55 @@
 """This host's share of the probes that all hosts may send."""
 
-from collections.abc import Callable
+import enum
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 import attrs
 
 from ebonystream._ids import Monotonic, Seconds
 
-BURST_TIME = Seconds(2)
-"""Probes that were not sent are kept for this long, in seconds."""
+BURST_TIME = Seconds(30)
+"""Probes that were not sent are kept for this long, in seconds: the bound is
+on a whole day, and a burst needs more probes than a calm time."""
 
-RESERVED_SHARE = 0.5
-"""Share of the burst that is kept for the first search of a request."""
+INITIAL_TIME = Seconds(1)
+"""Time in seconds for which a host has earned probes at its first search."""
+
+LOW_TIME = Seconds(0.5)
+"""Time to earn what is kept, in seconds, below which a search begins with few
+probes."""
+
+MAX_PROBES_WHEN_LOW = 3
+
+UNLIMITED_RATE = 1_000_000.0
 
 GetProbeRate = Callable[[], float]
 """Returns the number of probes per second that this host may send now."""
 
 
+class ProbePurpose(enum.Enum):
+    """What probes are sent for, the most valuable purpose first."""
+
+    FIRST = 'first'
+    """The first servers that a request asks."""
+
+    WIDER = 'wider'
+    """More servers, as the first ones have no capacity."""
+
+    REPEATED = 'repeated'
+    """Servers for a request that is queued, which may be offered one."""
+
+
+RESERVED_TIMES: Mapping[ProbePurpose, Seconds] = MappingProxyType(
+    {
+        ProbePurpose.FIRST: Seconds(0),
+        ProbePurpose.WIDER: Seconds(0.25),
+        ProbePurpose.REPEATED: LOW_TIME,
+    }
+)
+"""Time to earn what is left to more valuable purposes, in seconds."""
+
+
 @attrs.define
 class ProbeBudget:
     """Token bucket of probes.
@@ -26,28 +60,33 @@
     Attributes:
         get_rate: Returns the current rate.
         tokens: Probes that may be sent now.
-        updated_at: When tokens were last added.
+        updated_at: When tokens were last added; None before the first search,
+            as the time without callers earns nothing.
     """
 
     get_rate: GetProbeRate
     tokens: float = 0
-    updated_at: Monotonic = Monotonic(float('-inf'))
+    updated_at: Monotonic | None = None
 
-    def take(self, wanted: int, now: Monotonic, *, reserve: bool) -> int:
+    def take(self, wanted: int, now: Monotonic, purpose: ProbePurpose) -> int:
         """Take probes from the budget and return how many were granted.
 
         Args:
             wanted: Number of servers that would be probed.
             now: Current time on the monotonic clock, in seconds.
-            reserve: Whether to leave the reserve for more valuable probes.
+            purpose: What they are probed for.
         """
         rate = self.get_rate()
-        burst = rate * BURST_TIME
-        added = min(burst, (now - self.updated_at) * rate) if rate else 0
-        self.tokens = min(burst, self.tokens + added)
+        earning_time = INITIAL_TIME
+        if self.updated_at is not None:
+            earning_time = Seconds(now - self.updated_at)
+        added = earning_time * rate
+        self.tokens = min(rate * BURST_TIME, self.tokens + added)
         self.updated_at = now
-        kept = burst * RESERVED_SHARE if reserve else 0
-        granted = max(0, min(wanted, int(self.tokens - kept)))
+        if purpose is ProbePurpose.FIRST and self.tokens < rate * LOW_TIME:
+            wanted = min(wanted, MAX_PROBES_WHEN_LOW)
+        available = int(self.tokens - rate * RESERVED_TIMES[purpose])
+        granted = max(0, min(wanted, available))
         self.tokens -= granted
         return granted
 
@@ -55,6 +94,3 @@
 def make_unlimited_budget() -> ProbeBudget:
     """Make a budget that grants any number of probes."""
     return ProbeBudget(lambda: UNLIMITED_RATE)
-
-
-UNLIMITED_RATE = 1_000_000.0
--- a/src/ebonystream/placement/_search.py
+++ b/src/ebonystream/placement/_search.py
@@ -1,19 +1,15 @@
 """Search for a server with capacity for one request."""
 
 from collections.abc import Awaitable, Callable, Sequence
-from random import Random
 
-import attrs
 import trio
 
-from ebonystream._ids import Monotonic, Seconds, ServiceName, ZoneName
-from ebonystream._timers import Timers
-from ebonystream.placement._estimate import ProcessingTimes
-from ebonystream.placement._probe import Probe
-from ebonystream.placement._probe_batch import probe_servers
-from ebonystream.placement._probe_budget import (
-    ProbeBudget,
-    make_unlimited_budget,
+from ebonystream._ids import Monotonic, Seconds
+from ebonystream.placement._context import SearchContext
+from ebonystream.placement._probing import (
+    list_usable_servers,
+    probe_local,
+    probe_remote,
 )
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._results import Candidate, NoCapacity, ProbeResult
@@ -22,20 +18,7 @@
     is_ideal,
     select_server,
 )
-from ebonystream.placement._wait_queue import Waiter, WaitQueues
-from ebonystream.roster import KnownServer
-
-INITIAL_PROBES = 5
-"""Number of servers in the host's zone that are probed first."""
-
-MAX_LOCAL_PROBES = 11
-"""Total number probed in the host's zone if none was idle and healthy."""
-
-REMOTE_PROBES = 6
-"""Number of servers probed in other zones if no local one is on time."""
-
-REPEATED_REMOTE_PROBES = 2
-"""Number of servers probed in other zones at each repeated search."""
+from ebonystream.placement._wait_queue import Waiter
 
 MAX_LOCAL_SHARE = 0.75
 """Largest share of the time to the objective that a response of a local server
@@ -61,37 +44,6 @@
 FindServer = Callable[[PlacementRequest], Awaitable[Candidate | NoCapacity]]
 """Selects a server for a request, or returns when to retry."""
 
-ListServers = Callable[[ServiceName, float], Sequence[KnownServer]]
-"""Lists the servers of a service that may now receive a request, given the
-random number that selects its version."""
-
-
-@attrs.frozen(kw_only=True)
-class SearchContext:
-    """Dependencies and state of the search for a server.
-
-    Attributes:
-        list_servers: Lists the servers that may receive a request.
-        probe: Probes one server for its load.
-        processing_times: Usual processing time of each route.
-        queues: Requests that wait for capacity.
-        zone: Availability zone of this host.
-        timers: Source of the current time.
-        random: Random number generator.
-        background: Nursery in which probes run.
-        budget: This host's share of the probes of all hosts.
-    """
-
-    list_servers: ListServers
-    probe: Probe
-    processing_times: ProcessingTimes
-    queues: WaitQueues
-    zone: ZoneName
-    timers: Timers
-    random: Random
-    background: trio.Nursery
-    budget: ProbeBudget = attrs.field(factory=make_unlimited_budget)
-
 
 def make_find_server(context: SearchContext) -> FindServer:
     """Return a function that finds a server with capacity.
@@ -220,54 +172,29 @@
     spare_only: bool = False,
 ) -> Candidate | NoCapacity:
     """Probe the host's zone; then other zones if no server is on time."""
-    local, remote = _list_usable_servers(context, request)
-    results: list[ProbeResult] = []
-    for batch in (
-        local[:INITIAL_PROBES],
-        local[INITIAL_PROBES:MAX_LOCAL_PROBES],
-    ):
-        results += await _probe(context, batch, repeated=repeated)
-        if any(map(is_ideal, results)):
-            # If the first server to respond is idle, capacity is plentiful.
-            is_plentiful = len(results) == 1
-            allowed = allow_late or is_plentiful
-            return _select(
-                context,
-                request,
-                results,
-                allow_late=allowed,
-                spare_only=spare_only,
-            )
+    local, remote = list_usable_servers(context, request)
+    results = await probe_local(context, local, repeated=repeated)
+    if any(map(is_ideal, results)):
+        # If the first server to respond is idle, capacity is plentiful.
+        is_plentiful = len(results) == 1
+        return _select(
+            context,
+            request,
+            results,
+            allow_late=allow_late or is_plentiful,
+            spare_only=spare_only,
+        )
     result = _select(context, request, results)
     if isinstance(result, Candidate) and _is_safely_on_time(
         context, request, result
     ):
         return result
-    remote_count = REPEATED_REMOTE_PROBES if repeated else REMOTE_PROBES
-    results += await _probe(context, remote[:remote_count], repeated=repeated)
+    results += await probe_remote(context, remote, repeated=repeated)
     return _select(
         context, request, results, allow_late=allow_late, spare_only=spare_only
     )
 
 
-def _list_usable_servers(
-    context: SearchContext, request: PlacementRequest
-) -> tuple[list[KnownServer], list[KnownServer]]:
-    """List usable servers in random order: in the host's zone, in others."""
-    now = context.timers.now()
-    local: list[KnownServer] = []
-    remote: list[KnownServer] = []
-    for server in context.list_servers(request.service, request.version_draw):
-        if server.entry.id in request.excluded_servers or not server.is_usable(
-            now
-        ):
-            continue
-        (local if server.entry.zone == context.zone else remote).append(server)
-    context.random.shuffle(local)
-    context.random.shuffle(remote)
-    return local, remote
-
-
 def _is_safely_on_time(
     context: SearchContext, request: PlacementRequest, candidate: Candidate
 ) -> bool:
@@ -275,21 +202,6 @@
     return candidate.expected_latency <= time_left * MAX_LOCAL_SHARE
 
 
-async def _probe(
-    context: SearchContext, servers: Sequence[KnownServer], *, repeated: bool
-) -> list[ProbeResult]:
-    """Probe as many of the servers as the budget grants."""
-    granted = context.budget.take(
-        len(servers), context.timers.now(), reserve=repeated
-    )
-    return await probe_servers(
-        servers[:granted],
-        probe=context.probe,
-        is_sufficient=is_ideal,
-        background=context.background,
-    )
-
-
 def _select(
     context: SearchContext,
     request: PlacementRequest,
--- a/src/ebonystream/placement/_selection.py
+++ b/src/ebonystream/placement/_selection.py
@@ -6,6 +6,7 @@
 
 from ebonystream._ids import Monotonic, Seconds, ZoneName
 from ebonystream.placement._estimate import (
+    NEARLY_FULL_SHARE,
     estimate_failure_penalty,
     estimate_slowdown,
     estimate_wait,
@@ -107,6 +108,9 @@
 def is_ideal(result: ProbeResult) -> bool:
     """Return whether a server would start a request at once at usual pace.
 
+    It then is idle, or has slots enough that one more request does not slow it
+    down.
+
     Args:
         result: Result of its probe.
     """
@@ -114,10 +118,11 @@
     if not is_available(result) or server.cold_until > result.sent_at:
         return False
     load = get_load(result)
-    idle = load.running + load.waiting + server.in_flight == 0
+    busy = max(load.running, server.in_flight) + load.waiting
+    has_room = busy == 0 or busy + 1 < NEARLY_FULL_SHARE * load.slots
     usual_pace = load.pace <= MAX_IDEAL_PACE
     return (
-        idle
+        has_room
         and usual_pace
         and server.get_all_failures(result.sent_at) < MAX_IDEAL_FAILURES
     )
--- a/src/ebonystream/route/_configuration.py
+++ b/src/ebonystream/route/_configuration.py
@@ -58,7 +58,7 @@
     """
 
     head_bytes: int = attrs.field(
-        validator=make_range_validator(1, MAX_MESSAGE_BYTES)
+        validator=make_range_validator(0, MAX_MESSAGE_BYTES)
     )
     body_bytes: int = attrs.field(
         validator=make_range_validator(0, MAX_MESSAGE_BYTES)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,5 +1,7 @@
 """Bytes without end: the exchange ends, and its memory is bounded."""
 
+import gc
+import tracemalloc
 from itertools import chain, repeat
 
 import pytest
@@ -165,3 +167,18 @@
     with pytest.raises(EbonystreamError):
         for data in (head, part, *repeat(rest, 200)):
             reader.feed(data)
+
+
+async def test_memory_is_freed_without_a_garbage_collection(autojump_clock):
+    """Parser and collector refer to one another."""
+    buffers = ResponseBuffers(4 * MIB)
+    gc.disable()
+    tracemalloc.start()
+    try:
+        for _ in range(10):
+            await receive_endless(*ENDLESS['body without a length'], buffers)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert peak < 12 * MIB
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -109,6 +109,15 @@
         ((0, 0, 2, 1.5), 0, False),
         ((1, 0, 2, 1), 0, False),
         ((0, 0, 2, 1), 1, False),
+        # With one more request, less than four fifths of the slots are busy.
+        ((0, 0, 1, 1), 0, True),
+        ((1, 0, 1, 1), 0, False),
+        ((2, 0, 4, 1), 0, True),
+        ((3, 0, 4, 1), 0, False),
+        ((2, 1, 4, 1), 0, False),
+        ((2, 0, 4, 1.5), 0, False),
+        ((5, 0, 8, 1), 0, True),
+        ((6, 0, 8, 1), 0, False),
     ],
 )
 def test_result_that_ends_a_batch_of_probes(load, failures, ideal):
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -36,6 +36,7 @@
         facts=HostFactTable('e1', 'a'),
         roster=Roster(),
         store_unreachable=False,
+        started_at=-9.0,
         cancel_orders_wait=lambda: None,
     )
 
