Share the probes of all hosts by what they want

Cause: with equal shares of the bound of probes, hosts with little to do left theirs unused while queues elsewhere could not ask. Change: each host tells what it has wanted lately, and the bound is shared by that; a host that wants little keeps a fifth of the mean.

--- a/src/ebonystream/entryhost/_gossip.py
+++ b/src/ebonystream/entryhost/_gossip.py
@@ -116,6 +116,7 @@
         moves=make_move_facts(parts, now),
         suspect_notes=parts.suspect_exchange.encode_notes(),
         leaving_servers=_list_leaving_servers(parts),
+        probe_demand=round(parts.probe_budget.estimate_demand(now), 1),
     )
 
 
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -15,7 +15,12 @@
 from ebonystream.ingress import OpenConnections
 from ebonystream.link import ConnectionPool, ResponseBuffers
 from ebonystream.orders import Orders
-from ebonystream.placement import ProcessingTimes, WaitQueues
+from ebonystream.placement import (
+    ProbeBudget,
+    ProcessingTimes,
+    WaitQueues,
+    compute_probe_share,
+)
 from ebonystream.roster import Roster
 from ebonystream.suspects import (
     InterruptedRequests,
@@ -45,6 +50,7 @@
         facts: Newest facts of each entry host.
         incarnation: Incarnation of this host; each restart starts a new one.
         wait_queues: Requests that wait for capacity.
+        probe_budget: This host's share of the probes of all hosts.
         moves: The version moves.
         suspects: Requests that may crash backend servers.
         suspect_exchange: Exchanges the suspects with the other hosts.
@@ -90,6 +96,7 @@
     orders_source: HostFacts | None = None
     orders_announced: trio.Event = attrs.field(factory=trio.Event)
     facts_sequence: int = 0
+    probe_budget: ProbeBudget = attrs.field(init=False)
     started_at: Monotonic = attrs.field(init=False)
     unreadable_records: UnreadableRecords = attrs.field(init=False)
     caller_connections: OpenConnections = attrs.field(factory=OpenConnections)
@@ -106,6 +113,19 @@
         has_orders = self.orders.listing is not None
         return has_orders and self.roster.last_listed_at is not None
 
+    def get_probe_rate(self) -> float:
+        """Return the probes per second that this host may send.
+
+        The bound of all hosts is shared by what they want, and by their number
+        where they want little.
+        """
+        allowed = self.settings.limits.probe_rate * len(self.roster.servers)
+        demands = {
+            facts.host: facts.probe_demand
+            for facts in self.facts.list_alive(self.timers.now())
+        }
+        return compute_probe_share(demands, self.settings.name, total=allowed)
+
     def cancel_orders_wait(self) -> None:
         """Cancel the wait for new orders, so that they are read at once."""
         if self.orders_wait_scope is not None:
@@ -120,6 +140,10 @@
         self.orders_source = source
         self.orders_announced.set()
 
+    @probe_budget.default
+    def _make_probe_budget(self) -> ProbeBudget:
+        return ProbeBudget(self.get_probe_rate)
+
     @started_at.default
     def _read_start(self) -> Monotonic:
         return self.timers.now()
--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -24,7 +24,6 @@
 from ebonystream.ingress import CallerPresence, HandleConnection
 from ebonystream.link import make_exchange
 from ebonystream.placement import (
-    ProbeBudget,
     ProbeResult,
     SearchContext,
     make_find_server,
@@ -39,10 +38,6 @@
 """Lower bound on the number of hosts that the retry budget is divided by: a
 host that has just started, or is partitioned, knows few others."""
 
-USED_PROBE_SHARE = 0.95
-"""Share of the allowed probes that is used, as hosts may not know all of the
-others."""
-
 
 def make_request_handler(parts: HostParts) -> HandleConnection:
     """Return the function that serves a caller's connection.
@@ -71,7 +66,7 @@
             timers=parts.timers,
             random=parts.random,
             background=parts.background,
-            budget=ProbeBudget(partial(_get_probe_rate, parts)),
+            budget=parts.probe_budget,
         )
     )
     handle_request = make_handle_request(
@@ -136,13 +131,6 @@
     )
 
 
-def _get_probe_rate(parts: HostParts) -> float:
-    """Return this host's share of the probes per second of all hosts."""
-    servers = len(parts.roster.servers)
-    allowed = parts.settings.limits.probe_rate * servers
-    return allowed * USED_PROBE_SHARE / parts.facts.count_hosts()
-
-
 def _count_hosts(parts: HostParts) -> int:
     peers = parts.facts.list_peers(parts.timers.now())
     return max(MIN_BUDGET_HOSTS, len(peers) + 1)
--- a/src/ebonystream/gossip/_facts.py
+++ b/src/ebonystream/gossip/_facts.py
@@ -17,6 +17,7 @@
 from ebonystream._validation import MAX_DURATION_S, MAX_NAME_LENGTH
 from ebonystream.versionmove import MoveCounts, MoveVerdict
 
+MAX_DEMAND = 1_000_000_000
 MAX_FAILURES = 1_000_000
 MAX_SEQUENCE = 9_007_199_254_740_991
 IP_ADDRESS = r'^[0-9]{1,3}(\.[0-9]{1,3}){3}$'
@@ -92,6 +93,7 @@
             servers.
         leaving_servers: Backend servers that are leaving although their
             entries do not say so.
+        probe_demand: Probes per second that the host has wanted lately.
     """
 
     host: Annotated[HostId, _NAME]
@@ -106,3 +108,4 @@
     moves: tuple[MoveFacts, ...] = ()
     suspect_notes: tuple[str, ...] = ()
     leaving_servers: tuple[LeavingServer, ...] = ()
+    probe_demand: Annotated[float, msgspec.Meta(ge=0, le=MAX_DEMAND)] = 0
--- a/src/ebonystream/placement/__init__.py
+++ b/src/ebonystream/placement/__init__.py
@@ -4,6 +4,7 @@
 from ebonystream.placement._estimate import ProcessingTimes
 from ebonystream.placement._probe import Probe, make_probe
 from ebonystream.placement._probe_budget import ProbeBudget, ProbePurpose
+from ebonystream.placement._probe_share import compute_probe_share
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._results import Candidate, NoCapacity, ProbeResult
 from ebonystream.placement._search import FindServer, make_find_server
@@ -24,6 +25,7 @@
     'PlacementRequest',
     'ProcessingTimes',
     'select_server',
+    'compute_probe_share',
     'make_probe',
     'make_find_server',
 )
--- a/src/ebonystream/placement/_probe_budget.py
+++ b/src/ebonystream/placement/_probe_budget.py
@@ -1,6 +1,7 @@
 """This host's share of the probes that all hosts may send."""
 
 import enum
+import math
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
@@ -15,6 +16,9 @@
 INITIAL_TIME = Seconds(1)
 """Time in seconds for which a host has earned probes at its first search."""
 
+DEMAND_TIME = Seconds(2)
+"""Time constant of the average of the wanted probes, in seconds."""
+
 LOW_TIME = Seconds(0.5)
 """Time to earn what is kept, in seconds, below which a search begins with few
 probes."""
@@ -62,11 +66,13 @@
         tokens: Probes that may be sent now.
         updated_at: When tokens were last added; None before the first search,
             as the time without callers earns nothing.
+        demand: Moving average of the probes per second that were wanted.
     """
 
     get_rate: GetProbeRate
     tokens: float = 0
     updated_at: Monotonic | None = None
+    demand: float = 0
 
     def take(self, wanted: int, now: Monotonic, purpose: ProbePurpose) -> int:
         """Take probes from the budget and return how many were granted.
@@ -77,12 +83,8 @@
             purpose: What they are probed for.
         """
         rate = self.get_rate()
-        earning_time = INITIAL_TIME
-        if self.updated_at is not None:
-            earning_time = Seconds(now - self.updated_at)
-        added = earning_time * rate
-        self.tokens = min(rate * BURST_TIME, self.tokens + added)
-        self.updated_at = now
+        self._earn(rate, now)
+        self.demand += wanted / DEMAND_TIME
         if purpose is ProbePurpose.FIRST and self.tokens < rate * LOW_TIME:
             wanted = min(wanted, MAX_PROBES_WHEN_LOW)
         available = int(self.tokens - rate * RESERVED_TIMES[purpose])
@@ -90,6 +92,25 @@
         self.tokens -= granted
         return granted
 
+    def estimate_demand(self, now: Monotonic) -> float:
+        """Return the probes per second that this host has wanted lately.
+
+        Args:
+            now: Current time on the monotonic clock, in seconds.
+        """
+        if self.updated_at is None:
+            return 0
+        return self.demand * math.exp((self.updated_at - now) / DEMAND_TIME)
+
+    def _earn(self, rate: float, now: Monotonic) -> None:
+        earning_time = INITIAL_TIME
+        if self.updated_at is not None:
+            earning_time = Seconds(now - self.updated_at)
+        earned = earning_time * rate
+        self.tokens = min(rate * BURST_TIME, self.tokens + earned)
+        self.demand = self.estimate_demand(now)
+        self.updated_at = now
+
 
 def make_unlimited_budget() -> ProbeBudget:
     """Make a budget that grants any number of probes."""
--- a/tests/test_probe_budget.py
+++ b/tests/test_probe_budget.py
@@ -10,6 +10,7 @@
     ProbeBudget,
     ProbePurpose,
     WaitQueues,
+    compute_probe_share,
     make_find_server,
 )
 
@@ -145,3 +146,39 @@
             await trio.sleep(0.03)
         elapsed = trio.current_time()
     assert len(probed) <= rate * (elapsed + MAX_QUEUE_TIME + 1)
+
+
+@pytest.mark.parametrize(
+    ('demands', 'share'),
+    [
+        ({}, 1),
+        ({'e1': 0}, 1),
+        ({'e1': 50, 'e2': 50}, 0.5),
+        ({'e1': 0, 'e2': 0}, 0.5),
+        ({'e1': 300, 'e2': 100}, 0.75),
+        # A host that wants nothing keeps a fifth of the mean.
+        ({'e1': 0, 'e2': 100}, 10 / 110),
+        ({'e2': 100}, 10 / 110),
+    ],
+)
+def test_share_of_a_host(demands, share):
+    rate = compute_probe_share(demands, 'e1', total=1000)
+    assert rate == pytest.approx(950 * share)
+
+
+@pytest.mark.parametrize('hosts', [1, 3, 14, 312])
+def test_shares_add_up_to_the_total(hosts):
+    demands = {f'e{number}': (number * 37) % 200 for number in range(hosts)}
+    shares = [
+        compute_probe_share(demands, host, total=1000) for host in demands
+    ]
+    assert sum(shares) == pytest.approx(950)
+
+
+def test_demand_follows_what_was_wanted():
+    budget = ProbeBudget(lambda: 0)
+    assert budget.estimate_demand(0.0) == 0
+    for step in range(400):
+        budget.take(13, step * 0.04, REPEATED)
+    assert budget.estimate_demand(16.0) == pytest.approx(13 / 0.04, rel=0.05)
+    assert budget.estimate_demand(30.0) < 1
