--- a/src/ebonystream/_validation.py
+++ b/src/ebonystream/_validation.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ebonystream._address import ServerAddress
+from ebonystream._ids import Seconds
 
 Checked = TypeVar('Checked')
 Validator = Callable[[Any, 'attrs.Attribute[Any]', Checked], None]
@@ -63,6 +64,15 @@
 """Validate a duration in seconds, which may be zero."""
 
 
+def limit_duration(seconds: float) -> Seconds:
+    """Limit a duration to the range that other processes accept.
+
+    Args:
+        seconds: The duration, in seconds; a negative one counts as 0.
+    """
+    return Seconds(min(max(0, seconds), MAX_DURATION_S))
+
+
 def validate_name(
     owner: object, attribute: 'attrs.Attribute[Any]', name: str
 ) -> None:
--- a/src/ebonystream/entryhost/_version_moves.py
+++ b/src/ebonystream/entryhost/_version_moves.py
@@ -1,6 +1,7 @@
 """Execution of version moves, coordinated with the other hosts."""
 
 from ebonystream._ids import Monotonic, Seconds
+from ebonystream._validation import limit_duration
 from ebonystream.dispatch import Attempt
 from ebonystream.entryhost._move_reports import (
     ReadReport,
@@ -51,7 +52,7 @@
     return tuple(
         MoveFacts(
             move=move.id,
-            elapsed=Seconds(now - move.started_at),
+            elapsed=limit_duration(now - move.started_at),
             complete=is_complete(parts, move, now),
             verdict=move.verdict,
             reported_verdict=move.reported_verdict,
--- a/src/ebonystream/gossip/_shared.py
+++ b/src/ebonystream/gossip/_shared.py
@@ -9,7 +9,11 @@
 from ebonystream._calls import Headers
 from ebonystream._ids import Incarnation, Monotonic, Offset, Seconds
 from ebonystream._timers import Timers
-from ebonystream._validation import MAX_DURATION_S, UNDECODABLE
+from ebonystream._validation import (
+    MAX_DURATION_S,
+    UNDECODABLE,
+    limit_duration,
+)
 from ebonystream.http1 import Message, encode_request, encode_response
 from ebonystream.ingress import CallerPresence, EncodedResponse, Respond
 from ebonystream.link import Exchange, ExchangeFailure
@@ -159,7 +163,7 @@
         return None
     has_newer = orders.end > request.orders_end
     return SharedOrders(
-        age=Seconds(max(0, now - orders.confirmed_at)),
+        age=limit_duration(now - orders.confirmed_at),
         listing=orders.listing if has_newer else None,
     )
 
@@ -173,7 +177,7 @@
         request.source == source and request.revision == roster.revision
     )
     return SharedEntries(
-        age=Seconds(max(0, now - roster.last_listed_at)),
+        age=limit_duration(now - roster.last_listed_at),
         revision=roster.revision,
         entries=None if is_current else roster.entries,
     )
--- a/src/ebonystream/platform/_health.py
+++ b/src/ebonystream/platform/_health.py
@@ -1,9 +1,9 @@
 """Requests for a server's health, and the reports in its responses."""
 
 from ebonystream._calls import Headers
-from ebonystream._ids import Seconds, ServerId
+from ebonystream._ids import ServerId
 from ebonystream._timers import MS_PER_SECOND
-from ebonystream._validation import MAX_DURATION_S
+from ebonystream._validation import limit_duration
 from ebonystream.http1 import Message
 from ebonystream.platform._headers import (
     ATTEMPT_ID,
@@ -56,7 +56,9 @@
     return HealthReport(
         healthy=message.status == OK_STATUS,
         server_id=None if server_id is None else ServerId(server_id),
-        cold_left=None if cold_ms is None else _limit_cold_time(cold_ms),
+        cold_left=None
+        if cold_ms is None
+        else limit_duration(cold_ms / MS_PER_SECOND),
         load=parse_load(message.headers),
         notice=parse_notice(message),
     )
@@ -92,7 +94,3 @@
             return []
         figures.append(figure)
     return figures
-
-
-def _limit_cold_time(cold_ms: int) -> Seconds:
-    return Seconds(min(cold_ms / MS_PER_SECOND, MAX_DURATION_S))
--- a/src/ebonystream/route/_configuration.py
+++ b/src/ebonystream/route/_configuration.py
@@ -14,7 +14,7 @@
 
 MAX_CONNECTIONS = 1_000_000
 MAX_COLD_RATE = 1_000_000
-MAX_MESSAGE_BYTES = 1_073_741_824
+MAX_MESSAGE_BYTES = 1_125_899_906_842_624
 MAX_VERSION = 9_007_199_254_740_991
 
 RoutesByHost = Mapping[str, tuple[Route, ...]]
--- a/tests/test_move_reports.py
+++ b/tests/test_move_reports.py
@@ -3,13 +3,16 @@
 from types import SimpleNamespace
 
 import pytest
-from test_gossip import make_facts
+from test_gossip import LoopbackSocket, make_facts
 from test_service_moves import make_move
 
 from ebonystream.entryhost._move_reports import StoredReport, sync_report
-from ebonystream.entryhost._version_moves import apply_peer_facts
+from ebonystream.entryhost._version_moves import (
+    apply_peer_facts,
+    make_move_facts,
+)
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.gossip import HostFactTable, MoveFacts
+from ebonystream.gossip import GossipSocket, HostFactTable, MoveFacts
 from ebonystream.roster import Roster
 from ebonystream.versionmove import MoveVerdict
 
@@ -100,6 +103,24 @@
     assert store.reads == 0
 
 
+@pytest.mark.parametrize(
+    ('started_at', 'elapsed'),
+    [(1_000_000.0, 0), (999_990.0, 10), (0.0, 86_400), (1_000_001.0, 0)],
+)
+async def test_facts_on_old_moves_are_accepted(started_at, elapsed):
+    """Peers accept durations of a day at most."""
+    now = 1_000_000.0
+    host = make_host('e1', now)
+    move = make_move(started_at=started_at)
+    host.moves = SimpleNamespace(moves={move.id: move})
+    facts = make_facts('e1', moves=make_move_facts(host, now))
+    socket = LoopbackSocket()
+    datagrams = GossipSocket(socket, 1)
+    await datagrams.send([facts], ['10.0.0.2'])
+    (received,) = (await datagrams.receive()).facts
+    assert received.moves[0].elapsed == elapsed
+
+
 async def test_reads_do_not_grow_with_the_hosts():
     """Before the first gossip after an order, only leaders read the store."""
     store = Store()
