--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 STAMP = $(VENV)/.installed
 
-.PHONY: days experiment measure slopes soak install mutations run bench test check format lint types unit features
+.PHONY: days known-red experiment measure slopes soak install mutations run bench test check format lint types unit features
 
 install: $(STAMP)
 
@@ -24,7 +24,11 @@
 bench: install
 	$(PY) -m standins.bench
 
-test: install lint types unit features mutations
+test: known-red install lint types unit features mutations
+
+# Faults that are known and not mended yet; no test of CI is passed over.
+known-red:
+	@cat KNOWN-RED.txt
 
 check: test
 
