--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -228,6 +228,7 @@
         self.free = asyncio.Semaphore(self.slots)
         self.server = None
         self.connections = set()
+        self.now_running = set()
 
     async def start(self):
         self.server = await asyncio.start_server(
@@ -264,6 +265,25 @@
         for writer in list(self.connections):
             writer.transport.abort()
 
+    async def crash(self):
+        """End without a word: connections are reset, no entry is changed."""
+        self.registered = False
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def start_again(self):
+        """Start under the same id, with nothing of before."""
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.running = self.waiting = 0
+        self.free = asyncio.Semaphore(self.slots)
+        self.registered = True
+        self.server = await asyncio.start_server(
+            self.serve, self.ip, self.port, backlog=512, limit=1 << 20
+        )
+        self.beat()
+
     async def serve(self, reader, writer):
         self.connections.add(writer)
         try:
@@ -341,13 +361,17 @@
             await self.free.acquire()
         finally:
             self.waiting -= 1
+        free = self.free
         self.running += 1
+        self.now_running.add(name)
         self.world.count_run(self, name)
         try:
             await asyncio.sleep(self.work_s)
         finally:
-            self.running -= 1
-            self.free.release()
+            self.now_running.discard(name)
+            if free is self.free:
+                self.running -= 1
+                free.release()
         body = f'{self.id} did {name}'.encode()
         return encode_response(200, {
             **echo, SEAL: f'{self.id}.{name}', **self.describe_load(),
