--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -101,8 +101,7 @@
         self.record = record
         self.topics = {}
         self.down = False
-        self.page_delay = 0.0
-        self.calls = {}
+        self.connections = set()
 
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
@@ -126,7 +125,14 @@
         found = self.topic(topic_name).newest.get(key)
         return None if found is None else json.loads(found[0])
 
+    def end_connections(self, but):
+        """End the connections to all addresses but one."""
+        for writer in list(self.connections):
+            if writer.get_extra_info('sockname')[0] != but:
+                writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         with suppress(ConnectionError):
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head[1])
@@ -134,13 +140,13 @@
                     break
                 writer.write(await self.respond(head[0].split(' ')[1], body))
                 await writer.drain()
+        self.connections.discard(writer)
         writer.close()
 
     async def respond(self, target, body):
         path, _, text = target.partition('?')
         query = dict(parse_qsl(text))
         name = path.rpartition('/')[2]
-        self.calls[name] = self.calls.get(name, 0) + 1
         if self.down:
             return encode_response(503, {})
         if name == 'log-newest':
@@ -167,8 +173,6 @@
         content = {
             'items': items, 'more': len(keys) > len(page), 'end': topic.end,
         }
-        if self.page_delay:
-            await asyncio.sleep(self.page_delay)
         return encode_response(
             200, {'Content-Type': 'application/json'},
             json.dumps(content).encode(),
