--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -249,12 +249,15 @@
 
     def beat(self):
         self.sequence += 1
-        self.world.store.put('keyed.servers', self.id, {
+        self.world.store.put('keyed.servers', self.id, self.make_entry())
+
+    def make_entry(self):
+        return {
             'service': self.service, 'address': f'{self.ip}:{self.port}',
             'zone': self.zone, 'version': self.version, 'slots': self.slots,
             'state': self.state, 'cold_remaining': '0ms',
             'sequence': self.sequence, 'born': self.born,
-        })
+        }
 
     def leave(self):
         """Remove the entry, as the store does when an upstream has left."""
@@ -355,9 +358,10 @@
 
     async def respond_health(self):
         status = 200 if self.state == 'ready' else 503
-        return encode_response(status, {
-            'Ebonystream-Instance-Id': self.id, **self.describe_load(),
-        })
+        return encode_response(status, self.describe_health())
+
+    def describe_health(self):
+        return {'Ebonystream-Instance-Id': self.id, **self.describe_load()}
 
     async def run(self, name, fields, echo):
         self.waiting += 1
