--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,150 +1,91 @@
-"""The upstreams of a zone are down for seconds and come back cold, together.
+"""The settings file changes: the store has another address from now on.
 
-The operator says how much a cold upstream bears (`cold_per_s`), and each of
-them says that it is cold, in its entry and in its health responses.
+Each host gets the new file and a SIGHUP. The store keeps all that it had, and
+ends its old address. The operator then moves a route to another service.
 """
 
 import asyncio
-import random
+import signal
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'lib'))
-from standins import BROKEN, HELD, TROUBLE, Upstream, make_route, run_case
+from standins import BROKEN, HELD, TROUBLE, find_port, make_route, run_case
 
-ZONES = ('zone-a', 'zone-b')
-HOSTS_OF_A_ZONE = 2
-UPSTREAMS_OF_A_ZONE = 3
-CLIENTS_OF_A_HOST = 8
-PAUSE_S = (0.12, 0.24)
-WORK_S = 0.015
-COLD_X = 2
-"""A cold upstream works this many times as long."""
-DOWN_S = 4.5
-COLD_S = 3.0
-COLD_PER_S = 3.7
-COLD_OVERSHOOT, COLD_SLACK = 1.5, 5
-BOUND = COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK
-CRASH_PER_S = 2 * BOUND
-"""Well above what a cold upstream bears."""
+HOSTS = 3
+OLD, NEW = 'records', 'desk'
+CONFIG_APPLY_S = 2.0
+CONTACT_S = 3.0
+STRETCH_MAX_S = 5.0
+PERIOD_S = 0.2
 
 
-class ColdUpstream(Upstream):
-    """An upstream that may be cold; it crashes far above what it bears."""
-
-    def __init__(self, *args, **settings):
-        super().__init__(*args, **settings)
-        self.cold_until = 0.0
-        self.usual_s = self.work_s
-        self.arrivals = []
-        self.most = 0
-
-    def get_cold_left(self):
-        return max(0.0, self.cold_until - time.monotonic())
-
-    def make_entry(self):
-        left = int(1000 * self.get_cold_left())
-        return {**super().make_entry(), 'cold_remaining': f'{left}ms'}
-
-    def describe_load(self):
-        pace = 100 * COLD_X if self.get_cold_left() else 100
-        return {
-            'Ebonystream-Server-Load':
-                f'{self.running},{self.waiting},{self.slots},{pace}'
-        }
-
-    def describe_health(self):
-        left = int(1000 * self.get_cold_left())
-        return {**super().describe_health(), 'Ebonystream-Cold-Ms': str(left)}
-
-    async def respond(self, method, target, fields, body):
-        cold = self.get_cold_left() > 0
-        self.work_s = self.usual_s * (COLD_X if cold else 1)
-        if cold and target != '/health':
-            self.count_arrival()
-        return await super().respond(method, target, fields, body)
-
-    def count_arrival(self):
-        now = time.monotonic()
-        self.arrivals = [at for at in self.arrivals if now - at < 1]
-        self.arrivals.append(now)
-        count = len(self.arrivals)
-        if count > self.most:
-            self.most = count
-            if count > BOUND:
-                self.world.record.write(
-                    f'{self.id} is cold and got {count} requests in a second'
-                )
-        if count > CRASH_PER_S:
-            self.world.record.write(
-                f'{self.id} crashes, running {sorted(self.now_running)}'
-            )
-            asyncio.create_task(self.fall())
-
-    async def fall(self):
-        await self.crash()
-        await asyncio.sleep(DOWN_S)
-        await self.return_cold()
-
-    async def return_cold(self):
-        self.cold_until = time.monotonic() + COLD_S
-        self.arrivals = []
-        await self.start_again()
-        self.world.record.write(f'{self.id} is back, cold')
+async def book(world, host, ends):
+    """Book until the end of the case."""
+    while asyncio.get_running_loop().time() < ends:
+        await world.request(host, 'POST', '/book/1', deadline_ms=2500)
+        await asyncio.sleep(PERIOD_S)
 
 
-async def ask(world, host, ends):
-    """Book or look up, again and again."""
-    while asyncio.get_running_loop().time() < ends:
-        method, path = random.choice((('GET', '/rack/1'), ('POST', '/book/1')))
-        await world.request(host, method, path, deadline_ms=2000)
-        await asyncio.sleep(random.uniform(*PAUSE_S))
+async def move_store(world):
+    """Serve the store at a new address alone, and tell each host."""
+    old = world.store_server
+    ip = f'{world.net}.2'
+    port = find_port([ip])
+    world.store_server = await asyncio.start_server(
+        world.store.serve, ip, port, backlog=512, limit=1 << 22
+    )
+    world.record.write(f'platform: the store is at {ip}:{port} from now on')
+    world.store_address = f'{ip}:{port}'
+    for host in world.hosts:
+        host.write_settings()
+        host.process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(2)
+    old.close()
+    world.store.end_connections(but=ip)
+    world.record.write('platform: the old address of the store has ended')
 
 
 async def play(world):
-    for zone in ZONES:
-        for _ in range(UPSTREAMS_OF_A_ZONE):
-            world.add_upstream(
-                'records', ColdUpstream, zone=zone, work_s=WORK_S
-            )
-        for _ in range(HOSTS_OF_A_ZONE):
-            world.add_host(zone)
+    for service in (OLD, NEW):
+        for _ in range(3):
+            world.add_upstream(service, work_s=0.1)
+    for _ in range(HOSTS):
+        world.add_host()
     world.configure(7, {
-        'racks': make_route('/rack/', 'records'),
-        'bookings': make_route('/book/', 'records', 'non_idempotent'),
-    }, ['records'])
+        'bookings': make_route('/book/', OLD, 'non_idempotent'),
+    }, [OLD, NEW])
     await world.start()
     for host in world.hosts:
         await host.wait_ready()
     loop = asyncio.get_running_loop()
-    ends = loop.time() + 20
+    ends = loop.time() + 40
     clients = [
-        asyncio.create_task(ask(world, host, ends))
-        for host in world.hosts
-        for _ in range(CLIENTS_OF_A_HOST)
+        asyncio.create_task(book(world, host, ends)) for host in world.hosts
     ]
-    await asyncio.sleep(4)
+    await asyncio.sleep(3)
     if TROUBLE:
-        gone = [each for each in world.upstreams if each.zone == ZONES[0]]
-        for upstream in gone:
-            world.record.write(f'{upstream.id} is down')
-            await upstream.crash()
-        await asyncio.sleep(DOWN_S)
-        for upstream in gone:
-            await upstream.return_cold()
+        await move_store(world)
+    # Longer than the store's outage can stretch any bound.
+    await asyncio.sleep(CONTACT_S + STRETCH_MAX_S)
+    world.configure(8, {
+        'bookings': make_route('/book/', NEW, 'non_idempotent'),
+    }, [OLD, NEW])
+    await asyncio.sleep(CONFIG_APPLY_S + STRETCH_MAX_S)
+    sent_before = set(world.answers) | set(world.runs)
+    world.record.write('from here on version 8 must be in force')
     await asyncio.gather(*clients)
-    most = max(upstream.most for upstream in world.upstreams)
-    lost = [
-        name for name, answer in world.answers.items()
-        if name in world.runs and answer[0] == 502
+    services = {upstream.id: upstream.service for upstream in world.upstreams}
+    later = [name for name in world.answers if name not in sent_before]
+    stale = [
+        name for name in later
+        if any(services[at] == OLD for at in world.runs.get(name, ()))
     ]
     world.record.write(
-        f'most requests to a cold upstream in a second: {most}; '
-        f'bound: {BOUND:.2f}'
+        f'of {len(later)} requests sent later than the bound, '
+        f'{len(stale)} were run by the old service'
     )
-    world.record.write(f'{len(world.answers)} requests; lost: {len(lost)}')
-    return BROKEN if most > BOUND else HELD
+    return BROKEN if stale else HELD
 
 
 run_case(play, __file__)
