--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,8 @@
 """The settings file changes: the store has another address from now on.
 
-Each host gets the new file and a SIGHUP. The store keeps all that it had, and
-ends its old address. The operator then moves a route to another service.
+Each host gets the new file, and one of them a SIGHUP. The store keeps all that
+it had, and ends its old address. The operator then moves a route to another
+service.
 """
 
 import asyncio
@@ -39,7 +40,7 @@
     world.store_address = f'{ip}:{port}'
     for host in world.hosts:
         host.write_settings()
-        host.process.send_signal(signal.SIGHUP)
+    world.hosts[0].process.send_signal(signal.SIGHUP)
     await asyncio.sleep(2)
     old.close()
     world.store.end_connections(but=ip)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -10,6 +10,7 @@
 import os
 import random
 import shlex
+import signal
 import socket
 import struct
 import sys
@@ -728,10 +729,16 @@
         with tempfile.TemporaryDirectory() as temporary:
             world = World(folder, temporary)
             world.record.write(f'TROUBLE={int(TROUBLE)}')
+            task = asyncio.current_task()
+            asyncio.get_running_loop().add_signal_handler(
+                signal.SIGTERM, task.cancel
+            )
             try:
                 async with asyncio.timeout(limit_s):
                     verdict = await play(world)
-            except (RuntimeError, TimeoutError, OSError) as error:
+            except (
+                RuntimeError, TimeoutError, OSError, asyncio.CancelledError,
+            ) as error:
                 world.record.write(f'could not run: {error!r}')
                 verdict = UNABLE
             finally:
