--- a/review/5/case.py
+++ b/review/5/case.py
@@ -25,9 +25,9 @@
 SHARE_ALLOWED = 1 / 500
 
 
-async def tap(world, host, ends, sent, tap_ids):
+async def tap(world, host, stop, sent, tap_ids):
     """Tap again and again, each time as a request of its own."""
-    while asyncio.get_running_loop().time() < ends:
+    while not stop.is_set():
         name = world.next_id()
         tap_ids.add(name)
         _, answer = await world.request(
@@ -38,9 +38,9 @@
         await asyncio.sleep(random.uniform(0.4, 1.2))
 
 
-async def look_up(world, host, ends, sent):
+async def look_up(world, host, stop, sent):
     """Other requests, each with a path of its own."""
-    while asyncio.get_running_loop().time() < ends:
+    while not stop.is_set():
         path = f'/rack/{random.randrange(1 << 30)}'
         name, answer = await world.request(
             host, 'GET', path, deadline_ms=2000
@@ -80,21 +80,22 @@
     await world.start()
     for host in world.hosts:
         await host.wait_ready()
-    loop = asyncio.get_running_loop()
-    ends = loop.time() + BEFORE_S + DOWN_S + AFTER_S
+    stop = asyncio.Event()
     taps, others, tap_ids = [], [], set()
     clients = []
     for number in range(GATES):
         host = world.hosts[0]
         clients.append(asyncio.create_task(
-            tap(world, host, ends, taps, tap_ids)
+            tap(world, host, stop, taps, tap_ids)
         ))
     for number in range(LOOKUPS):
         host = world.hosts[number % HOSTS]
-        clients.append(asyncio.create_task(look_up(world, host, ends, others)))
+        clients.append(asyncio.create_task(look_up(world, host, stop, others)))
     await asyncio.sleep(BEFORE_S)
     if TROUBLE:
         await crash_those_that_tap(world, tap_ids)
+    await asyncio.sleep(AFTER_S)
+    stop.set()
     await asyncio.gather(*clients)
     sent = taps + others
     denied = [
