Serve routes of the kind upload

Cause: the decoder knew two kinds of routes and refused a configuration with any other whole, so that a deployment with uploads served no request. Change: upload is decoded as a kind that runs at most once.

--- a/src/ebonystream/platform/_configuration.py
+++ b/src/ebonystream/platform/_configuration.py
@@ -33,6 +33,7 @@
     {
         'idempotent': CallKind.IDEMPOTENT,
         'non_idempotent': CallKind.AT_MOST_ONCE,
+        'upload': CallKind.AT_MOST_ONCE,
     }
 )
 DEFAULT_REQUEST_LIMITS = RequestLimits(
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -172,6 +172,9 @@
     [
         ({}, [('records', 1)], CallKind.IDEMPOTENT),
         ({'kind': 'non_idempotent'}, [('records', 1)], CallKind.AT_MOST_ONCE),
+        # A configuration with this kind was refused whole, and no request
+        # was served.
+        ({'kind': 'upload'}, [('records', 1)], CallKind.AT_MOST_ONCE),
         (
             {
                 'service': None,
