--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -339,11 +339,13 @@
         self.arrived.set()
 
     async def receive_some(self, max_bytes=None):
+        """Return the next request, or the end after the second response."""
         await self.arrived.wait()
         self.arrived = trio.Event()
         return GET if self.sent < 2 else b''
 
     async def send_all(self, data):
+        """Count the response; the next request arrives at once."""
         self.sent += 1
         self.arrived.set()
 
