Check the keys of workspaces, with a lease on freshness

The configuration of the platform may contain workspaces with keys. A request needs a key unless its route is exempt; backend servers get the name of the workspace and never the key, which hosts hold as a digest. The urgency of a workspace takes the place of that of the route. With strict revocation a host judges keys only while it can prove how fresh its configuration is, counted from the time at which the store was asked, on the boot clock.

--- a/src/ebonystream/_ids.py
+++ b/src/ebonystream/_ids.py
@@ -72,5 +72,15 @@
 Seconds = NewType('Seconds', float)
 """A duration in seconds."""
 
+WorkspaceName = NewType('WorkspaceName', str)
+"""Name of a workspace of clients."""
+
+KeyDigest = NewType('KeyDigest', bytes)
+"""Digest of the key of a workspace, which is never kept itself."""
+
+BootTime = NewType('BootTime', float)
+"""Time of a clock that also counts while the machine is suspended, in
+seconds."""
+
 EpochMs = NewType('EpochMs', int)
 """Milliseconds since the Unix epoch, as in the timestamp of a UUIDv7."""
--- a/src/ebonystream/dispatch/__init__.py
+++ b/src/ebonystream/dispatch/__init__.py
@@ -8,7 +8,11 @@
 from ebonystream.dispatch._budget import RetryBudget, RetryLimits
 from ebonystream.dispatch._first_request import FirstRequestEstimator
 from ebonystream.dispatch._handler import HandleRequest, make_handle_request
-from ebonystream.dispatch._progress import Dispatcher, ObserveAttempt
+from ebonystream.dispatch._progress import (
+    Dispatcher,
+    ObserveAttempt,
+    SendRefusal,
+)
 
 __all__ = (
     'Attempt',
@@ -18,6 +22,7 @@
     'RetryBudget',
     'RetryLimits',
     'SendAttempt',
+    'SendRefusal',
     'HandleRequest',
     'make_send_attempt',
     'make_handle_request',
--- a/src/ebonystream/dispatch/_error_responses.py
+++ b/src/ebonystream/dispatch/_error_responses.py
@@ -1,7 +1,7 @@
 """Responses to requests that no backend server completed."""
 
 from ebonystream._ids import Monotonic, Seconds
-from ebonystream.dispatch._progress import RequestProgress
+from ebonystream.dispatch._progress import RequestProgress, SendRefusal
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.placement import NoCapacity
 from ebonystream.request import Response, ResponseVerdict, make_error_response
@@ -52,6 +52,25 @@
     )
 
 
+def respond_not_sent(
+    progress: RequestProgress, refusal: SendRefusal, now: Monotonic
+) -> Response:
+    """Build the response to a request that must not be sent any more.
+
+    If an earlier attempt may have run, respond with its result instead.
+
+    Args:
+        progress: State of the request.
+        refusal: Why it must not be sent.
+        now: Current time on the monotonic clock, in seconds.
+    """
+    if progress.may_have_run:
+        return respond_with_last_attempt(progress, now)
+    return make_error_response(
+        EbonystreamError(refusal.error), retry_after=refusal.retry_after
+    )
+
+
 def respond_expired(progress: RequestProgress) -> Response:
     """Build the response to a request whose deadline has passed.
 
--- a/src/ebonystream/dispatch/_handler.py
+++ b/src/ebonystream/dispatch/_handler.py
@@ -10,6 +10,7 @@
 from ebonystream.dispatch._error_responses import (
     respond_expired,
     respond_no_capacity,
+    respond_not_sent,
     respond_with_last_attempt,
 )
 from ebonystream.dispatch._progress import (
@@ -128,6 +129,9 @@
                 progress.request, progress.route, result
             )
             return respond_no_capacity(progress, result, now)
+        refusal = dispatcher.check_send(progress.request)
+        if refusal is not None:
+            return respond_not_sent(progress, refusal, now)
         if not _acquire_attempt(dispatcher, progress):
             return respond_with_last_attempt(progress, now)
         attempt = await run_observed_attempt(dispatcher, progress, result)
--- a/src/ebonystream/dispatch/_progress.py
+++ b/src/ebonystream/dispatch/_progress.py
@@ -5,11 +5,12 @@
 import attrs
 
 from ebonystream._calls import CallKind
-from ebonystream._ids import Monotonic, ServerId, ServiceName
+from ebonystream._ids import Monotonic, Seconds, ServerId, ServiceName
 from ebonystream._timers import Timers
 from ebonystream.dispatch._attempt import Attempt, SendAttempt
 from ebonystream.dispatch._budget import RetryBudget
 from ebonystream.dispatch._first_request import FirstRequestEstimator
+from ebonystream.errors import ErrorKind
 from ebonystream.placement import FindServer, NoCapacity, PlacementRequest
 from ebonystream.request import Request, Response
 from ebonystream.route import Route
@@ -30,6 +31,27 @@
 """Called with each response, and with the route if one matched the request."""
 
 
+@attrs.frozen
+class SendRefusal:
+    """Why a request must not be sent to a server any more.
+
+    Attributes:
+        error: Error that the caller gets if the request has not run.
+        retry_after: Delay before a retry, in seconds; None if none is advised.
+    """
+
+    error: ErrorKind
+    retry_after: Seconds | None
+
+
+CheckSend = Callable[[Request], SendRefusal | None]
+"""Called directly before each send of a request; None permits it."""
+
+
+def _permit_send(request: Request) -> None:
+    """Permit each send."""
+
+
 @attrs.frozen(kw_only=True)
 class Dispatcher:
     """The dependencies of dispatch.
@@ -44,6 +66,7 @@
         observe_response: Called with each response.
         estimator: Estimates when a caller made its first request.
         timers: Source of the current time.
+        check_send: Called directly before each send.
     """
 
     find_server: FindServer
@@ -56,6 +79,7 @@
         factory=FirstRequestEstimator
     )
     timers: Timers
+    check_send: CheckSend = _permit_send
 
 
 @attrs.define(kw_only=True)
@@ -97,6 +121,8 @@
             deadline=self.deadline,
             version_draw=self.version_draw,
             excluded_servers=self.excluded_servers,
+            workspace=self.request.workspace,
+            workspace_rank=self.request.rank,
         )
 
     def is_retryable(self) -> bool:
--- a/src/ebonystream/entryhost/_metrics.py
+++ b/src/ebonystream/entryhost/_metrics.py
@@ -70,6 +70,13 @@
             ('call',),
         )
     )
+    admissions: LabeledCounter = attrs.field(
+        factory=lambda: LabeledCounter(
+            'ebonystream_admissions_total',
+            'Decisions whether a request may be forwarded, by its key.',
+            ('verdict', 'when'),
+        )
+    )
     failed_tasks: LabeledCounter = attrs.field(
         factory=lambda: LabeledCounter(
             'ebonystream_failed_tasks_total',
@@ -126,6 +133,7 @@
             self.probes,
             self.store_calls,
             self.failed_tasks,
+            self.admissions,
         )
         return (*without_attempts, self.attempts)
 
--- a/src/ebonystream/entryhost/_peer_fetch.py
+++ b/src/ebonystream/entryhost/_peer_fetch.py
@@ -6,14 +6,22 @@
 import trio
 
 from ebonystream._address import ServerAddress
-from ebonystream._ids import HostId, Incarnation, Monotonic, Seconds
+from ebonystream._ids import (
+    BootTime,
+    HostId,
+    Incarnation,
+    Monotonic,
+    Seconds,
+)
 from ebonystream.entryhost._dependency import Dependency
+from ebonystream.entryhost._lease import is_lease_short
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_sync import update_orders, update_roster
 from ebonystream.gossip import (
     FetchShared,
     HostFacts,
     SharedEntries,
+    SharedOrders,
     SharedRequest,
     SharedResponse,
 )
@@ -104,6 +112,7 @@
         host = _select_host(parts, failures.list_failed_hosts(now), now)
         if host is None:
             continue
+        asked_at = parts.timers.boot_now()
         shared: SharedResponse | None = None
         with trio.move_on_after(failures.timeout):
             shared = await fetch(_get_sharing_endpoint(parts, host), request)
@@ -116,6 +125,7 @@
         leader.record_success()
         failures.record_success()
         request = _update_shared(parts, shared, request, parts.timers.now())
+        _confirm_orders(parts, shared.orders, asked_at)
 
 
 def _lengthen(parts: HostParts, period: Seconds) -> Seconds:
@@ -131,6 +141,8 @@
     source = _take_order_source(parts)
     if source is not None and source.host not in failed:
         return source
+    if is_lease_short(parts):
+        return _select_remote(parts, failed, now)
     leader = parts.facts.find_leader(parts.settings.zone, now)
     if _is_stale(parts, now):
         return _select_any(parts, failed, now)
@@ -206,6 +218,21 @@
     return SharedRequest(parts.orders.end, response.source, revision)
 
 
+def _confirm_orders(
+    parts: HostParts, shared: SharedOrders | None, asked_at: BootTime
+) -> None:
+    """Take over the proof that the orders are the newest, with its true age.
+
+    The age was computed after this host asked, so that the time of asking less
+    this age is not after the time at which the store was asked.
+    """
+    if shared is None or shared.end is None or shared.asked_age is None:
+        return
+    parts.orders.confirm_newest(
+        shared.end, BootTime(asked_at - shared.asked_age)
+    )
+
+
 def _update_shared_entries(
     parts: HostParts, shared: SharedEntries, read_at: Monotonic
 ) -> bool:
--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -12,6 +12,7 @@
     make_handle_request,
     make_send_attempt,
 )
+from ebonystream.entryhost._admission import Gate
 from ebonystream.entryhost._cold_servers import make_cold_gate
 from ebonystream.entryhost._crashes import (
     refuse_crashing_request,
@@ -72,6 +73,7 @@
             may_receive=make_cold_gate(parts),
         )
     )
+    gate = Gate(parts)
     handle_request = make_handle_request(
         Dispatcher(
             find_server=make_stoppable_search(find_server, parts.searches),
@@ -83,12 +85,15 @@
             observe_no_capacity=partial(log_no_capacity, parts),
             observe_response=partial(_count_response, parts),
             timers=parts.timers,
+            check_send=gate.check_send,
         ),
         get_configuration=lambda: parts.orders.configuration,
         random=parts.random,
     )
     return make_caller_handler(
-        parts, _refuse_crashing_requests(parts, handle_request), codec
+        parts,
+        gate.wrap(_refuse_crashing_requests(parts, handle_request)),
+        codec,
     )
 
 
--- a/src/ebonystream/entryhost/_root.py
+++ b/src/ebonystream/entryhost/_root.py
@@ -3,6 +3,7 @@
 import os
 import sys
 import time
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -34,7 +35,10 @@
 
 
 async def _run(path: Path) -> None:
-    timers = make_timers(wall_clock=time.time)
+    timers = make_timers(
+        wall_clock=time.time,
+        boot_clock=partial(time.clock_gettime, time.CLOCK_BOOTTIME),
+    )
     settings = read_settings(path)
     buffer = start_decision_log(sys.stdout.fileno())
     suspects = SuspectTable(timers)
--- a/src/ebonystream/entryhost/_settings.py
+++ b/src/ebonystream/entryhost/_settings.py
@@ -17,6 +17,11 @@
 MAX_RETRIES = 1_000_000
 MAX_PROBE_RATE = 1_000_000
 
+MIN_REVOKE_S = 2
+"""Hosts can't confirm a configuration to each other more often."""
+
+MAX_REVOKE_S = 3600
+
 
 @attrs.frozen(kw_only=True)
 class HostLimits:
@@ -35,6 +40,8 @@
         cold_limits: Bound on the requests that a cold server gets in a second.
         response_buffer_bytes: Memory of this host that incomplete responses of
             backend servers may take together.
+        revoke: How long after the withdrawal of a key its requests may still
+            run, in seconds; None if this is not bounded.
     """
 
     shutdown_grace: Seconds = attrs.field(validator=validate_duration)
@@ -50,6 +57,12 @@
     )
     cold_limits: ColdLimits
     response_buffer_bytes: int
+    revoke: Seconds | None = attrs.field(
+        default=None,
+        validator=attrs.validators.optional(
+            make_range_validator(MIN_REVOKE_S, MAX_REVOKE_S)
+        ),
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -12,6 +12,7 @@
 
 from ebonystream._ids import Monotonic, Offset, Seconds
 from ebonystream.entryhost._dependency import Dependency
+from ebonystream.entryhost._lease import get_orders_poll, is_lease_ending
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.errors import EbonystreamError
 from ebonystream.orders import OrdersListing
@@ -83,7 +84,11 @@
     """
     store = Dependency('store: orders', parts.log_event, parts.timers)
     while True:
-        if not _must_read(parts, parts.orders.confirmed_at, ORDERS_STALE_AFTER):
+        must_read = is_lease_ending(parts) and parts.has_read()
+        must_read = must_read or _must_read(
+            parts, parts.orders.confirmed_at, ORDERS_STALE_AFTER
+        )
+        if not must_read:
             await _wait_for_check(parts)
             continue
         try:
@@ -197,7 +202,10 @@
         if not await _wait_for_new_orders(parts, reader):
             return
     started_at = parts.timers.now()
-    update_orders(parts, await reader.list_orders(), started_at)
+    asked_at = parts.timers.boot_now()
+    listing = await reader.list_orders()
+    update_orders(parts, listing, started_at)
+    parts.orders.confirm_newest(listing.end, asked_at)
 
 
 async def _wait_for_new_orders(parts: HostParts, reader: StoreReader) -> bool:
@@ -206,9 +214,12 @@
     A cancelled wait returns True, so that the orders are read at once.
     """
     known_end = parts.orders.end
+    asked_at = parts.timers.boot_now()
+    poll_timeout = get_orders_poll(parts, ORDERS_POLL_TIMEOUT)
     with trio.CancelScope() as scope:
         parts.orders_wait_scope = scope
-        end = await reader.wait_for_orders(known_end, ORDERS_POLL_TIMEOUT)
+        end = await reader.wait_for_orders(known_end, poll_timeout)
+        parts.orders.confirm_newest(end, asked_at)
         parts.orders.confirm(parts.timers.now())
         return end > known_end
     return True
--- a/src/ebonystream/errors.py
+++ b/src/ebonystream/errors.py
@@ -58,6 +58,7 @@
     UNAUTHORIZED = 'unauthorized'
     NOT_FOUND = 'not_found'
     INTERNAL = 'internal'
+    CONFIGURATION_STALE = 'configuration_stale'
 
 
 @attrs.frozen
@@ -206,7 +207,7 @@
         ErrorKind.UNAUTHORIZED: ErrorAnswer(
             HTTPStatus.UNAUTHORIZED,
             Outcome.NOT_RUN,
-            'Send the administration key.',
+            'Send a valid key.',
         ),
         ErrorKind.NOT_FOUND: ErrorAnswer(
             HTTPStatus.NOT_FOUND, Outcome.NOT_RUN, 'Name something that exists.'
@@ -216,6 +217,11 @@
             Outcome.UNKNOWN,
             'Report the request and its time.',
         ),
+        ErrorKind.CONFIGURATION_STALE: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            Outcome.NOT_RUN,
+            'Send again later, or through another entry host.',
+        ),
     }
 )
 
--- a/src/ebonystream/gossip/_shared.py
+++ b/src/ebonystream/gossip/_shared.py
@@ -6,7 +6,7 @@
 
 from ebonystream._address import ServerAddress
 from ebonystream._calls import Headers
-from ebonystream._ids import Incarnation, Monotonic
+from ebonystream._ids import BootTime, Incarnation, Monotonic
 from ebonystream._timers import Timers
 from ebonystream._validation import UNDECODABLE, limit_duration
 from ebonystream.gossip._shared_encoding import (
@@ -46,7 +46,9 @@
         orders: Orders known to this host.
         roster: Backend servers known to this host.
         source: Incarnation of this host.
-        timers: Unused; ages are relative to the arrival of the request.
+        timers: Source of the current time. Only the age of the proof that
+            the orders are the newest is relative to it; the other ages are
+            relative to the arrival of the request.
     """
     encoder = SharedEncoder()
 
@@ -59,7 +61,7 @@
             return EncodedResponse(encode_response(BAD_REQUEST, (), b''), True)
         shared = SharedResponse(
             source=source,
-            orders=_select_orders(orders, request, arrived),
+            orders=_select_orders(orders, request, arrived, timers.boot_now()),
             entries=_select_entries(roster, request, source, arrived),
         )
         return EncodedResponse(
@@ -108,14 +110,20 @@
 
 
 def _select_orders(
-    orders: Orders, request: SharedRequest, now: Monotonic
+    orders: Orders,
+    request: SharedRequest,
+    now: Monotonic,
+    boot_now: BootTime,
 ) -> SharedOrders | None:
     if orders.confirmed_at is None or orders.listing is None:
         return None
     has_newer = orders.end > request.orders_end
+    asked_age = orders.freshness.get_age(boot_now)
     return SharedOrders(
         age=limit_duration(now - orders.confirmed_at),
         listing=orders.listing if has_newer else None,
+        end=orders.end,
+        asked_age=None if asked_age is None else limit_duration(asked_age),
     )
 
 
--- a/src/ebonystream/gossip/_shared_encoding.py
+++ b/src/ebonystream/gossip/_shared_encoding.py
@@ -11,7 +11,7 @@
 import attrs
 import msgspec
 
-from ebonystream._ids import Incarnation
+from ebonystream._ids import Incarnation, Offset
 from ebonystream._validation import UNDECODABLE
 from ebonystream.gossip._shared_state import (
     Age,
@@ -25,6 +25,10 @@
 MAX_LISTING_BYTES = 33_554_432
 """Maximum size of an uncompressed listing; more is not read."""
 
+ORDERS_ENCODING = 1
+"""Version of the encoding of orders. Hosts without one leave out workspaces,
+so that their orders would let in requests without a key."""
+
 MALFORMED = (*UNDECODABLE, zlib.error)
 """Errors of a response that can't be decoded."""
 
@@ -34,6 +38,9 @@
 class _EncodedOrders(msgspec.Struct, frozen=True, array_like=True):
     age: Age
     listing: bytes | None
+    encoding: int = 0
+    end: Offset | None = None
+    asked_age: Age | None = None
 
 
 class _EncodedEntries(msgspec.Struct, frozen=True, array_like=True):
@@ -105,10 +112,15 @@
         if shared is None:
             return None
         listing = shared.listing
-        if listing is None:
-            return _EncodedOrders(shared.age, None)
+        content: bytes | None = None
+        if listing is not None:
+            content = self.orders.encode(listing.end, listing)
         return _EncodedOrders(
-            shared.age, self.orders.encode(listing.end, listing)
+            age=shared.age,
+            listing=content,
+            encoding=ORDERS_ENCODING,
+            end=shared.end,
+            asked_age=shared.asked_age,
         )
 
     def _encode_entries(
@@ -137,10 +149,18 @@
 
 
 def _decode_orders(encoded: _EncodedOrders | None) -> SharedOrders | None:
-    if encoded is None:
+    """Decode orders; those of another encoding count as none.
+
+    The entries beside them are still used, and the host reads the orders from
+    the store once no other host provides them.
+    """
+    if encoded is None or encoded.encoding != ORDERS_ENCODING:
         return None
     return SharedOrders(
-        encoded.age, _decode_listing(encoded.listing, OrdersListing)
+        age=encoded.age,
+        listing=_decode_listing(encoded.listing, OrdersListing),
+        end=encoded.end,
+        asked_age=encoded.asked_age,
     )
 
 
--- a/src/ebonystream/gossip/_shared_state.py
+++ b/src/ebonystream/gossip/_shared_state.py
@@ -33,10 +33,15 @@
     Attributes:
         age: Time since the store last confirmed the orders, in seconds.
         listing: All orders; None if the requesting host already has them.
+        end: Offset of the next order, according to the responding host.
+        asked_age: Time since the store was asked whether these orders are the
+            newest, including time of suspension; None if it never was.
     """
 
     age: Age
     listing: OrdersListing | None
+    end: Offset | None = None
+    asked_age: Age | None = None
 
 
 class SharedEntries(msgspec.Struct, frozen=True, array_like=True):
--- a/src/ebonystream/orders/__init__.py
+++ b/src/ebonystream/orders/__init__.py
@@ -1,5 +1,6 @@
 """Orders of operators: configuration, evacuated zones and version moves."""
 
+from ebonystream.orders._freshness import Freshness
 from ebonystream.orders._orders import Orders, OrdersListing, VersionOrder
 
-__all__ = ('Orders', 'OrdersListing', 'VersionOrder')
+__all__ = ('Freshness', 'Orders', 'OrdersListing', 'VersionOrder')
--- /dev/null
+++ b/src/ebonystream/orders/_freshness.py
@@ -0,0 +1,57 @@
+"""How fresh the orders of a host are known to be."""
+
+import attrs
+
+from ebonystream._ids import BootTime, Offset, Seconds
+
+
+@attrs.define
+class Freshness:
+    """Proof that the orders of this host were the newest at some time.
+
+    That time is when the store was asked, not when it responded: an order may
+    have been appended while the response was on its way.
+
+    Attributes:
+        asked_at: When the store was last asked for newer orders and had none,
+            by this host or by the one that passed it on; None if never.
+    """
+
+    asked_at: BootTime | None = None
+
+    def confirm(
+        self, asked_at: BootTime, *, newest: Offset, held: Offset
+    ) -> None:
+        """Record a response of the store.
+
+        Other orders than those in force prove nothing about these.
+
+        Args:
+            asked_at: When the store was asked.
+            newest: Offset of the next order, according to the store.
+            held: Offset of the next order, according to this host.
+        """
+        if newest != held:
+            return
+        if self.asked_at is None or asked_at > self.asked_at:
+            self.asked_at = asked_at
+
+    def get_age(self, now: BootTime) -> Seconds | None:
+        """Return for how long newer orders may have existed; None if unknown.
+
+        Args:
+            now: The current time.
+        """
+        if self.asked_at is None:
+            return None
+        return Seconds(max(0, now - self.asked_at))
+
+    def is_within(self, limit: Seconds, now: BootTime) -> bool:
+        """Return whether the orders are known to be no older than a limit.
+
+        Args:
+            limit: The limit, in seconds.
+            now: The current time.
+        """
+        age = self.get_age(now)
+        return age is not None and age <= limit
--- a/src/ebonystream/orders/_orders.py
+++ b/src/ebonystream/orders/_orders.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ebonystream._ids import (
+    BootTime,
     Monotonic,
     MoveId,
     Offset,
@@ -12,6 +13,7 @@
     ZoneName,
 )
 from ebonystream._validation import validate_duration, validate_name
+from ebonystream.orders._freshness import Freshness
 from ebonystream.route import RouteConfiguration
 
 INITIAL_OFFSET = Offset(0)
@@ -62,11 +64,13 @@
             None until the first is read.
         confirmed_at: Time at which the store last confirmed the orders, to this
             host or to a peer.
+        freshness: Proof that the orders were the newest at some time.
     """
 
     listing: OrdersListing | None = None
     configuration: RouteConfiguration | None = None
     confirmed_at: Monotonic | None = None
+    freshness: Freshness = attrs.field(factory=Freshness)
 
     @property
     def end(self) -> Offset:
@@ -92,6 +96,16 @@
         if self.confirmed_at is None or read_at > self.confirmed_at:
             self.confirmed_at = read_at
 
+    def confirm_newest(self, end: Offset, asked_at: BootTime) -> None:
+        """Record that the store was asked for the end of the orders.
+
+        Args:
+            end: Offset of the next order, according to the store.
+            asked_at: When the store was asked.
+        """
+        if self.listing is not None:
+            self.freshness.confirm(asked_at, newest=end, held=self.end)
+
     def update(self, listing: OrdersListing, read_at: Monotonic) -> bool:
         """Replace the listing if the given one is newer.
 
--- a/src/ebonystream/placement/_request.py
+++ b/src/ebonystream/placement/_request.py
@@ -2,7 +2,13 @@
 
 import attrs
 
-from ebonystream._ids import Monotonic, Seconds, ServerId, ServiceName
+from ebonystream._ids import (
+    Monotonic,
+    Seconds,
+    ServerId,
+    ServiceName,
+    WorkspaceName,
+)
 from ebonystream.route import Route
 
 
@@ -21,6 +27,8 @@
             service.
         excluded_servers: Servers excluded because they refused or failed the
             request.
+        workspace: Workspace that the request belongs to; None without one.
+        workspace_rank: Urgency in place of that of the route; None keeps that.
     """
 
     route: Route
@@ -30,11 +38,19 @@
     deadline: Monotonic
     version_draw: float
     excluded_servers: frozenset[ServerId] = frozenset()
+    workspace: WorkspaceName | None = None
+    workspace_rank: int | None = None
 
     def get_target_time(self) -> Monotonic:
         """Return the time until which a response meets the objective."""
         return Monotonic(self.first_requested_at + self.route.objective)
 
+    def get_rank(self) -> int:
+        """Return the urgency; 0 is the most urgent."""
+        if self.workspace_rank is None:
+            return self.route.rank
+        return self.workspace_rank
+
     def is_late_if_started_at(
         self, start: Monotonic, processing_time: Seconds
     ) -> bool:
--- a/src/ebonystream/placement/_wait_queue.py
+++ b/src/ebonystream/placement/_wait_queue.py
@@ -140,4 +140,4 @@
 
 def _get_urgency(waiter: Waiter) -> tuple[bool, int, float]:
     request = waiter.request
-    return waiter.expected_late, request.route.rank, request.get_target_time()
+    return waiter.expected_late, request.get_rank(), request.get_target_time()
--- a/src/ebonystream/platform/_configuration.py
+++ b/src/ebonystream/platform/_configuration.py
@@ -19,6 +19,10 @@
     decode_json,
     reject_invalid_values,
 )
+from ebonystream.platform._workspaces import (
+    WORKSPACE_KIND,
+    decode_workspace,
+)
 from ebonystream.route import (
     RequestLimits,
     Route,
@@ -82,6 +86,7 @@
     target_latency: str
     max_attempts: int
     priority: int = 0
+    auth_exempt: bool = False
     service: str | None = None
     traffic_split: tuple[_TrafficShare, ...] = ()
 
@@ -131,11 +136,16 @@
         )
         for resource in document.list_resources('routes')
     ]
+    workspaces = tuple(
+        decode_workspace(resource.metadata.name, resource.spec)
+        for resource in document.list_resources(WORKSPACE_KIND)
+    )
     return RouteConfiguration(
         version=ConfigurationVersion(document.version),
         routes=index_routes(routes),
         services=services,
         limits=limits[0] if limits else DEFAULT_REQUEST_LIMITS,
+        workspaces=workspaces,
     )
 
 
@@ -160,6 +170,7 @@
         attempts=spec.max_attempts,
         rank=spec.priority,
         shares=shares,
+        exempt=spec.auth_exempt,
     )
 
 
--- a/src/ebonystream/platform/_headers.py
+++ b/src/ebonystream/platform/_headers.py
@@ -17,6 +17,10 @@
 COLD_MS = b'ebonystream-cold-ms'
 SERVER_LEAVING = b'server-leaving'
 RETRY_AFTER = b'retry-after'
+AUTHORIZATION = b'authorization'
+WORKSPACE = b'ebonystream-tenant'
+ACCESS_HEADERS = frozenset((AUTHORIZATION, WORKSPACE))
+"""Fields that tell who a caller is."""
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -67,6 +71,21 @@
     return tuple(kept)
 
 
+def drop_access_headers(headers: Headers) -> Headers:
+    """Drop the fields that tell who a caller is.
+
+    Some servers read underscores in names as hyphens.
+
+    Args:
+        headers: Header fields, with names in lower case.
+    """
+    return tuple(
+        header
+        for header in headers
+        if header[0].replace(b'_', b'-') not in ACCESS_HEADERS
+    )
+
+
 def _parse_connection(headers: Headers) -> frozenset[bytes]:
     """Return the names of the fields that `Connection` lists as hop-by-hop."""
     value = find_header(headers, b'connection') or b''
--- a/src/ebonystream/platform/_requests.py
+++ b/src/ebonystream/platform/_requests.py
@@ -2,20 +2,25 @@
 
 import math
 
+from ebonystream._calls import Headers
 from ebonystream._ids import AttemptId, Monotonic, Seconds
 from ebonystream._timers import MS_PER_SECOND
 from ebonystream.http1 import Message, encode_request
+from ebonystream.platform._credentials import parse_credential
 from ebonystream.platform._headers import (
     ATTEMPT_ID,
     DEADLINE_MS,
     EXPECTED_INSTANCE,
     HOP_BY_HOP_HEADERS,
+    WORKSPACE,
+    drop_access_headers,
     drop_headers,
     find_header,
 )
 from ebonystream.platform._numbers import parse_whole_number
 from ebonystream.request import Request
 from ebonystream.roster import ServerEntry
+from ebonystream.workspace import Access
 
 REPLACED_HEADERS = HOP_BY_HOP_HEADERS | {DEADLINE_MS, EXPECTED_INSTANCE}
 
@@ -41,6 +46,7 @@
         body=message.body,
         arrived_at=arrived,
         deadline=_add_ms(arrived, time_left_ms),
+        credential=parse_credential(message.headers),
     )
 
 
@@ -61,11 +67,24 @@
     return encode_request(
         request.method.encode('ascii'),
         request.target.encode('latin-1'),
-        request.headers + added,
+        _replace_access_headers(request) + added,
         request.body,
     )
 
 
+def _replace_access_headers(request: Request) -> Headers:
+    """Return the header fields, with the workspace in place of the key.
+
+    Without workspaces in the configuration they are passed on as received.
+    """
+    if request.access is Access.OPEN:
+        return request.headers
+    headers = drop_access_headers(request.headers)
+    if request.workspace is None:
+        return headers
+    return (*headers, (WORKSPACE, request.workspace.encode('ascii')))
+
+
 def _add_ms(start: Monotonic, field: bytes | None) -> Monotonic | None:
     duration_ms = parse_whole_number(field)
     if duration_ms is None:
--- a/src/ebonystream/platform/_settings.py
+++ b/src/ebonystream/platform/_settings.py
@@ -67,6 +67,8 @@
     probes_per_s: float = 60
     cold_overshoot: _ColdBound = 1.5
     cold_slack: _ColdBound = 5
+    strict_revoke: bool = False
+    revoke: str = '5s'
 
 
 class _Terms(msgspec.Struct):
@@ -125,4 +127,5 @@
         response_buffer_bytes=int(
             memory_mb * BYTES_PER_MB * RESPONSE_BUFFER_SHARE
         ),
+        revoke=parse_duration(bounds.revoke) if bounds.strict_revoke else None,
     )
--- a/src/ebonystream/request/_request.py
+++ b/src/ebonystream/request/_request.py
@@ -3,7 +3,8 @@
 import attrs
 
 from ebonystream._calls import Headers
-from ebonystream._ids import AttemptId, Monotonic
+from ebonystream._ids import AttemptId, Monotonic, WorkspaceName
+from ebonystream.workspace import NO_CREDENTIAL, Access, Credential
 
 
 @attrs.frozen(kw_only=True)
@@ -20,6 +21,10 @@
         body: Complete body.
         arrived_at: When the first byte arrived, on the monotonic clock.
         deadline: When the caller stops waiting; None if it sent no deadline.
+        credential: Key that the caller sent, as a digest.
+        access: On what grounds the request is forwarded.
+        workspace: Workspace that the key belongs to; None without one.
+        rank: Urgency in place of that of the route; None keeps that.
     """
 
     attempt_id: AttemptId
@@ -27,7 +32,11 @@
     method: str
     target: str
     path: str
-    headers: Headers
+    headers: Headers = attrs.field(repr=False)
     body: bytes
     arrived_at: Monotonic
     deadline: Monotonic | None
+    credential: Credential = NO_CREDENTIAL
+    access: Access = Access.OPEN
+    workspace: WorkspaceName | None = None
+    rank: int | None = None
--- a/src/ebonystream/route/_configuration.py
+++ b/src/ebonystream/route/_configuration.py
@@ -7,10 +7,12 @@
 from ebonystream._ids import ConfigurationVersion, Seconds, ServiceName
 from ebonystream._validation import (
     make_range_validator,
+    quote,
     validate_duration,
     validate_token,
 )
 from ebonystream.route._route import Route
+from ebonystream.workspace import Workspace, find_shared_key
 
 MAX_CONNECTIONS = 1_000_000
 MAX_COLD_RATE = 1_000_000
@@ -76,6 +78,8 @@
         routes: Routes by host name.
         services: Settings of each service.
         limits: Limits on the requests of callers.
+        workspaces: Workspaces of the callers; without any, requests need no
+            key.
     """
 
     version: ConfigurationVersion = attrs.field(
@@ -84,6 +88,23 @@
     routes: RoutesByHost
     services: Mapping[ServiceName, ServiceSettings]
     limits: RequestLimits
+    workspaces: tuple[Workspace, ...] = attrs.field(default=())
+
+    @workspaces.validator
+    def _require_distinct(
+        self,
+        attribute: 'attrs.Attribute[tuple[Workspace, ...]]',
+        workspaces: tuple[Workspace, ...],
+    ) -> None:
+        names = {workspace.name for workspace in workspaces}
+        if len(names) < len(workspaces):
+            raise ValueError('two workspaces with one name')
+        shared = find_shared_key(workspaces)
+        if shared is not None:
+            raise ValueError(
+                f'workspaces {quote(shared[0])} and {quote(shared[1])} '
+                'share a key'
+            )
 
 
 def index_routes(routes: Iterable[Route]) -> RoutesByHost:
--- a/src/ebonystream/route/_route.py
+++ b/src/ebonystream/route/_route.py
@@ -52,6 +52,7 @@
         attempts: Maximum number of backend servers tried for a request.
         rank: Urgency; 0 is the most urgent.
         shares: Services that receive the requests, with their weights.
+        exempt: Whether requests need no key of a workspace.
     """
 
     name: RouteName
@@ -63,6 +64,7 @@
     attempts: int = attrs.field(validator=make_range_validator(1, MAX_ATTEMPTS))
     rank: int = attrs.field(validator=make_range_validator(0, MAX_RANK))
     shares: tuple[Share, ...] = attrs.field()
+    exempt: bool = False
 
     @shares.validator
     def _require_weight(
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -123,13 +123,20 @@
         configuration = make_configuration(version, routes)
         self.store.put('keyed.op', 'config', configuration)
 
-    async def call(self, name, *, method='GET', path='/racks/7', port=None):
+    async def call(self, name, **request):
         """Send one request; return the status and body of the response."""
+        message = await self.exchange(name, **request)
+        return message.status, message.body.decode()
+
+    async def exchange(
+        self, name, *, method='GET', path='/racks/7', port=None, lines=''
+    ):
+        """Send one request with more header lines; return the response."""
         request = (
             f'{method} {path} HTTP/1.1\r\nHost: shop.example\r\n'
             f'Ebonystream-Attempt-Id: {name}\r\n'
             'Ebonystream-Deadline-Ms: 1500\r\n'
-            'Content-Length: 0\r\nConnection: close\r\n\r\n'
+            f'Content-Length: 0\r\n{lines}Connection: close\r\n\r\n'
         )
         stream = await trio.open_tcp_stream(ADDRESS, port or self.caller_port)
         reader = make_response_reader(
@@ -141,7 +148,7 @@
             while message is None:
                 reader.feed(bytes(await stream.receive_some(9999)))
                 message = reader.next_message()
-        return message.status, message.body.decode()
+        return message
 
     async def is_ready(self):
         """Return whether the host reports that it is ready."""
@@ -164,14 +171,16 @@
 
 
 @asynccontextmanager
-async def run_deployment(tmp_path, names=('i-1', 'i-2')):
+async def run_deployment(tmp_path, names=('i-1', 'i-2'), **bounds):
     """Run an entry host with its store and servers, all on loopback."""
     store = PlatformStore()
     servers = {name: PacedServer(name=name) for name in names}
     store_port, front, ready, metrics, peers, *rest = find_ports(5 + len(names))
     ports = dict(zip(names, rest, strict=True))
     settings = tmp_path / 'local.json'
-    settings.write_text(make_settings(store_port, front, ready, peers))
+    settings.write_text(
+        make_settings(store_port, front, ready, peers, **bounds)
+    )
     log = tmp_path / 'log'
     async with trio.open_nursery() as nursery:
         listen = partial(trio.serve_tcp, host=ADDRESS)
@@ -200,7 +209,7 @@
             nursery.cancel_scope.cancel()
 
 
-def make_settings(store, front, ready, peers):
+def make_settings(store, front, ready, peers, **bounds):
     """Return the settings file of one host."""
     return json.dumps(
         {
@@ -217,7 +226,9 @@
                 'heartbeat': '1500ms',
                 'platform': {'address': f'{ADDRESS}:{store}'},
             },
-            'terms': {'bounds': {'grace': '6s', 'retry_budget_slack': 99}},
+            'terms': {
+                'bounds': {'grace': '6s', 'retry_budget_slack': 99, **bounds}
+            },
         }
     )
 
--- a/tests/test_shared_listings.py
+++ b/tests/test_shared_listings.py
@@ -82,7 +82,10 @@
         timers=Timers(epoch_offset=0),
         random=Random(name),
         settings=SimpleNamespace(
-            name=name, zone='a', peer_endpoint=ServerAddress('10.0.0.1', 1)
+            name=name,
+            zone='a',
+            peer_endpoint=ServerAddress('10.0.0.1', 1),
+            limits=SimpleNamespace(revoke=None),
         ),
         log_event=lambda event, **fields: None,
         orders_source=None,
--- a/tools/standins/pacedserver.py
+++ b/tools/standins/pacedserver.py
@@ -9,6 +9,7 @@
 import attrs
 import trio
 
+from ebonystream._calls import Headers
 from ebonystream._ids import Monotonic
 from ebonystream.http1 import Message, encode_response
 from ebonystream.ingress import CallerPresence, EncodedResponse
@@ -51,6 +52,7 @@
         probes: Number of health probes.
         cold_until: When it is no longer cold, by the clock of the event loop.
         arrivals: Arrivals of requests, but those for another server.
+        received: Header fields of the latest request, by attempt id.
     """
 
     name: str
@@ -66,6 +68,7 @@
     probes: int = 0
     cold_until: float = float('-inf')
     arrivals: list[Arrival] = attrs.field(factory=list)
+    received: dict[str, Headers] = attrs.field(factory=dict)
     _free: trio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -104,7 +107,9 @@
         if self.running >= self.slots and self.waiting >= self.queue:
             not_executed = (b'ebonystream-not-executed', b'1')
             return self._make_response(UNAVAILABLE, message, not_executed)
-        await self._run(headers[b'ebonystream-attempt-id'].decode())
+        attempt_id = headers[b'ebonystream-attempt-id'].decode()
+        self.received[attempt_id] = message.headers
+        await self._run(attempt_id)
         seal = (b'ebonystream-response-seal', b's')
         status = FAILED if self.failing else OK
         return self._make_response(status, message, seal)
