--- a/src/ebonystream/dispatch/_attempt.py
+++ b/src/ebonystream/dispatch/_attempt.py
@@ -1,6 +1,7 @@
 """A single attempt to send a request to one backend server."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import attrs
 
@@ -18,6 +19,11 @@
 OVERDUE_FACTOR = 3
 """An attempt is overdue above this multiple of its expected duration."""
 
+NOTHING_SENT = frozenset(
+    (ExchangeFailure.UNREACHABLE, ExchangeFailure.WITHHELD)
+)
+"""Failures of an attempt whose request was not sent."""
+
 MIN_EXPECTED_DURATION = Seconds(0.05)
 MIN_REMAINING_TIME = Seconds(0.001)
 
@@ -51,7 +57,7 @@
     def is_not_run(self) -> bool:
         """Return whether the server certainly did not run the request."""
         if self.response is None:
-            return self.failure is ExchangeFailure.UNREACHABLE
+            return self.failure in NOTHING_SENT
         return self.response.verdict in {
             ResponseVerdict.NOT_RUN,
             ResponseVerdict.MISDIRECTED,
@@ -78,7 +84,11 @@
 
 
 def make_send_attempt(
-    *, exchange: Exchange, codec: MessageCodec, timers: Timers
+    *,
+    exchange: Exchange,
+    codec: MessageCodec,
+    timers: Timers,
+    may_send: Callable[[Request], bool],
 ) -> SendAttempt:
     """Return a function that makes one attempt.
 
@@ -87,6 +97,7 @@
             result.
         codec: Encodes the request and parses the response.
         timers: Source of the current time.
+        may_send: Returns whether a request may be sent now.
     """
 
     async def send(
@@ -100,7 +111,10 @@
         server.record_request(started_at)
         try:
             result = await exchange(
-                server.entry.at, encoded, codec.make_response_matcher(request)
+                server.entry.at,
+                encoded,
+                codec.make_response_matcher(request),
+                partial(may_send, request),
             )
         finally:
             server.in_flight -= 1
--- a/src/ebonystream/entryhost/_observers.py
+++ b/src/ebonystream/entryhost/_observers.py
@@ -86,6 +86,8 @@
     """Return the failure weight of an attempt without a response."""
     if attempt.failure is ExchangeFailure.UNREACHABLE:
         return UNREACHABLE_WEIGHT
+    if attempt.failure is ExchangeFailure.WITHHELD:
+        return 0
     if attempt.failure is not None or attempt.is_overdue():
         return INTERRUPTED_WEIGHT
     return 0
--- a/src/ebonystream/entryhost/_peer_fetch.py
+++ b/src/ebonystream/entryhost/_peer_fetch.py
@@ -141,7 +141,7 @@
     source = _take_order_source(parts)
     if source is not None and source.host not in failed:
         return source
-    if is_lease_short(parts):
+    if parts.orders.freshness.asked_at is not None and is_lease_short(parts):
         return _select_remote(parts, failed, now)
     leader = parts.facts.find_leader(parts.settings.zone, now)
     if _is_stale(parts, now):
--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -78,7 +78,10 @@
         Dispatcher(
             find_server=make_stoppable_search(find_server, parts.searches),
             send_attempt=make_send_attempt(
-                exchange=exchange, codec=codec, timers=parts.timers
+                exchange=exchange,
+                codec=codec,
+                timers=parts.timers,
+                may_send=lambda request: gate.check_send(request) is None,
             ),
             retry_budget=_make_retry_budget(parts),
             attempt_observers=make_attempt_observers(parts),
--- a/src/ebonystream/link/__init__.py
+++ b/src/ebonystream/link/__init__.py
@@ -1,13 +1,12 @@
 """Outgoing connections: a bounded pool and one exchange per connection."""
 
 from ebonystream.link._buffers import BufferShare, ResponseBuffers
-from ebonystream.link._exchange import (
+from ebonystream.link._exchange import make_exchange, perform_exchange
+from ebonystream.link._interface import (
     Exchange,
     ExchangeFailure,
     ExchangeResult,
     ResponseMatcher,
-    make_exchange,
-    perform_exchange,
 )
 from ebonystream.link._pool import ConnectionPool, PoolLimits
 
--- a/src/ebonystream/link/_exchange.py
+++ b/src/ebonystream/link/_exchange.py
@@ -1,7 +1,5 @@
 """Send one request on a pooled connection and receive its response."""
 
-import enum
-from collections.abc import Awaitable, Callable
 from contextlib import closing
 
 import attrs
@@ -19,6 +17,14 @@
     make_response_reader,
 )
 from ebonystream.link._buffers import BufferShare, ResponseBuffers
+from ebonystream.link._interface import (
+    Exchange,
+    ExchangeFailure,
+    ExchangeResult,
+    MaySend,
+    ResponseMatcher,
+    permit_always,
+)
 from ebonystream.link._pool import ConnectionPool
 
 MAX_HEAD_BYTES = 65_536
@@ -39,21 +45,6 @@
 OVERSIZE_KINDS = frozenset((ErrorKind.HEAD_TOO_LARGE, ErrorKind.BODY_TOO_LARGE))
 
 
-class ExchangeFailure(enum.Enum):
-    """Why an exchange yielded no response."""
-
-    UNREACHABLE = 'unreachable'
-    """No connection could be opened; nothing was sent."""
-
-    INTERRUPTED = 'cut'
-    """The connection failed or delivered no valid response after the request
-    may have been sent."""
-
-    OVERSIZE = 'oversize'
-    """The server sent more bytes than a response may have, after the request
-    may have been sent."""
-
-
 @attrs.frozen
 class _MatchingResponse:
     """The response to a request.
@@ -67,22 +58,6 @@
     unmatched_count: int
 
 
-ExchangeResult = Message | ExchangeFailure
-"""A complete response, or the reason why there is none."""
-
-ResponseMatcher = Callable[[Headers], bool]
-"""Return whether a response with these header fields answers the request."""
-
-Exchange = Callable[
-    [ServerAddress, bytes, ResponseMatcher], Awaitable[ExchangeResult]
-]
-"""Send an encoded request to an address and return the result.
-
-Cancellation closes the connection, so that a late response cannot be taken
-for the response to a later request.
-"""
-
-
 def make_exchange(
     *, pool: ConnectionPool, buffers: ResponseBuffers | None = None
 ) -> Exchange:
@@ -96,11 +71,17 @@
     shared_buffers = buffers or ResponseBuffers()
 
     async def exchange(
-        at: ServerAddress, request: bytes, matches: ResponseMatcher
+        at: ServerAddress,
+        request: bytes,
+        matches: ResponseMatcher,
+        may_send: MaySend = permit_always,
     ) -> ExchangeResult:
         stream = await pool.acquire(at)
         if stream is None:
             return ExchangeFailure.UNREACHABLE
+        if not may_send():
+            await pool.release(at, stream)
+            return ExchangeFailure.WITHHELD
         result: ExchangeResult = ExchangeFailure.INTERRUPTED
         usable = False
         try:
