Serve waiting requests of workspaces in turns

Among requests of one rank that wait for capacity, one workspace with many requests kept out those of others. Start-time fair queueing with equal weights now gives each workspace a turn; without workspaces the order is as before.

--- a/src/ebonystream/placement/_search.py
+++ b/src/ebonystream/placement/_search.py
@@ -95,6 +95,8 @@
                 result = await _probe_and_select(
                     context, request, repeated=True
                 )
+        if isinstance(result, Candidate):
+            context.queues.record_served(waiter)
     if isinstance(result, NoCapacity):
         return await _select_late(context, request)
     return result
--- a/src/ebonystream/placement/_wait_queue.py
+++ b/src/ebonystream/placement/_wait_queue.py
@@ -1,4 +1,4 @@
-"""Wait queue of each service, ordered by urgency."""
+"""Wait queue of each service, ordered by urgency and by turns."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -9,6 +9,7 @@
 from ebonystream._ids import Monotonic, Seconds, ServiceName
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._results import ProbeResult
+from ebonystream.placement._turns import Turns, Urgency
 
 NEVER = Monotonic(float('-inf'))
 
@@ -51,6 +52,7 @@
     """Requests of this host that wait for capacity, by service."""
 
     _queues: dict[ServiceName, list[Waiter]] = attrs.field(factory=dict)
+    _turns: dict[ServiceName, Turns] = attrs.field(factory=dict)
     _last_probes: dict[ServiceName, Monotonic] = attrs.field(factory=dict)
 
     def is_empty(self, service: ServiceName) -> bool:
@@ -88,11 +90,21 @@
         queue = self._queues.setdefault(request.service, [])
         waiter = Waiter(request, expected_late)
         queue.append(waiter)
-        queue.sort(key=_get_urgency)
+        self._sort(request.service)
         try:
             yield waiter
         finally:
-            queue.remove(waiter)
+            self._queues[request.service].remove(waiter)
+            self._sort(request.service)
+
+    def record_served(self, waiter: Waiter) -> None:
+        """Record that a server was found for a queued request.
+
+        Args:
+            waiter: The queued request.
+        """
+        turns = self._turns.setdefault(waiter.request.service, Turns())
+        turns.record_served(_get_urgency(waiter))
 
     def claim_probe_turn(
         self, waiter: Waiter, now: Monotonic, *, period: Seconds
@@ -137,7 +149,21 @@
                 waiter.notify(freed)
                 return
 
+    def _sort(self, service: ServiceName) -> None:
+        queue = self._queues[service]
+        if queue:
+            turns = self._turns.setdefault(service, Turns())
+            self._queues[service] = turns.sort(queue, _get_urgency)
+        else:
+            # Nobody waits that could claim a turn.
+            self._turns.pop(service, None)
+
 
-def _get_urgency(waiter: Waiter) -> tuple[bool, int, float]:
+def _get_urgency(waiter: Waiter) -> Urgency:
     request = waiter.request
-    return waiter.expected_late, request.get_rank(), request.get_target_time()
+    return Urgency(
+        is_late=waiter.expected_late,
+        rank=request.get_rank(),
+        target=request.get_target_time(),
+        workspace=request.workspace,
+    )
