Bound the listings with workspaces that one host sends

10,000 keys make a listing of 191 kB, and all hosts of a zone fetched it from one, sharing its link: fetches timed out and started anew. A host now sends listings with workspaces at a bounded pace and tells the others that they lack one, which they fetch from any host of the zone.

--- a/src/ebonystream/gossip/_shared.py
+++ b/src/ebonystream/gossip/_shared.py
@@ -9,6 +9,7 @@
 from ebonystream._ids import BootTime, Incarnation, Monotonic
 from ebonystream._timers import Timers
 from ebonystream._validation import UNDECODABLE, limit_duration
+from ebonystream.gossip._listing_pace import ListingPace
 from ebonystream.gossip._shared_encoding import (
     MALFORMED,
     SharedEncoder,
@@ -51,6 +52,7 @@
             relative to the arrival of the request.
     """
     encoder = SharedEncoder()
+    pace = ListingPace()
 
     async def respond(
         message: Message, arrived: Monotonic, presence: CallerPresence
@@ -61,7 +63,12 @@
             return EncodedResponse(encode_response(BAD_REQUEST, (), b''), True)
         shared = SharedResponse(
             source=source,
-            orders=_select_orders(orders, request, arrived, timers.boot_now()),
+            orders=_pace_listing(
+                _select_orders(orders, request, arrived, timers.boot_now()),
+                encoder,
+                pace,
+                timers.now(),
+            ),
             entries=_select_entries(roster, request, source, arrived),
         )
         return EncodedResponse(
@@ -127,6 +134,27 @@
     )
 
 
+def _pace_listing(
+    shared: SharedOrders | None,
+    encoder: SharedEncoder,
+    pace: ListingPace,
+    now: Monotonic,
+) -> SharedOrders | None:
+    """Leave out the listing of workspaces while too many are being sent.
+
+    The end of the orders tells the requesting host that it lacks some.
+    """
+    if shared is None or shared.listing is None:
+        return shared
+    configuration = shared.listing.configuration
+    if configuration is None or not configuration.workspaces:
+        return shared
+    size = len(encoder.orders.encode(shared.listing.end, shared.listing))
+    if pace.try_send(size, now):
+        return shared
+    return msgspec.structs.replace(shared, listing=None)
+
+
 def _select_entries(
     roster: Roster, request: SharedRequest, source: Incarnation, now: Monotonic
 ) -> SharedEntries | None:
--- a/tests/test_zone_freshness.py
+++ b/tests/test_zone_freshness.py
@@ -10,11 +10,13 @@
 from random import Random
 from types import SimpleNamespace
 
+import attrs
 import pytest
 import trio
 from platform_samples import make_entry
 from test_gossip import make_facts, make_listing
 from test_gossip import make_request as make_shared_request
+from test_shared_listings import Link, make_large_listing
 
 from ebonystream._address import ServerAddress
 from ebonystream._timers import Timers
@@ -28,6 +30,7 @@
 from ebonystream.ingress import CallerPresence
 from ebonystream.orders import Orders
 from ebonystream.roster import Roster
+from ebonystream.workspace import Workspace
 
 REVOKE_S = 5.0
 ZONES = 'abc'
@@ -39,15 +42,16 @@
 class Simulation:
     """Hosts, their links, and the store."""
 
-    def __init__(self):
+    def __init__(self, hosts_per_zone=HOSTS_PER_ZONE, make=make_listing):
         self.hosts = {}
+        self.make_listing = make
         self.end = 1
         self.changed = trio.Event()
         self.calls = Counter()
         self.dead, self.frozen = set(), set()
         self.cut_from_store, self.cut_zones = set(), set()
-        for number in range(len(ZONES) * HOSTS_PER_ZONE):
-            zone = ZONES[number // HOSTS_PER_ZONE]
+        for number in range(len(ZONES) * hosts_per_zone):
+            zone = ZONES[number // hosts_per_zone]
             self.hosts[f'e{number}'] = self.make_host(f'e{number}', zone)
 
     def make_host(self, name, zone):
@@ -75,6 +79,7 @@
             orders_wait_scope=None,
             started_at=0.0,
             has_read=lambda: orders.listing is not None,
+            link=Link(LINK_S),
             respond=make_shared_handler(
                 orders=orders, roster=roster, source=name, timers=timers
             ),
@@ -102,7 +107,7 @@
 
         async def list_orders():
             await self.call_store(host)
-            listing = make_listing(version=self.end, end=self.end)
+            listing = self.make_listing(version=self.end, end=self.end)
             await trio.sleep(STORE_S)
             return listing
 
@@ -136,7 +141,7 @@
                 trio.current_time(),
                 CallerPresence(),
             )
-            await trio.sleep(LINK_S)
+            await other.link.transfer(len(response.content))
             return decode_shared(response.content.partition(b'\r\n\r\n')[2])
 
         return fetch
@@ -322,3 +327,44 @@
     ]
     # Never younger than where it came from, and little older.
     assert ages[0] <= ages[1] <= ages[0] + LINK_S + 1e-6
+
+
+MANY_KEYS, APPLY_S = 10_000, 2.0
+
+
+def make_keys_listing(end, version):
+    """Make a listing with many routes and 10,000 digests of keys."""
+    listing = make_large_listing(end, version)
+    random = Random(end)
+    workspaces = tuple(
+        Workspace(
+            name=f'w{number}',
+            digests=frozenset(random.randbytes(16) for _ in range(100)),
+        )
+        for number in range(MANY_KEYS // 100)
+    )
+    configuration = attrs.evolve(listing.configuration, workspaces=workspaces)
+    return attrs.evolve(listing, configuration=configuration)
+
+
+@pytest.mark.parametrize('hosts_per_zone', [8, 34])
+async def test_many_keys_are_in_force_in_time(autojump_clock, hosts_per_zone):
+    # Guards against hosts of a zone that all fetch from one, whose link they
+    # share, so that each fetch times out and none ever ends.
+    simulation = Simulation(hosts_per_zone, make=make_keys_listing)
+    applied = {}
+
+    async def watch():
+        while len(applied) < len(simulation.hosts):
+            await trio.sleep(0.05)
+            for name, host in simulation.hosts.items():
+                if host.orders.end > 1:
+                    applied.setdefault(name, trio.current_time())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch)
+        stale = await simulation.run(withdraw_a_key)
+        nursery.cancel_scope.cancel()
+    latest = max(applied.values()) - EVENT_S
+    assert stale == []
+    assert latest <= APPLY_S
