--- a/src/ebonystream/entryhost/_admission.py
+++ b/src/ebonystream/entryhost/_admission.py
@@ -51,6 +51,7 @@
     parts: HostParts
     _workspaces: tuple[Workspace, ...] = ()
     _index: WorkspaceIndex = attrs.field(factory=WorkspaceIndex)
+    _was_fresh: bool = True
 
     def wrap(self, handle_request: HandleRequest) -> HandleRequest:
         """Wrap a handler so that it gets only requests that are admitted.
@@ -113,9 +114,23 @@
             self._index,
             request.credential,
             is_exempt=route is not None and route.exempt,
-            is_fresh=is_fresh(self.parts),
+            is_fresh=self._check_freshness(),
         )
 
+    def _check_freshness(self) -> bool:
+        """Return whether keys are judged now, and log each change."""
+        parts = self.parts
+        fresh = is_fresh(parts)
+        if fresh is not self._was_fresh:
+            self._was_fresh = fresh
+            parts.log_event(
+                'keys_judged' if fresh else 'keys_not_judged',
+                age_s=parts.orders.freshness.get_age(parts.timers.boot_now()),
+                revoke_s=parts.settings.limits.revoke,
+                end=parts.orders.end,
+            )
+        return fresh
+
     def _refuse(
         self, request: Request, route: Route | None, admission: Admission
     ) -> Response:
--- a/src/ebonystream/entryhost/_gauges.py
+++ b/src/ebonystream/entryhost/_gauges.py
@@ -23,6 +23,11 @@
     return configuration.version if configuration else 0
 
 
+def _read_proof_age(parts: HostParts) -> float:
+    age = parts.orders.freshness.get_age(parts.timers.boot_now())
+    return float('nan') if age is None else age
+
+
 def _read_peak_memory(parts: HostParts) -> float:
     return BYTES_PER_KIB * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 
@@ -41,6 +46,10 @@
             'The configuration in force; 0 where there is none.',
             _read_configuration_version,
         ),
+        'ebonystream_configuration_proof_age_seconds': _Gauge(
+            'Since the store was asked whether the orders are the newest.',
+            _read_proof_age,
+        ),
         'ebonystream_servers_known': _Gauge(
             'Backend servers that are known.',
             lambda parts: len(parts.roster.servers),
--- a/src/ebonystream/entryhost/_lease.py
+++ b/src/ebonystream/entryhost/_lease.py
@@ -8,9 +8,9 @@
 The rest covers clocks of different rates."""
 
 POLL_SHARE = 0.2
-"""Share of the bound that one long poll for new orders may take. The age of
-the orders of a zone leader then reaches two fifths of the bound, and a host has
-half of it left to find another source."""
+"""Share of the bound that one long poll for new orders may take, with its way
+to the store and back. The proof of a zone leader then reaches the age of two
+fifths of the bound, and a host has half of it left to find another source."""
 
 SHORT_SHARE = 0.55
 """Share of the bound from which a host asks the leaders of other zones."""
@@ -62,7 +62,8 @@
         return usual
     if is_lease_short(parts):
         return SHORT_LEASE_POLL
-    return Seconds(min(usual, revoke * POLL_SHARE))
+    in_time = revoke * POLL_SHARE - parts.store_latency
+    return Seconds(min(usual, max(SHORT_LEASE_POLL, in_time)))
 
 
 def _is_within(parts: HostParts, share: float) -> bool:
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -5,7 +5,7 @@
 import attrs
 import trio
 
-from ebonystream._ids import Incarnation, Monotonic
+from ebonystream._ids import Incarnation, Monotonic, Seconds
 from ebonystream._timers import Timers
 from ebonystream.decisionlog import EventLogger, LineBuffer
 from ebonystream.entryhost._metrics import HostMetrics
@@ -70,6 +70,8 @@
         caller_connections: Connections from callers.
         leaving: Set once this host is shutting down.
         searches: Searches for a server for the requests of callers.
+        store_latency: How much longer than asked for the last long poll of
+            the store took, in seconds.
     """
 
     settings: HostSettings
@@ -104,6 +106,7 @@
     caller_connections: OpenConnections = attrs.field(factory=OpenConnections)
     leaving: trio.Event = attrs.field(factory=trio.Event)
     searches: ActiveSearches = attrs.field(factory=ActiveSearches)
+    store_latency: Seconds = Seconds(0)
 
     def is_ready(self) -> bool:
         """Return whether this host can serve callers."""
--- a/src/ebonystream/platform/_headers.py
+++ b/src/ebonystream/platform/_headers.py
@@ -18,6 +18,7 @@
 SERVER_LEAVING = b'server-leaving'
 RETRY_AFTER = b'retry-after'
 AUTHORIZATION = b'authorization'
+AUTHENTICATE = b'www-authenticate'
 WORKSPACE = b'ebonystream-tenant'
 ACCESS_HEADERS = frozenset((AUTHORIZATION, WORKSPACE))
 """Fields that tell who a caller is."""
--- a/src/ebonystream/platform/_responses.py
+++ b/src/ebonystream/platform/_responses.py
@@ -1,10 +1,12 @@
 """Decoding of backend servers' responses, encoding of callers' responses."""
 
 from ebonystream._calls import Headers
+from ebonystream.errors import ErrorKind
 from ebonystream.http1 import Message, encode_response
 from ebonystream.link import ResponseMatcher
 from ebonystream.platform._headers import (
     ATTEMPT_ID,
+    AUTHENTICATE,
     HOP_BY_HOP_HEADERS,
     NOT_EXECUTED,
     RESPONSE_SEAL,
@@ -22,6 +24,7 @@
 )
 
 CONTENT_ENCODING = b'content-encoding'
+KEY_SCHEME = b'Token'
 FIRST_SERVER_ERROR_STATUS = 500
 MISDIRECTED_STATUS = 421
 
@@ -69,6 +72,8 @@
     headers = list(response.headers)
     if response.retry_after is not None:
         headers.append((RETRY_AFTER, b'%.3f' % response.retry_after))
+    if response.error is ErrorKind.UNAUTHORIZED:
+        headers.append((AUTHENTICATE, KEY_SCHEME))
     if close:
         headers.append((b'connection', b'close'))
     return encode_response(response.status, headers, response.body)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -172,7 +172,7 @@
     response = await make_handler(host, dispatcher)(request, CallerPresence())
     assert (response.status, len(sent)) == (status, int(status == 200))
     assert (response.retry_after is not None) is (status == 503)
-    assert host.logged[0]['when'] == 'arrival'
+    assert host.logged[-1]['when'] == 'arrival'
 
 
 SENDS = [
--- a/tests/test_workspace_host.py
+++ b/tests/test_workspace_host.py
@@ -66,9 +66,10 @@
         assert (await deployment.call('a', lines=claims))[0] == 200
         assert list_identity(deployment, 'a') == [(IDENTITY[1], b'kaje80')]
 
-        status, body = await deployment.call('b', lines=BY_OTHER_KEY)
-        assert status == HTTPStatus.UNAUTHORIZED
-        assert json.loads(body)['error'] == 'unauthorized'
+        refused = await deployment.exchange('b', lines=BY_OTHER_KEY)
+        assert refused.status == HTTPStatus.UNAUTHORIZED
+        assert dict(refused.headers)[b'www-authenticate'] == b'Token'
+        assert json.loads(refused.body)['error'] == 'unauthorized'
         # Whether a path exists is told to those with a key only.
         assert (await deployment.call('b', path='/else/'))[0] == 401
         assert (await deployment.call('b', path='/else/', lines=BY_KEY))[
@@ -145,6 +146,9 @@
 
         await deployment.wait_until(is_renewed, within=5)
         assert (await deployment.call('e', lines=BY_KEY))[0] == 401
+        events = [line['message_type'] for line in deployment.read_log()]
+        assert events.count('keys_not_judged') == 1
+        assert events.count('keys_judged') == 1
 
 
 async def test_a_frozen_host_runs_no_request_of_a_withdrawn_key(tmp_path):
--- a/tests/test_zone_freshness.py
+++ b/tests/test_zone_freshness.py
@@ -45,6 +45,7 @@
     def __init__(self, hosts_per_zone=HOSTS_PER_ZONE, make=make_listing):
         self.hosts = {}
         self.make_listing = make
+        self.store_s = STORE_S
         self.end = 1
         self.changed = trio.Event()
         self.calls = Counter()
@@ -77,6 +78,7 @@
             orders_source=None,
             orders_announced=trio.Event(),
             orders_wait_scope=None,
+            store_latency=0.0,
             started_at=0.0,
             has_read=lambda: orders.listing is not None,
             link=Link(LINK_S),
@@ -100,7 +102,7 @@
         if host.settings.zone in self.cut_from_store:
             await trio.sleep(1.5)
             raise EbonystreamError(ErrorKind.LOG_UNAVAILABLE, 'no answer')
-        await trio.sleep(STORE_S)
+        await trio.sleep(self.store_s)
 
     def make_reader(self, host):
         """Make the functions by which a host reads the store."""
@@ -108,7 +110,7 @@
         async def list_orders():
             await self.call_store(host)
             listing = self.make_listing(version=self.end, end=self.end)
-            await trio.sleep(STORE_S)
+            await trio.sleep(self.store_s)
             return listing
 
         async def wait_for_orders(known_end, wait):
@@ -117,7 +119,7 @@
                 while self.end <= known_end:
                     await self.changed.wait()
             end = self.end
-            await trio.sleep(STORE_S)
+            await trio.sleep(self.store_s)
             return end
 
         return StoreReader(
@@ -255,6 +257,18 @@
     assert max(simulation.calls.values()) <= 1.2 * (END_S - SETTLED_S)
 
 
+@pytest.mark.parametrize('change', [do_nothing, kill_leader])
+@pytest.mark.parametrize('store_s', [0.3, 0.6])
+async def test_hosts_stay_fresh_with_a_slow_store(
+    autojump_clock, store_s, change
+):
+    """The store takes up to 1.2 s for a response; calls end after 1.5 s."""
+    simulation = Simulation()
+    simulation.store_s = store_s
+    assert await simulation.run(change) == []
+    assert sum(simulation.calls.values()) <= 4 * (END_S - SETTLED_S)
+
+
 async def test_a_zone_that_is_cut_off_stops_judging_keys(autojump_clock):
     # Some orders are newer: no host of the zone judges keys by its old ones.
     def cut_off(simulation):
