--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -1,98 +1,228 @@
-"""The race of a late first attempt and its hedge."""
+"""Synchronisation with the store: a task for orders, another for servers.
+
+In each zone one host, the zone leader, reads the store, and the others fetch
+the result from it. A host reads the store itself when its copy has become
+stale because no other host could provide a newer one.
+"""
+
+from collections.abc import Awaitable, Callable
 
 import attrs
+import trio
+
+from ebonystream._ids import Monotonic, Offset, Seconds
+from ebonystream.entryhost._dependency import Dependency
+from ebonystream.entryhost._lease import get_orders_poll, is_lease_ending
+from ebonystream.entryhost._parts import HostParts
+from ebonystream.errors import EbonystreamError
+from ebonystream.orders import OrdersListing
+from ebonystream.roster import EntriesListing
+
+ORDERS_POLL_TIMEOUT = Seconds(2)
+"""Upper bound on one long poll for new orders, in seconds."""
+
+SERVERS_READ_PERIOD = Seconds(0.7)
+"""Period of reading the entries of the servers, in seconds."""
+
+SERVERS_STALE_AFTER = Seconds(1.8)
+"""Age of the server entries, in seconds, above which a host that is not the
+zone leader reads the store itself."""
+
+ORDERS_STALE_AFTER = Seconds(4.5)
+"""Likewise, the age of the orders, in seconds."""
+
+LEADER_START_WAIT = Seconds(0.02)
+"""How long a host that has just started leaves it to its peers to provide
+what they have read, if it takes itself for the leader of its zone."""
+
+START_WAIT = Seconds(1)
+"""How long any other host does."""
+
+STORE_RETRY_DELAY = Seconds(0.5)
+"""Delay before the next read after a failed one, in seconds."""
+
+LEADER_CHECK_PERIOD = Seconds(0.2)
+"""How often a host checks whether it has to read the store, in seconds."""
 
-from ebonystream._ids import Monotonic, Seconds
-from ebonystream.dispatch._attempt import Attempt
-from ebonystream.dispatch._hedge_rules import (
-    HedgeDecision,
-    HedgeEnd,
-    HedgeRules,
-)
-from ebonystream.dispatch._progress import Dispatcher, RequestProgress
-from ebonystream.hedging import HedgeRefusal, LatenessEstimate
-from ebonystream.placement import Candidate
+START_CHECK_PERIOD = Seconds(0.02)
+"""How often it does so until it has orders and entries."""
 
+ListOrders = Callable[[], Awaitable[OrdersListing]]
+"""Reads all orders; raises `EbonystreamError` if the store fails."""
 
-@attrs.define(kw_only=True)
-class Race:
-    """A first attempt and its hedge.
+WaitForOrders = Callable[[Offset, Seconds], Awaitable[Offset]]
+"""Waits until the orders extend beyond an offset; returns their end.
+
+The second argument bounds the wait, in seconds.
+"""
+
+ListEntries = Callable[[], Awaitable[EntriesListing]]
+"""Reads the entries of all servers; raises if the store fails."""
+
+
+@attrs.frozen(kw_only=True)
+class StoreReader:
+    """Functions that read the store.
 
     Attributes:
-        dispatcher: The dependencies of dispatch.
-        rules: State and callbacks of hedging.
-        progress: State of the request.
-        candidate: Server of the first attempt.
-        estimate: From when on the first attempt is late.
-        started_at: When the first attempt was sent.
-        first_running: Whether the first attempt is running.
-        hedge_running: Whether the hedge is running.
-        winner: The attempt that was served first; None if there is none.
-        last: The attempt that ended last; None before any has.
-        hedge: The result of the hedge; None before it has one.
+        list_orders: Reads all orders.
+        wait_for_orders: Waits for new orders.
+        list_entries: Reads the entries of all servers.
     """
 
-    dispatcher: Dispatcher
-    rules: HedgeRules
-    progress: RequestProgress
-    candidate: Candidate
-    estimate: LatenessEstimate
-    started_at: Monotonic
-    first_running: bool = True
-    hedge_running: bool = False
-    winner: Attempt | None = None
-    last: Attempt | None = None
-    hedge: Attempt | None = None
-
-    def is_over(self) -> bool:
-        """Return whether no further result is waited for."""
-        if self.winner is not None:
-            return True
-        return not (self.first_running or self.hedge_running)
-
-    def record_end(self, attempt: Attempt) -> None:
-        """Record the result of an attempt.
-
-        Args:
-            attempt: The attempt that has ended.
-        """
-        self.last = attempt
-        if self.winner is None and attempt.is_served():
-            self.winner = attempt
-
-    def decide(
-        self,
-        hedge: Candidate | None = None,
-        refusal: HedgeRefusal | None = None,
-    ) -> HedgeDecision:
-        """Report and return the decision about the late attempt.
-
-        Args:
-            hedge: Server of the hedge; None if there is none.
-            refusal: Why there is none.
-        """
-        decision = HedgeDecision(
-            candidate=self.candidate,
-            estimate=self.estimate,
-            waited=Seconds(self.dispatcher.timers.now() - self.started_at),
-            hedge=hedge,
-            refusal=refusal,
-        )
-        self.rules.observe_decision(
-            self.progress.request, self.progress.route, decision
+    list_orders: ListOrders
+    wait_for_orders: WaitForOrders
+    list_entries: ListEntries
+
+
+async def sync_orders(parts: HostParts, reader: StoreReader) -> None:
+    """Keep the orders up to date with the store; never return.
+
+    Args:
+        parts: The state of the host.
+        reader: Functions that read the store.
+    """
+    store = Dependency('store: orders', parts.log_event, parts.timers)
+    while True:
+        must_read = is_lease_ending(parts) and parts.has_read()
+        must_read = must_read or _must_read(
+            parts, parts.orders.confirmed_at, ORDERS_STALE_AFTER
         )
-        return decision
-
-    def report_end(self, decision: HedgeDecision) -> None:
-        """Report how the hedge ended.
-
-        Args:
-            decision: The decision that it was sent by.
-        """
-        end = HedgeEnd.CANCELLED
-        if self.winner is not None or self.hedge is not None:
-            has_won = self.winner is not None and self.winner is self.hedge
-            end = HedgeEnd.WON if has_won else HedgeEnd.LOST
-        self.rules.observe_end(
-            self.progress.request, self.progress.route, decision, end
+        if not must_read:
+            await _wait_for_check(parts)
+            continue
+        try:
+            await _read_orders(parts, reader, can_wait=store.lost_at is None)
+        except EbonystreamError as error:
+            store.record_failure(str(error))
+            await parts.timers.wait(STORE_RETRY_DELAY)
+        else:
+            store.record_success()
+
+
+async def sync_servers(parts: HostParts, reader: StoreReader) -> None:
+    """Keep the roster up to date with the store; never return.
+
+    Args:
+        parts: The state of the host.
+        reader: Functions that read the store.
+    """
+    store = Dependency('store: servers', parts.log_event, parts.timers)
+    while True:
+        if not _must_read(
+            parts, parts.roster.last_listed_at, SERVERS_STALE_AFTER
+        ):
+            await _wait_for_check(parts)
+            continue
+        started_at = parts.timers.now()
+        try:
+            listing = await reader.list_entries()
+        except EbonystreamError as error:
+            store.record_failure(str(error))
+            parts.store_unreachable = True
+            parts.roster.record_outage(parts.timers.now())
+            await parts.timers.wait(STORE_RETRY_DELAY)
+            continue
+        parts.store_unreachable = False
+        if store.record_success():
+            parts.cancel_orders_wait()
+        update_roster(parts, listing, started_at)
+        await trio.sleep_until(started_at + SERVERS_READ_PERIOD)
+
+
+def update_orders(
+    parts: HostParts, listing: OrdersListing, read_at: Monotonic
+) -> None:
+    """Update the orders, and log the change if there is one.
+
+    Args:
+        parts: The state of the host.
+        listing: All orders.
+        read_at: When the orders were read from the store.
+    """
+    orders = parts.orders
+    if not orders.update(listing, read_at):
+        return
+    configuration = orders.configuration
+    parts.log_event(
+        'orders_taken',
+        end=orders.end,
+        configuration=configuration.version if configuration else None,
+        zones_out=sorted(orders.zones_out),
+        moves=[move.id for move in orders.moves],
+        age_s=parts.timers.now() - read_at,
+    )
+
+
+def update_roster(
+    parts: HostParts, listing: EntriesListing, read_at: Monotonic
+) -> None:
+    """Update the roster, and log the change if there is one.
+
+    Args:
+        parts: The state of the host.
+        listing: The entries of all servers.
+        read_at: When the entries were read from the store.
+    """
+    change = parts.roster.apply_listing(
+        listing.entries, read_at, unreadable=listing.unreadable
+    )
+    if change.has_changes():
+        parts.log_event(
+            'roster_changed',
+            joined=change.joined,
+            left=change.left,
+            leaving=change.leaving,
+            servers=len(parts.roster.servers),
+            age_s=parts.timers.now() - read_at,
         )
+
+
+async def _wait_for_check(parts: HostParts) -> None:
+    has_read = parts.has_read()
+    period = LEADER_CHECK_PERIOD if has_read else START_CHECK_PERIOD
+    await parts.timers.wait(period)
+
+
+def _must_read(
+    parts: HostParts, read_at: Monotonic | None, stale_after: Seconds
+) -> bool:
+    now = parts.timers.now()
+    is_leader = parts.facts.is_leader(now)
+    if read_at is None:
+        wait = LEADER_START_WAIT if is_leader else START_WAIT
+        return now - parts.started_at >= wait
+    return is_leader or now - read_at > stale_after
+
+
+async def _read_orders(
+    parts: HostParts, reader: StoreReader, *, can_wait: bool
+) -> None:
+    if can_wait and parts.orders.listing is not None:
+        if not await _wait_for_new_orders(parts, reader):
+            return
+    started_at = parts.timers.now()
+    asked_at = parts.timers.boot_now()
+    listing = await reader.list_orders()
+    update_orders(parts, listing, started_at)
+    parts.orders.confirm_newest(listing.end, asked_at)
+
+
+async def _wait_for_new_orders(parts: HostParts, reader: StoreReader) -> bool:
+    """Wait for new orders; return whether to read the orders now.
+
+    A cancelled wait returns True, so that the orders are read at once.
+    """
+    known_end = parts.orders.end
+    asked_at = parts.timers.boot_now()
+    poll_timeout = get_orders_poll(parts, ORDERS_POLL_TIMEOUT)
+    with trio.CancelScope() as scope:
+        parts.orders_wait_scope = scope
+        end = await reader.wait_for_orders(known_end, poll_timeout)
+        parts.orders.confirm_newest(end, asked_at)
+        if end == known_end:
+            taken = parts.timers.boot_now() - asked_at
+            parts.store_latency = Seconds(max(0, taken - poll_timeout))
+        parts.orders.confirm(parts.timers.now())
+        return end > known_end
+    return True
