Reject malformed listings of the earlier encoding

Shared orders without workspaces were taken for none before their listing was decoded, so that a malformed one counted as a response. It is decoded first again, as tests/test_odd_responses.py requires.

Measured: tests/test_odd_responses.py passes (one case was red), as do tests/test_workspaces.py and tests/test_gossip.py.

--- a/src/ebonystream/gossip/_shared_encoding.py
+++ b/src/ebonystream/gossip/_shared_encoding.py
@@ -152,13 +152,17 @@
     """Decode orders; those of another encoding count as none.
 
     The entries beside them are still used, and the host reads the orders from
-    the store once no other host provides them.
+    the store once no other host provides them. A malformed listing of an
+    earlier encoding makes the response malformed, as in the present one.
     """
-    if encoded is None or encoded.encoding != ORDERS_ENCODING:
+    if encoded is None or encoded.encoding > ORDERS_ENCODING:
+        return None
+    listing = _decode_listing(encoded.listing, OrdersListing)
+    if encoded.encoding < ORDERS_ENCODING:
         return None
     return SharedOrders(
         age=encoded.age,
-        listing=_decode_listing(encoded.listing, OrdersListing),
+        listing=listing,
         end=encoded.end,
         asked_age=encoded.asked_age,
     )
