Share the reads of a store that fails among the hosts of a zone

Cause: in an outage the copies of all hosts become stale, and each host then read the store twice a second for servers and for orders. Change: hosts that are not the leader of their zone share one read in half a second, at a pace that follows the hosts of the zone in sight; a host without peers, and the leader, retry as before. A host that takes over leadership does not wait any longer. A stale host fetches from the leader in half of its tries, as it is the first to be current after an outage.

--- a/src/ebonystream/entryhost/_peer_fetch.py
+++ b/src/ebonystream/entryhost/_peer_fetch.py
@@ -132,7 +132,7 @@
     if source is not None and source.host not in failed:
         return source
     leader = parts.facts.find_leader(parts.settings.zone, now)
-    if _is_stale(parts, now):
+    if _is_stale(parts, now) and not _is_preferred(parts, leader, failed):
         return _select_any(parts, failed, now)
     if leader is None or leader.host == parts.settings.name:
         return None
@@ -141,6 +141,21 @@
     return leader
 
 
+def _is_preferred(
+    parts: HostParts, leader: HostFacts | None, failed: Container[HostId]
+) -> bool:
+    """Return whether to fetch from the leader although this host is stale.
+
+    After an outage the leader is the first host of its zone to be current, but
+    it may be stale itself; so only half of the fetches go to it.
+    """
+    if leader is None or leader.host == parts.settings.name:
+        return False
+    if leader.host in failed or leader.store_unreachable:
+        return False
+    return parts.random.choice((True, False))
+
+
 def _select_remote(
     parts: HostParts, failed: Container[HostId], now: Monotonic
 ) -> HostFacts | None:
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -13,6 +13,11 @@
 from ebonystream._ids import Monotonic, Offset, Seconds
 from ebonystream.entryhost._dependency import Dependency
 from ebonystream.entryhost._parts import HostParts
+from ebonystream.entryhost._store_turns import (
+    StoreCopy,
+    wait_for_turn,
+    wait_to_retry,
+)
 from ebonystream.errors import EbonystreamError
 from ebonystream.orders import OrdersListing
 from ebonystream.roster import EntriesListing
@@ -23,29 +28,6 @@
 SERVERS_READ_PERIOD = Seconds(0.7)
 """Period of reading the entries of the servers, in seconds."""
 
-SERVERS_STALE_AFTER = Seconds(1.8)
-"""Age of the server entries, in seconds, above which a host that is not the
-zone leader reads the store itself."""
-
-ORDERS_STALE_AFTER = Seconds(4.5)
-"""Likewise, the age of the orders, in seconds."""
-
-LEADER_START_WAIT = Seconds(0.02)
-"""How long a host that has just started leaves it to its peers to provide
-what they have read, if it takes itself for the leader of its zone."""
-
-START_WAIT = Seconds(1)
-"""How long any other host does."""
-
-STORE_RETRY_DELAY = Seconds(0.5)
-"""Delay before the next read after a failed one, in seconds."""
-
-LEADER_CHECK_PERIOD = Seconds(0.2)
-"""How often a host checks whether it has to read the store, in seconds."""
-
-START_CHECK_PERIOD = Seconds(0.02)
-"""How often it does so until it has orders and entries."""
-
 ListOrders = Callable[[], Awaitable[OrdersListing]]
 """Reads all orders; raises `EbonystreamError` if the store fails."""
 
@@ -83,14 +65,13 @@
     """
     store = Dependency('store: orders', parts.log_event, parts.timers)
     while True:
-        if not _must_read(parts, parts.orders.confirmed_at, ORDERS_STALE_AFTER):
-            await _wait_for_check(parts)
+        if not await wait_for_turn(parts, StoreCopy.ORDERS):
             continue
         try:
             await _read_orders(parts, reader, can_wait=store.lost_at is None)
         except EbonystreamError as error:
             store.record_failure(str(error))
-            await parts.timers.wait(STORE_RETRY_DELAY)
+            await wait_to_retry(parts)
         else:
             store.record_success()
 
@@ -104,10 +85,7 @@
     """
     store = Dependency('store: servers', parts.log_event, parts.timers)
     while True:
-        if not _must_read(
-            parts, parts.roster.last_listed_at, SERVERS_STALE_AFTER
-        ):
-            await _wait_for_check(parts)
+        if not await wait_for_turn(parts, StoreCopy.SERVERS):
             continue
         started_at = parts.timers.now()
         try:
@@ -116,7 +94,7 @@
             store.record_failure(str(error))
             parts.store_unreachable = True
             parts.roster.record_outage(parts.timers.now())
-            await parts.timers.wait(STORE_RETRY_DELAY)
+            await wait_to_retry(parts)
             continue
         parts.store_unreachable = False
         if store.record_success():
@@ -173,23 +151,6 @@
         )
 
 
-async def _wait_for_check(parts: HostParts) -> None:
-    has_read = parts.has_read()
-    period = LEADER_CHECK_PERIOD if has_read else START_CHECK_PERIOD
-    await parts.timers.wait(period)
-
-
-def _must_read(
-    parts: HostParts, read_at: Monotonic | None, stale_after: Seconds
-) -> bool:
-    now = parts.timers.now()
-    is_leader = parts.facts.is_leader(now)
-    if read_at is None:
-        wait = LEADER_START_WAIT if is_leader else START_WAIT
-        return now - parts.started_at >= wait
-    return is_leader or now - read_at > stale_after
-
-
 async def _read_orders(
     parts: HostParts, reader: StoreReader, *, can_wait: bool
 ) -> None:
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -1,5 +1,6 @@
 """Errors that nobody foresaw end no task, and each odd record is logged once."""
 
+from random import Random
 from types import SimpleNamespace
 
 import pytest
@@ -34,6 +35,7 @@
             {'event': event, **fields}
         ),
         facts=HostFactTable('e1', 'a'),
+        random=Random(1),
         roster=Roster(),
         store_unreachable=False,
         started_at=-9.0,
