Detect bad versions by a sequential test over the counts of all hosts

Cause: a version that fails 5 % of its requests was put into force, as a rollback required 14 % of bad attempts.

--- a/src/ebonystream/entryhost/_version_moves.py
+++ b/src/ebonystream/entryhost/_version_moves.py
@@ -1,6 +1,8 @@
 """Execution of version moves, coordinated with the other hosts."""
 
-from ebonystream._ids import Monotonic, Seconds
+from collections.abc import Mapping
+
+from ebonystream._ids import HostId, Monotonic, Seconds
 from ebonystream._validation import limit_duration
 from ebonystream.dispatch import Attempt
 from ebonystream.entryhost._move_reports import (
@@ -14,10 +16,10 @@
 from ebonystream.request import Request, ResponseVerdict
 from ebonystream.route import Route
 from ebonystream.versionmove import (
+    AttemptOutcome,
+    MoveCounts,
     MoveVerdict,
     VersionMove,
-    find_rollback_reason,
-    sum_counts,
 )
 
 MOVE_UPDATE_PERIOD = Seconds(0.2)
@@ -80,11 +82,10 @@
         return
     if attempt.is_not_run():
         return
-    bad = _is_bad(attempt)
-    # An abandoned attempt counts only if it was overdue.
-    if attempt.response is None and attempt.failure is None and not bad:
-        return
-    move.record_attempt(route.name, new=entry.version == move.version, bad=bad)
+    outcome = _classify(attempt)
+    if outcome is not None:
+        is_new = entry.version == move.version
+        move.record_attempt(route.name, new=is_new, outcome=outcome)
 
 
 def apply_peer_facts(
@@ -97,20 +98,33 @@
         move: The version move.
         now: The current time.
     """
-    peer_facts = [fact for _, fact in list_peer_facts(parts, move, now)]
-    for fact in peer_facts:
+    counts_by_host = {parts.settings.name: move.list_counts()}
+    for host, fact in list_peer_facts(parts, move, now):
         move.started_at = min(move.started_at, Monotonic(now - fact.elapsed))
         _adopt_verdict(parts, move, fact, now)
         move.store_checked = move.store_checked or fact.store_checked
-    if move.verdict is not MoveVerdict.RUNNING:
-        return
-    peer_counts = [peer.counts for peer in peer_facts]
-    counts = sum_counts((move.list_counts(), *peer_counts))
-    why = find_rollback_reason(counts)
-    if why is not None:
-        move.rollback_reason = why
-        move.change_verdict(MoveVerdict.ROLLED_BACK, now)
-        parts.log_event('move_braked', move=move.id, why=why)
+        counts_by_host[HostId(host)] = fact.counts
+    if move.verdict is MoveVerdict.RUNNING:
+        _evaluate(parts, move, counts_by_host, now)
+
+
+def _evaluate(
+    parts: HostParts,
+    move: VersionMove,
+    counts_by_host: Mapping[HostId, MoveCounts],
+    now: Monotonic,
+) -> None:
+    was_on_hold = move.is_on_hold
+    share = move.get_traffic_share(now)
+    if move.evaluate(counts_by_host, now):
+        parts.log_event('move_braked', move=move.id, why=move.rollback_reason)
+    elif move.is_on_hold is not was_on_hold:
+        parts.log_event(
+            'move_on_hold' if move.is_on_hold else 'move_continues',
+            move=move.id,
+            share=share,
+            why=move.evidence.describe_worst(),
+        )
 
 
 def _adopt_verdict(
@@ -127,9 +141,12 @@
         )
 
 
-def _is_bad(attempt: Attempt) -> bool:
-    if attempt.is_overdue():
-        return True
-    if attempt.response is None:
-        return attempt.failure is not None
-    return attempt.response.verdict is not ResponseVerdict.SERVED
+def _classify(attempt: Attempt) -> AttemptOutcome | None:
+    """Classify an attempt; None if it tells nothing about the version."""
+    response = attempt.response
+    if response is not None and response.verdict is not ResponseVerdict.SERVED:
+        return AttemptOutcome.FAILED
+    if attempt.is_overdue() or attempt.failure is not None:
+        return AttemptOutcome.LOST
+    # An abandoned attempt counts only if it was overdue.
+    return None if response is None else AttemptOutcome.GOOD
--- a/src/ebonystream/versionmove/_move.py
+++ b/src/ebonystream/versionmove/_move.py
@@ -1,18 +1,32 @@
 """The state of a version move on one host."""
 
 import enum
+from collections.abc import Mapping
 
 import attrs
 
 from ebonystream._ids import (
+    HostId,
     Monotonic,
     MoveId,
     RouteName,
     ServiceName,
     VersionName,
 )
-from ebonystream.versionmove._counts import MoveCounts, RouteCounts
-from ebonystream.versionmove._stages import get_scheduled_share, limit_share
+from ebonystream.versionmove._counts import (
+    AttemptOutcome,
+    MoveCounts,
+    RouteCounts,
+)
+from ebonystream.versionmove._evaluation import HOLD_WEALTH, find_fault
+from ebonystream.versionmove._evidence import MoveEvidence
+from ebonystream.versionmove._stages import (
+    MAX_SHARE_ON_HOLD,
+    get_evidence_share,
+    get_exposure_share,
+    get_scheduled_share,
+    limit_share,
+)
 
 NEVER = Monotonic(float('-inf'))
 """Time of an event that has not happened."""
@@ -45,6 +59,8 @@
         store_checked: Whether this host has looked for a verdict that was
             reported earlier. The new version gets no requests before.
         reported_verdict: The verdict of the newest known report in the store.
+        evidence: The attempts of all hosts that this host knows of.
+        is_on_hold: Whether evidence against the new version limits its share.
     """
 
     id: MoveId
@@ -59,6 +75,8 @@
     rollback_reason: str = ''
     store_checked: bool = False
     reported_verdict: MoveVerdict | None = None
+    evidence: MoveEvidence = attrs.field(factory=MoveEvidence)
+    is_on_hold: bool = False
     _counts: dict[RouteName, RouteCounts] = attrs.field(factory=dict)
 
     def get_progress(self, now: Monotonic) -> float:
@@ -79,20 +97,47 @@
             return 1
         if self.verdict is MoveVerdict.ROLLED_BACK or not self.store_checked:
             return 0
-        return limit_share(
-            get_scheduled_share(self.get_progress(now)), self.capacity_ratio
+        progress = self.get_progress(now)
+        share = min(
+            get_scheduled_share(progress),
+            get_evidence_share(self.evidence.attempts, self.evidence.expected),
+            get_exposure_share(progress, self.evidence.requests),
         )
+        if self.is_on_hold:
+            share = min(share, MAX_SHARE_ON_HOLD)
+        return limit_share(share, self.capacity_ratio)
+
+    def evaluate(
+        self, counts_by_host: Mapping[HostId, MoveCounts], now: Monotonic
+    ) -> bool:
+        """Evaluate a running move; return whether it was rolled back.
 
-    def record_attempt(self, route: RouteName, *, new: bool, bad: bool) -> None:
+        Args:
+            counts_by_host: The counts of all hosts since the move began.
+            now: The current time.
+        """
+        share = self.get_traffic_share(now)
+        self.evidence.update(counts_by_host, share=share, now=now)
+        self.is_on_hold = self.evidence.get_wealth() >= HOLD_WEALTH
+        fault = find_fault(self.evidence, self.get_progress(now))
+        if fault is None:
+            return False
+        self.rollback_reason = fault
+        self.change_verdict(MoveVerdict.ROLLED_BACK, now)
+        return True
+
+    def record_attempt(
+        self, route: RouteName, *, new: bool, outcome: AttemptOutcome
+    ) -> None:
         """Record an attempt that ended while the move is running.
 
         Args:
             route: The route of the request.
             new: Whether the attempt was at the new version.
-            bad: Whether the attempt failed or was overdue.
+            outcome: How the attempt ended.
         """
         counts = self._counts.setdefault(route, RouteCounts(route))
-        counts.record_attempt(new=new, bad=bad)
+        counts.record_attempt(new=new, outcome=outcome)
 
     def list_counts(self) -> MoveCounts:
         """List this host's counts, by route."""
--- a/src/ebonystream/versionmove/_stages.py
+++ b/src/ebonystream/versionmove/_stages.py
@@ -1,14 +1,61 @@
 """The traffic share of a new version in the course of its move."""
 
-TRAFFIC_STAGES = (
-    (0, 0.06),
-    (0.34, 0.14),
-    (0.46, 0.3),
-    (0.56, 0.5),
-    (0.8, 1),
+import math
+
+import attrs
+
+
+@attrs.frozen
+class Stage:
+    """A stage of a move.
+
+    Attributes:
+        min_progress: Elapsed share of the move's duration from which on the
+            stage may begin.
+        share: Share of the requests that the new version gets at most.
+        min_attempts: Completed attempts at the new version, on all hosts, from
+            which on the stage may begin.
+        exposure_pace: Share of the exposure limit that may be used, as a
+            multiple of the elapsed share of the duration.
+    """
+
+    min_progress: float
+    share: float
+    min_attempts: int
+    exposure_pace: float
+
+
+STAGES = (
+    Stage(0, 0.06, 0, math.inf),
+    Stage(0.1, 0.2, 10, 0.8),
+    Stage(0.45, 0.35, 24, 1.6),
+    Stage(0.8, 1, 50, math.inf),
 )
-"""Pairs of the elapsed share of a move's duration and the share of requests
-that the new version gets from then on."""
+"""The stages of a move, by progress.
+
+The middle stages use most of the exposure limit, for evidence; the second of
+them more, so that faults that begin late are found before the last stage.
+"""
+
+MIN_COMPLETED_SHARE = 0.5
+"""Share of the attempts at the new version that its traffic share would give
+which suffice if the service has too few requests for a stage.
+
+Fewer mean that its servers do not respond.
+"""
+
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+"""A bad version may get this share of the requests of its service between the
+order and the deadline, and this many requests in addition."""
+
+MIN_PROGRESS = 0.01
+
+MAX_PENDING_ATTEMPTS = 2
+"""Attempts at the new version that need not have been completed."""
+
+MAX_SHARE_ON_HOLD = 0.12
+"""Upper bound on the new version's share while there is evidence against it."""
 
 MIN_FINISH_PROGRESS = 0.87
 """Elapsed share of the duration from which a move may be finished."""
@@ -24,8 +71,39 @@
     Args:
         progress: The elapsed share of the move's duration.
     """
-    shares = [share for start, share in TRAFFIC_STAGES if progress >= start]
-    return shares[-1] if shares else 0
+    return _find_stage(progress).share if progress >= 0 else 0
+
+
+def get_exposure_share(progress: float, requests: int) -> float:
+    """Return the share at which a move keeps within its exposure limit.
+
+    Args:
+        progress: The elapsed share of the move's duration.
+        requests: Completed attempts of the service so far, on all hosts.
+    """
+    total = requests / max(progress, MIN_PROGRESS)
+    limit = EXPOSURE_SHARE + EXPOSURE_SLACK / max(1, total)
+    return min(1, _find_stage(progress).exposure_pace * limit)
+
+
+def _find_stage(progress: float) -> Stage:
+    begun = [stage for stage in STAGES if progress >= stage.min_progress]
+    return begun[-1] if begun else STAGES[0]
+
+
+def get_evidence_share(attempts: int, expected: float) -> float:
+    """Return the share up to which there are enough completed attempts.
+
+    Args:
+        attempts: Completed attempts at the new version, on all hosts.
+        expected: Attempts that its traffic share so far would have given.
+    """
+    least_completed = MIN_COMPLETED_SHARE * expected - MAX_PENDING_ATTEMPTS
+    return max(
+        stage.share
+        for stage in STAGES
+        if attempts >= min(stage.min_attempts, least_completed)
+    )
 
 
 def limit_share(share: float, capacity_ratio: float) -> float:
