Hedge late requests on the entry host

Cause: a request whose server turns slow while it runs waits for it, though other servers are idle. Change: an idempotent request that is later than most recent ones, relative to its expected latency, gets a second attempt at an idle server, within the retry budget and a share of the first attempts (EBONYSTREAM_HEDGE_RATIO, default 0). The decision is in the package hedging, which the other front end uses too.

--- a/src/ebonystream/backend/__init__.py
+++ b/src/ebonystream/backend/__init__.py
@@ -35,7 +35,7 @@
     Send,
     make_dispatch,
 )
-from ebonystream.backend._hedging import make_hedged_run
+from ebonystream.backend._hedging import make_basic_figures, make_hedged_run
 from ebonystream.backend._learning import (
     make_starting_observer,
     mark_zone_cold,
@@ -116,6 +116,7 @@
     'WantedServers',
     'assert_starting_limits',
     'make_dispatch',
+    'make_basic_figures',
     'make_hedged_run',
     'make_idempotent_run',
     'make_probe_recorder',
--- a/src/ebonystream/backend/_hedging.py
+++ b/src/ebonystream/backend/_hedging.py
@@ -1,5 +1,6 @@
 """Hedging: a second attempt of a late idempotent call, at another server."""
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -9,12 +10,33 @@
 from ebonystream.backend._attempts import RunExcluding
 from ebonystream.call import Call, CallKind, CallResponse, RunCall
 from ebonystream.errors import Outcome
+from ebonystream.hedging import HedgeFigures, find_refusal
 
 GetHedgeDelay = Callable[[Call], Seconds | None]
 """Returns the delay after which a call is hedged, in seconds; None if it is
 not hedged."""
 
 
+MakeFigures = Callable[[Call], HedgeFigures]
+"""Returns what a late call that has been sent to a server is judged by."""
+
+
+def make_basic_figures(call: Call) -> HedgeFigures:
+    """Return figures by which only the state of the call itself decides.
+
+    Args:
+        call: The late call.
+    """
+    return HedgeFigures(
+        repeatable=call.kind is CallKind.IDEMPOTENT,
+        attempts_left=1,
+        expected=Seconds(0),
+        time_left=Seconds(math.inf),
+        is_short=False,
+        within_limit=True,
+    )
+
+
 @attrs.define
 class _Race:
     """Concurrent attempts of one call; the first one that ran wins.
@@ -48,6 +70,7 @@
     get_hedge_delay: GetHedgeDelay,
     try_acquire_hedge: Callable[[], bool],
     record_first_attempt: Callable[[], None],
+    make_figures: MakeFigures = make_basic_figures,
 ) -> RunCall:
     """Make the function that runs idempotent calls and hedges late ones.
 
@@ -59,6 +82,7 @@
         try_acquire_hedge: Takes one hedge from the budget and returns whether
             it was granted.
         record_first_attempt: Records a first attempt in the budgets.
+        make_figures: Returns what a late call is judged by.
     """
 
     async def run_hedged(call: Call) -> CallResponse:
@@ -75,8 +99,9 @@
             start = _make_start(race, nursery, call, run=run, tried=tried)
             start()
             await trio.sleep(delay)
-            # A call that still waits for a server would only wait twice.
-            if tried and race.running and try_acquire_hedge():
+            figures = attrs.evolve(make_figures(call), sent=bool(tried))
+            refusal = find_refusal(figures)
+            if race.running and refusal is None and try_acquire_hedge():
                 start()
         assert race.response is not None, 'a race ended without an answer'
         return race.response
--- a/src/ebonystream/composition/_extra_attempts.py
+++ b/src/ebonystream/composition/_extra_attempts.py
@@ -1,10 +1,18 @@
 """Wiring of the retries and hedges that the plans of customers allow."""
 
+import attrs
+
 from ebonystream._ids import Seconds
-from ebonystream.backend import Dispatch, make_hedged_run, make_idempotent_run
+from ebonystream.backend import (
+    Dispatch,
+    make_basic_figures,
+    make_hedged_run,
+    make_idempotent_run,
+)
 from ebonystream.call import Call, RunCall
 from ebonystream.composition._policy import Policy
 from ebonystream.configuration import ControlReplica, PlanAllowance
+from ebonystream.hedging import HedgeFigures, compute_hedge_delay
 from ebonystream.plan import BudgetRatio, ExtraAttemptBudget
 
 HEDGE_LATENCY_FACTOR = 3
@@ -40,7 +48,14 @@
         usual_latency = policy.usual_latencies.get_usual(call.route)
         if plan is None or not plan.hedging or not usual_latency:
             return None
-        return Seconds(HEDGE_LATENCY_FACTOR * usual_latency)
+        return compute_hedge_delay(usual_latency, HEDGE_LATENCY_FACTOR)
+
+    def make_figures(call: Call) -> HedgeFigures:
+        return attrs.evolve(
+            make_basic_figures(call),
+            expected=policy.usual_latencies.get_usual(call.route),
+            time_left=Seconds(call.deadline - policy.timers.now()),
+        )
 
     def record_first_attempt() -> None:
         retry_budget.record_first_attempt()
@@ -56,4 +71,5 @@
         get_hedge_delay=get_hedge_delay,
         try_acquire_hedge=hedge_budget.try_acquire,
         record_first_attempt=record_first_attempt,
+        make_figures=make_figures,
     )
--- a/src/ebonystream/dispatch/__init__.py
+++ b/src/ebonystream/dispatch/__init__.py
@@ -8,6 +8,11 @@
 from ebonystream.dispatch._budget import RetryBudget, RetryLimits
 from ebonystream.dispatch._first_request import FirstRequestEstimator
 from ebonystream.dispatch._handler import HandleRequest, make_handle_request
+from ebonystream.dispatch._hedge_rules import (
+    HedgeDecision,
+    HedgeEnd,
+    HedgeRules,
+)
 from ebonystream.dispatch._progress import Dispatcher, ObserveAttempt
 
 __all__ = (
@@ -15,6 +20,9 @@
     'Dispatcher',
     'ObserveAttempt',
     'FirstRequestEstimator',
+    'HedgeDecision',
+    'HedgeEnd',
+    'HedgeRules',
     'RetryBudget',
     'RetryLimits',
     'SendAttempt',
--- a/src/ebonystream/dispatch/_handler.py
+++ b/src/ebonystream/dispatch/_handler.py
@@ -12,12 +12,12 @@
     respond_no_capacity,
     respond_with_last_attempt,
 )
+from ebonystream.dispatch._hedging import run_hedged_attempt
 from ebonystream.dispatch._progress import (
     Dispatcher,
     RequestProgress,
     get_deadline,
 )
-from ebonystream.dispatch._sending import run_observed_attempt
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.ingress import CallerPresence
 from ebonystream.placement import Candidate, NoCapacity
@@ -130,7 +130,7 @@
             return respond_no_capacity(progress, result, now)
         if not _acquire_attempt(dispatcher, progress):
             return respond_with_last_attempt(progress, now)
-        attempt = await run_observed_attempt(dispatcher, progress, result)
+        attempt = await run_hedged_attempt(dispatcher, progress, result)
         response = attempt.response
         if response is not None and attempt.is_served():
             return Response(
--- a/src/ebonystream/dispatch/_progress.py
+++ b/src/ebonystream/dispatch/_progress.py
@@ -10,6 +10,7 @@
 from ebonystream.dispatch._attempt import Attempt, SendAttempt
 from ebonystream.dispatch._budget import RetryBudget
 from ebonystream.dispatch._first_request import FirstRequestEstimator
+from ebonystream.dispatch._hedge_rules import HedgeRules
 from ebonystream.placement import FindServer, NoCapacity, PlacementRequest
 from ebonystream.request import Request, Response
 from ebonystream.route import Route
@@ -44,6 +45,7 @@
         observe_response: Called with each response.
         estimator: Estimates when a caller made its first request.
         timers: Source of the current time.
+        hedging: State and callbacks of hedging; None where it is off.
     """
 
     find_server: FindServer
@@ -56,6 +58,7 @@
         factory=FirstRequestEstimator
     )
     timers: Timers
+    hedging: HedgeRules | None = None
 
 
 @attrs.define(kw_only=True)
--- a/src/ebonystream/entryhost/_metrics.py
+++ b/src/ebonystream/entryhost/_metrics.py
@@ -70,6 +70,13 @@
             ('call',),
         )
     )
+    hedges: LabeledCounter = attrs.field(
+        factory=lambda: LabeledCounter(
+            'ebonystream_hedges_total',
+            'Hedges of late requests: sent, refused, won, lost or cancelled.',
+            ('service', 'end'),
+        )
+    )
     failed_tasks: LabeledCounter = attrs.field(
         factory=lambda: LabeledCounter(
             'ebonystream_failed_tasks_total',
@@ -126,6 +133,7 @@
             self.probes,
             self.store_calls,
             self.failed_tasks,
+            self.hedges,
         )
         return (*without_attempts, self.attempts)
 
--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -18,6 +18,7 @@
     update_suspects_from_probe,
 )
 from ebonystream.entryhost._handlers import make_caller_handler
+from ebonystream.entryhost._hedging import make_hedge_rules
 from ebonystream.entryhost._observers import make_attempt_observers
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._request_log import log_no_capacity, update_silence
@@ -58,20 +59,19 @@
         timers=parts.timers,
         observe=partial(_observe_probe, parts),
     )
-    find_server = make_find_server(
-        SearchContext(
-            list_servers=partial(_list_servers, parts),
-            probe=supervise_probe(parts, probe),
-            processing_times=parts.processing_times,
-            queues=parts.wait_queues,
-            zone=parts.settings.zone,
-            timers=parts.timers,
-            random=parts.random,
-            background=parts.background,
-            budget=parts.probe_budget,
-            may_receive=make_cold_gate(parts),
-        )
+    search_context = SearchContext(
+        list_servers=partial(_list_servers, parts),
+        probe=supervise_probe(parts, probe),
+        processing_times=parts.processing_times,
+        queues=parts.wait_queues,
+        zone=parts.settings.zone,
+        timers=parts.timers,
+        random=parts.random,
+        background=parts.background,
+        budget=parts.probe_budget,
+        may_receive=make_cold_gate(parts),
     )
+    find_server = make_find_server(search_context)
     handle_request = make_handle_request(
         Dispatcher(
             find_server=make_stoppable_search(find_server, parts.searches),
@@ -83,6 +83,7 @@
             observe_no_capacity=partial(log_no_capacity, parts),
             observe_response=partial(_count_response, parts),
             timers=parts.timers,
+            hedging=make_hedge_rules(parts, search_context),
         ),
         get_configuration=lambda: parts.orders.configuration,
         random=parts.random,
--- a/src/ebonystream/placement/__init__.py
+++ b/src/ebonystream/placement/__init__.py
@@ -8,6 +8,7 @@
 from ebonystream.placement._cold_shares import COLD_WINDOW, ColdShares
 from ebonystream.placement._context import MayReceive, SearchContext
 from ebonystream.placement._estimate import ProcessingTimes
+from ebonystream.placement._idle import FindIdleServer, make_find_idle_server
 from ebonystream.placement._probe import Probe, make_probe
 from ebonystream.placement._probe_budget import ProbeBudget, ProbePurpose
 from ebonystream.placement._probe_share import compute_probe_share
@@ -40,4 +41,6 @@
     'list_own_cold_requests',
     'make_probe',
     'make_find_server',
+    'FindIdleServer',
+    'make_find_idle_server',
 )
