--- a/src/ebonystream/entryhost/_root.py
+++ b/src/ebonystream/entryhost/_root.py
@@ -11,6 +11,7 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import Timers, make_timers
 from ebonystream.decisionlog import make_event_logger, start_decision_log
+from ebonystream.entryhost._hedging import read_hedge_ratio
 from ebonystream.entryhost._listening import start_listeners
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._reload import read_settings, reload_changed_settings
@@ -28,7 +29,12 @@
 
 
 def run_entry_host() -> None:
-    """Run an entry host until a signal stops it."""
+    """Run an entry host until a signal stops it.
+
+    Raises:
+        ValueError: A setting is invalid.
+    """
+    read_hedge_ratio(os.environ)
     path = Path(os.environ[SETTINGS_VARIABLE])
     trio.run(_run, path)
 
