--- a/src/ebonystream/versionmove/_detection.py
+++ b/src/ebonystream/versionmove/_detection.py
@@ -16,7 +16,7 @@
 START_WEIGHT = 0.4
 """Prior probability that a fault is there from the first attempt."""
 
-MEDIAN_START = 150
+MEDIAN_START = 60
 """Number of attempts among which half of the faults that begin later do.
 
 The chance that a fault begins at the next attempt falls with the attempts so
--- a/src/ebonystream/versionmove/_evaluation.py
+++ b/src/ebonystream/versionmove/_evaluation.py
@@ -14,7 +14,7 @@
 LATE_ALARM_WEALTH = 20
 """The same once the planned duration of the move has passed."""
 
-HOLD_WEALTH = 4
+HOLD_WEALTH = 2.5
 """Evidence from which on the new version's share does not grow.
 
 One failed attempt among the first ten reaches it.
