--- a/tools/measure/race.py
+++ b/tools/measure/race.py
@@ -10,6 +10,7 @@
 from ebonystream.call import Call, CallResponse
 from ebonystream.composition._extra_attempts import HEDGE_LATENCY_FACTOR
 from ebonystream.errors import EbonystreamError, Outcome
+from ebonystream.hedging import compute_hedge_delay
 from ebonystream.routing import Waiter, cancel_wait, enqueue_call
 from measure.hosts import Host
 from measure.loop import Loop
@@ -77,7 +78,8 @@
             start(race)
 
     if usual_latency:
-        loop.call_after(HEDGE_LATENCY_FACTOR * usual_latency, hedge)
+        delay = compute_hedge_delay(usual_latency, HEDGE_LATENCY_FACTOR)
+        loop.call_after(delay, hedge)
 
 
 def start_attempt(
--- a/tools/versionload/__main__.py
+++ b/tools/versionload/__main__.py
@@ -45,6 +45,11 @@
             fault_progress=start,
         )
 
+    for start in FAULT_STARTS:
+        yield Load(
+            rate=150, duration=15, failed_share=0.14, fault_progress=start
+        )
+
 
 def format_row(load: Load, results: list[MoveResult]) -> str:
     """Format the results of one load as a row.
