Take overdue attempts for load where no old version shows it

Cause: with all requests at the new version, a burst that delays a fifth of 300 attempts would roll a good version back. Change: the normal share of lost attempts rises to 15 % with the share of recent attempts that are at the new version. Result: the new row of test_verdict_on_counts failed before and passes.

--- a/src/ebonystream/versionmove/_detection.py
+++ b/src/ebonystream/versionmove/_detection.py
@@ -42,12 +42,16 @@
         bad_shares: The assumed shares of bad attempts at a bad version.
         weight: Weight of each attempt as evidence; less than 1 where attempts
             are bad together, by one cause.
+        unmatched_share: Share of bad attempts that is normal where all recent
+            attempts are at the new version, so that no attempts at the old one
+            show what the load does.
     """
 
     name: str
     normal_share: float
     bad_shares: tuple[float, ...]
     weight: float = 1
+    unmatched_share: float = 0
 
 
 @attrs.frozen
--- a/src/ebonystream/versionmove/_evidence.py
+++ b/src/ebonystream/versionmove/_evidence.py
@@ -16,11 +16,14 @@
 FAILED = FaultCriterion('failed', 0.004, (0.02, 0.05, 0.15, 0.5))
 """Failures reported by servers; good versions fail up to 0.4 % of requests."""
 
-LOST = FaultCriterion('lost', 0.04, (0.15, 0.35, 0.7), weight=1 / 3)
+LOST = FaultCriterion(
+    'lost', 0.04, (0.15, 0.35, 0.7), weight=1 / 3, unmatched_share=0.15
+)
 """Attempts without a response or overdue.
 
 A server of a good version that crashes loses all its requests at once, so that
-three lost attempts count as one.
+three lost attempts count as one. Once all requests go to the new version, a
+burst of requests cannot be told from a slow version.
 """
 
 RECENT_HALF_LIFE = Seconds(1.5)
@@ -44,9 +47,16 @@
     bad: float = 0
     recent_attempts: float = 0
     recent_bad: float = 0
+    recent_new: float = 0
+
+    def add(self, attempts: int, bad: int, *, new: int, age: Seconds) -> None:
+        """Add attempts, some time after the previous ones.
 
-    def add(self, attempts: int, bad: int, age: Seconds) -> None:
-        """Add attempts, some time after the previous ones."""
+        The attempts at the new version are only counted.
+        """
+        self.recent_new = new + decay(
+            self.recent_new, age, half_life=RECENT_HALF_LIFE
+        )
         self.attempts += attempts
         self.bad += bad
         self.recent_attempts = attempts + decay(
@@ -56,14 +66,22 @@
             self.recent_bad, age, half_life=RECENT_HALF_LIFE
         )
 
-    def estimate(self, at_least: float) -> float:
+    def estimate(self, criterion: FaultCriterion) -> float:
         """Estimate the share that is normal now."""
-        prior = at_least * PRIOR_ATTEMPTS
+        prior = criterion.normal_share * PRIOR_ATTEMPTS
         overall = (self.bad + prior) / (self.attempts + PRIOR_ATTEMPTS)
         recent = (self.recent_bad + prior) / (
             self.recent_attempts + PRIOR_ATTEMPTS
         )
-        return max(at_least, overall, recent)
+        unmatched = self.recent_new / max(
+            1, self.recent_new + self.recent_attempts
+        )
+        return max(
+            criterion.normal_share,
+            overall,
+            recent,
+            unmatched * criterion.unmatched_share,
+        )
 
 
 @attrs.define
@@ -85,8 +103,8 @@
         old_bad = (counts.old_bad - counts.old_lost, counts.old_lost)
         for index, test in enumerate(self.tests):
             old_share = self.old_shares[index]
-            old_share.add(counts.old, old_bad[index], age)
-            normal = old_share.estimate(test.criterion.normal_share)
+            old_share.add(counts.old, old_bad[index], new=counts.new, age=age)
+            normal = old_share.estimate(test.criterion)
             test.add(AttemptBatch(counts.new, new_bad[index], normal))
 
     def describe(self) -> str:
--- a/tests/test_bad_versions.py
+++ b/tests/test_bad_versions.py
@@ -111,6 +111,9 @@
         # A server of the new version crashes with six requests.
         ([count(30, old=500), count(36, lost=6, old=540)], RUNNING),
         ([count(30, old=500), count(60, lost=30, old=540)], ROLLED_BACK),
+        # With all requests at the new version, a burst makes many overdue.
+        ([count(900, old=900), count(1200, lost=60, old=900)], RUNNING),
+        ([count(900, old=900), count(1200, lost=270, old=900)], ROLLED_BACK),
         # Good results of long ago do not hide a fault that begins now.
         ([count(2000, old=20000), count(2030, 9, old=20200)], ROLLED_BACK),
     ],
