--- a/src/ebonystream/entryhost/_gauges.py
+++ b/src/ebonystream/entryhost/_gauges.py
@@ -27,6 +27,11 @@
     return BYTES_PER_KIB * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 
 
+def _read_version_evidence(parts: HostParts) -> float:
+    running = parts.moves.list_running()
+    return max((move.evidence.get_wealth() for move in running), default=0)
+
+
 GAUGES: Mapping[str, _Gauge] = MappingProxyType(
     {
         'ebonystream_ready': _Gauge(
@@ -81,5 +86,9 @@
             'The most memory that this process had.',
             _read_peak_memory,
         ),
+        'ebonystream_version_evidence': _Gauge(
+            'The most evidence against a new version whose move is running.',
+            _read_version_evidence,
+        ),
     }
 )
