--- a/tests/test_hedged_requests.py
+++ b/tests/test_hedged_requests.py
@@ -244,3 +244,13 @@
         else:
             candidate = await find(request)
     assert (candidate and candidate.probe_result.server.entry.id) == found
+
+
+async def test_the_lateness_of_a_loser_counts(autojump_clock):
+    """Guards against ever more hedges, as hedges cut slow responses short."""
+    rules = make_rules([])
+    await run_request([(SERVED, 1), (SERVED, 0.1)], rules=rules)
+    rules.lateness.quantile = 1
+    estimate = rules.lateness.estimate('records', 'racks', 0.0)
+    assert estimate.samples == 22
+    assert estimate.lateness == pytest.approx(3.05)
