Hedge later, and not in a shortage

Change: a request is late from twice its expected latency on; a service counts as short for 3 s after a request has waited for it.

--- a/src/ebonystream/hedging/_lateness.py
+++ b/src/ebonystream/hedging/_lateness.py
@@ -26,9 +26,12 @@
 minute for `MIN_SAMPLES` of one route.
 """
 
-MIN_LATENESS = 1.5
-"""Lower bound on the lateness from which a request is hedged, as expected
-latencies are not exact."""
+MIN_LATENESS = 2
+"""Lower bound on the lateness from which a request is hedged.
+
+A second attempt takes as long as a usual one, and most requests that are less
+late have ended by then: with 1.5, all hedges of a simulated calm load lost.
+"""
 
 
 @attrs.frozen
--- a/src/ebonystream/placement/_idle.py
+++ b/src/ebonystream/placement/_idle.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 
+from ebonystream._ids import Monotonic, Seconds
 from ebonystream.placement._context import SearchContext
 from ebonystream.placement._probe_batch import probe_servers
 from ebonystream.placement._probe_budget import ProbePurpose
@@ -17,6 +18,10 @@
 HEDGE_PROBES = 3
 """Number of servers that are probed; with capacity to spare one is idle."""
 
+SHORTAGE_TIME = Seconds(3)
+"""How long a service counts as short of capacity after a request has waited for
+it, in seconds. A host sees about three requests a second."""
+
 FindIdleServer = Callable[[PlacementRequest], Awaitable[Candidate | None]]
 """Finds a server that would start a request at once; None if there is none."""
 
@@ -24,20 +29,23 @@
 def make_find_idle_server(context: SearchContext) -> FindIdleServer:
     """Return a function that finds a server for a second attempt.
 
-    It finds none while requests wait for the service, nor any server that is
-    cold, busy, slow or failing. Servers of other zones are probed only if the
-    host's zone has none, as traffic between zones is expensive. The probes
-    come from the part of the budget that first searches do not need.
+    It finds none while requests wait for the service or have done so lately,
+    nor any server that is cold, busy, slow or failing. Servers of other zones
+    are probed only if the host's zone has none, as traffic between zones is
+    expensive. The probes come from the part of the budget that first searches
+    do not need.
 
     Args:
         context: Dependencies and state of the search.
     """
 
     async def find_idle_server(request: PlacementRequest) -> Candidate | None:
-        if not context.queues.is_empty(request.service):
+        now = context.timers.now()
+        if context.queues.had_request_since(
+            request.service, Monotonic(now - SHORTAGE_TIME)
+        ):
             return None
         local, remote = list_usable_servers(context, request)
-        now = context.timers.now()
         targets = [
             server for server in local or remote if not server.is_cold(now)
         ][:HEDGE_PROBES]
--- a/src/ebonystream/placement/_search.py
+++ b/src/ebonystream/placement/_search.py
@@ -95,6 +95,7 @@
                 result = await _probe_and_select(
                     context, request, repeated=True
                 )
+    context.queues.record_wait(request.service, context.timers.now())
     if isinstance(result, NoCapacity):
         return await _select_late(context, request)
     return result
--- a/src/ebonystream/placement/_wait_queue.py
+++ b/src/ebonystream/placement/_wait_queue.py
@@ -52,6 +52,7 @@
 
     _queues: dict[ServiceName, list[Waiter]] = attrs.field(factory=dict)
     _last_probes: dict[ServiceName, Monotonic] = attrs.field(factory=dict)
+    _last_waits: dict[ServiceName, Monotonic] = attrs.field(factory=dict)
 
     def is_empty(self, service: ServiceName) -> bool:
         """Return whether no request waits for a service.
@@ -70,6 +71,25 @@
         queue = self._queues.get(service, [])
         return not all(waiter.expected_late for waiter in queue)
 
+    def had_request_since(self, service: ServiceName, since: Monotonic) -> bool:
+        """Return whether a request waits for a service or has done so.
+
+        Args:
+            service: Name of the service.
+            since: Requests that had stopped waiting by then do not count.
+        """
+        last_wait = self._last_waits.get(service, NEVER)
+        return not self.is_empty(service) or last_wait > since
+
+    def record_wait(self, service: ServiceName, now: Monotonic) -> None:
+        """Record that a request waits or has waited for a service.
+
+        Args:
+            service: Name of the service.
+            now: The current time.
+        """
+        self._last_waits[service] = now
+
     def count(self) -> int:
         """Return the number of waiting requests of all services."""
         return sum(len(queue) for queue in self._queues.values())
