--- a/src/ebonystream/dispatch/_progress.py
+++ b/src/ebonystream/dispatch/_progress.py
@@ -10,6 +10,7 @@
 from ebonystream.dispatch._attempt import Attempt, SendAttempt
 from ebonystream.dispatch._budget import RetryBudget
 from ebonystream.dispatch._first_request import FirstRequestEstimator
+from ebonystream.dispatch._hedge_rules import HedgeRules
 from ebonystream.errors import ErrorKind
 from ebonystream.placement import FindServer, NoCapacity, PlacementRequest
 from ebonystream.request import Request, Response
@@ -67,6 +68,7 @@
         estimator: Estimates when a caller made its first request.
         timers: Source of the current time.
         check_send: Called directly before each send.
+        hedging: State and callbacks of hedging; None where it is off.
     """
 
     find_server: FindServer
@@ -80,6 +82,7 @@
     )
     timers: Timers
     check_send: CheckSend = _permit_send
+    hedging: HedgeRules | None = None
 
 
 @attrs.define(kw_only=True)
--- a/src/ebonystream/entryhost/_metrics.py
+++ b/src/ebonystream/entryhost/_metrics.py
@@ -77,6 +77,13 @@
             ('verdict', 'when'),
         )
     )
+    hedges: LabeledCounter = attrs.field(
+        factory=lambda: LabeledCounter(
+            'ebonystream_hedges_total',
+            'Hedges of late requests: sent, refused, won, lost or cancelled.',
+            ('service', 'end'),
+        )
+    )
     failed_tasks: LabeledCounter = attrs.field(
         factory=lambda: LabeledCounter(
             'ebonystream_failed_tasks_total',
@@ -134,6 +141,7 @@
             self.store_calls,
             self.failed_tasks,
             self.admissions,
+            self.hedges,
         )
         return (*without_attempts, self.attempts)
 
--- a/src/ebonystream/placement/_search.py
+++ b/src/ebonystream/placement/_search.py
@@ -97,6 +97,7 @@
                 )
         if isinstance(result, Candidate):
             context.queues.record_served(waiter)
+    context.queues.record_wait(request.service, context.timers.now())
     if isinstance(result, NoCapacity):
         return await _select_late(context, request)
     return result
--- a/tests/test_host_wiring.py
+++ b/tests/test_host_wiring.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ebonystream.entryhost._request_wiring import _count_hosts
+from ebonystream.entryhost._retry_budget import _count_hosts
 from ebonystream.gossip import HostFacts, HostFactTable
 
 
