--- a/tools/faultsoak/deployment.py
+++ b/tools/faultsoak/deployment.py
@@ -95,6 +95,8 @@
         network: First three parts of all addresses.
         ports: Ports of the programs.
         bounds: Bounds in the settings of the hosts.
+        limits: Limits of the machine in the settings of the hosts, such as
+            `memory_mb` and `max_fds`.
         store: The store.
         hosts: The entry hosts.
         servers: The servers with their addresses.
@@ -104,6 +106,7 @@
     network: str = attrs.field(factory=lambda: choose_network(Random()))
     ports: Ports = attrs.field(factory=Ports)
     bounds: Json = attrs.field(factory=dict)
+    limits: Json = attrs.field(factory=dict)
     store: PlatformStore = attrs.field(factory=PlatformStore)
     hosts: list[EntryHost] = attrs.field(factory=list)
     servers: dict[str, PacedServer] = attrs.field(factory=dict)
@@ -205,6 +208,7 @@
                 'node_name': host.name,
                 'zone': host.zone,
                 'ip': address,
+                'limits': self.limits,
             },
             'network': {
                 'listen': {
--- a/tools/standins/messages.py
+++ b/tools/standins/messages.py
@@ -14,7 +14,7 @@
 )
 
 LIMITS = ConnectionLimits(
-    message=ReaderLimits(head_bytes=16_384, body_bytes=1_048_576),
+    message=ReaderLimits(head_bytes=16_384, body_bytes=67_108_864),
     receive_timeout=Seconds(5),
     idle_timeout=Seconds(60),
 )
