Bound what an entry host holds for its clients

Cause: each request had a limit, all of them together had none; bodies were held as the parts, the joined body and the encoded request, and after their request.

Change: one budget in bytes (ingress/_memory_budget.py): what does not fit is refused at its head with 503, slow requests give way, slow readers are closed. Bodies are collected in one buffer and sent without a copy; they are freed with their request. A body announced above the limit gets 413 at its head. The connections of each listener are bounded by the descriptors of the machine.

--- a/src/ebonystream/entryhost/_handlers.py
+++ b/src/ebonystream/entryhost/_handlers.py
@@ -27,6 +27,9 @@
 LEAVING_RETRY_AFTER = Seconds(0.05)
 """Delay after which a caller may try another host, in seconds."""
 
+MEMORY_RETRY_AFTER = Seconds(1)
+"""Delay after which the memory of other requests may be free, in seconds."""
+
 INITIAL_LIMITS = ConnectionLimits(
     message=ReaderLimits(head_bytes=16_384, body_bytes=1_048_576),
     receive_timeout=Seconds(3),
@@ -74,7 +77,11 @@
         parts.log_event(
             'request_refused', error=error.kind.value, why=error.detail
         )
-        return codec.encode_response(make_error_response(error), True)
+        retry_after = None
+        if error.kind is ErrorKind.MEMORY_SHORT:
+            retry_after = MEMORY_RETRY_AFTER
+        response = make_error_response(error, retry_after=retry_after)
+        return codec.encode_response(response, True)
 
     async def handle(stream: trio.SocketStream) -> None:
         await serve_logged(
--- a/src/ebonystream/entryhost/_internal_handlers.py
+++ b/src/ebonystream/entryhost/_internal_handlers.py
@@ -6,6 +6,9 @@
 import trio
 
 from ebonystream._ids import Monotonic, Seconds
+from ebonystream.entryhost._client_limits import (
+    compute_connection_shares,
+)
 from ebonystream.entryhost._connections import serve_logged
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.errors import EbonystreamError
@@ -16,6 +19,7 @@
     ConnectionLimits,
     EncodedResponse,
     HandleConnection,
+    MemoryBudget,
     OpenConnections,
     Respond,
     serve_connection,
@@ -34,6 +38,10 @@
 """Limits of connections for readiness checks, metrics and shared state."""
 
 
+INTERNAL_CONNECTION_BYTES = 65_536
+"""Memory that each of these connections may take on average."""
+
+
 def make_readiness_handler(parts: HostParts) -> HandleConnection:
     """Return the handler of requests for the readiness of this host.
 
@@ -50,7 +58,8 @@
         headers = ((b'connection', b'close'),) if close else ()
         return EncodedResponse(encode_response(status, headers, b''), close)
 
-    return _make_internal_handler(parts, respond)
+    shares = compute_connection_shares(parts.settings.limits)
+    return _make_internal_handler(parts, respond, limit=shares.readiness)
 
 
 def make_metrics_handler(parts: HostParts) -> HandleConnection:
@@ -75,7 +84,8 @@
             headers.append((b'connection', b'close'))
         return EncodedResponse(encode_response(OK, headers, text), close)
 
-    return _make_internal_handler(parts, respond)
+    shares = compute_connection_shares(parts.settings.limits)
+    return _make_internal_handler(parts, respond, limit=shares.metrics)
 
 
 def make_sharing_handler(parts: HostParts) -> HandleConnection:
@@ -92,13 +102,17 @@
             source=parts.incarnation,
             timers=parts.timers,
         ),
+        limit=compute_connection_shares(parts.settings.limits).peers,
     )
 
 
 def _make_internal_handler(
-    parts: HostParts, respond: Respond
+    parts: HostParts, respond: Respond, *, limit: int
 ) -> HandleConnection:
-    connections = OpenConnections()
+    # A budget of their own, so that the callers leave room for them.
+    connections = OpenConnections(
+        limit=limit, budget=MemoryBudget(limit * INTERNAL_CONNECTION_BYTES)
+    )
 
     async def handle(stream: trio.SocketStream) -> None:
         await serve_logged(
--- a/src/ebonystream/entryhost/_root.py
+++ b/src/ebonystream/entryhost/_root.py
@@ -11,6 +11,7 @@
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import Timers, make_timers
 from ebonystream.decisionlog import make_event_logger, start_decision_log
+from ebonystream.entryhost._client_limits import make_caller_connections
 from ebonystream.entryhost._listening import start_listeners
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._reload import read_settings, reload_changed_settings
@@ -38,12 +39,13 @@
     settings = read_settings(path)
     buffer = start_decision_log(sys.stdout.fileno())
     suspects = SuspectTable(timers)
+    log_event = make_event_logger(timers=timers, buffer=buffer)
     async with trio.open_nursery() as nursery:
         parts = HostParts(
             settings=settings,
             timers=timers,
             random=Random(),
-            log_event=make_event_logger(timers=timers, buffer=buffer),
+            log_event=log_event,
             log_buffer=buffer,
             background=nursery,
             server_pool=ConnectionPool(SERVER_POOL_LIMITS, timers),
@@ -54,6 +56,9 @@
             suspects=suspects,
             suspect_exchange=SuspectExchange(suspects, timers, Random()),
             incarnation=_make_incarnation(timers),
+            caller_connections=make_caller_connections(
+                settings.limits, log_event
+            ),
         )
         parts.log_event('started', host=settings.name, zone=settings.zone)
         await _start(parts, nursery, path)
--- a/src/ebonystream/entryhost/_settings.py
+++ b/src/ebonystream/entryhost/_settings.py
@@ -11,11 +11,17 @@
     validate_name,
     validate_token,
 )
+from ebonystream.ingress import DEFAULT_DESCRIPTORS, MIN_DESCRIPTORS
 from ebonystream.placement import ColdLimits
 
 MAX_RETRY_RATIO = 100
 MAX_RETRIES = 1_000_000
 MAX_PROBE_RATE = 1_000_000
+MAX_DESCRIPTORS = 1_073_741_824
+MAX_BYTES = 1_125_899_906_842_624
+MIN_CLIENT_MEMORY_BYTES = 1_048_576
+DEFAULT_CLIENT_MEMORY_BYTES = 94_371_840
+"""Default for a machine of 200 MB."""
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +41,8 @@
         cold_limits: Bound on the requests that a cold server gets in a second.
         response_buffer_bytes: Memory of this host that incomplete responses of
             backend servers may take together.
+        client_memory_bytes: Bytes that this host may hold for its callers.
+        max_descriptors: Descriptors that this host may have open.
     """
 
     shutdown_grace: Seconds = attrs.field(validator=validate_duration)
@@ -50,6 +58,14 @@
     )
     cold_limits: ColdLimits
     response_buffer_bytes: int
+    client_memory_bytes: int = attrs.field(
+        default=DEFAULT_CLIENT_MEMORY_BYTES,
+        validator=make_range_validator(MIN_CLIENT_MEMORY_BYTES, MAX_BYTES),
+    )
+    max_descriptors: int = attrs.field(
+        default=DEFAULT_DESCRIPTORS,
+        validator=make_range_validator(MIN_DESCRIPTORS, MAX_DESCRIPTORS),
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/src/ebonystream/errors.py
+++ b/src/ebonystream/errors.py
@@ -42,6 +42,7 @@
     KEY_UNOWNED = 'key_unowned'
     OWNER_UNREACHABLE = 'owner_unreachable'
     MEMORY_FULL = 'memory_full'
+    MEMORY_SHORT = 'memory_short'
     DEADLINE_MALFORMED = 'deadline_malformed'
     DEADLINE_EXPIRED = 'deadline_expired'
     STILL_RUNNING = 'still_running'
@@ -142,6 +143,9 @@
             Outcome.UNKNOWN,
             'Send the same key again later.',
         ),
+        ErrorKind.MEMORY_SHORT: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE, Outcome.NOT_RUN, 'Send again later.'
+        ),
         ErrorKind.DEADLINE_MALFORMED: ErrorAnswer(
             HTTPStatus.BAD_REQUEST,
             Outcome.NOT_RUN,
--- a/src/ebonystream/http1/__init__.py
+++ b/src/ebonystream/http1/__init__.py
@@ -1,21 +1,32 @@
 """Parse and encode HTTP/1.1 messages, for callers and servers alike."""
 
-from ebonystream.http1._collector import Message, ReaderLimits
-from ebonystream.http1._encoding import encode_request, encode_response
+from ebonystream.http1._encoding import (
+    EncodedMessage,
+    SplitMessage,
+    encode_request,
+    encode_request_parts,
+    encode_response,
+)
+from ebonystream.http1._message import Message, ReaderLimits
 from ebonystream.http1._reader import (
     RECEIVE_BYTES,
     MessageReader,
+    Meter,
     make_request_reader,
     make_response_reader,
 )
 
 __all__ = (
     'RECEIVE_BYTES',
+    'EncodedMessage',
     'Message',
+    'Meter',
+    'SplitMessage',
     'MessageReader',
     'ReaderLimits',
     'make_request_reader',
     'make_response_reader',
     'encode_request',
     'encode_response',
+    'encode_request_parts',
 )
--- a/src/ebonystream/http1/_collector.py
+++ b/src/ebonystream/http1/_collector.py
@@ -2,63 +2,22 @@
 
 from collections import deque
 from collections.abc import Callable
+from io import BytesIO
 
 import attrs
 
-from ebonystream._calls import Headers
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.http1._message import Message, MessageInfo, ReaderLimits
 
 FIELD_OVERHEAD_BYTES = 4
 """Bytes of a header field besides name and value: colon, space, line break."""
 
+FIELD_OBJECT_BYTES = 160
+"""Memory of the objects that hold a header field, besides its characters."""
 
-@attrs.frozen(kw_only=True)
-class ReaderLimits:
-    """Size limits of an accepted message.
-
-    Attributes:
-        head_bytes: Maximum size of the target and the header fields.
-        body_bytes: Maximum size of the body.
-    """
-
-    head_bytes: int
-    body_bytes: int
-
-
-@attrs.frozen(kw_only=True)
-class Message:
-    """A complete request or response.
-
-    Attributes:
-        target: Target of a request; empty in a response.
-        headers: Header fields in the order received, with lower-case names.
-        body: The complete body.
-        keep_alive: Whether the connection can carry another message.
-        method: Method of a request; empty in a response.
-        status: Status code of a response; 0 in a request.
-    """
-
-    target: bytes
-    headers: Headers
-    body: bytes
-    keep_alive: bool
-    method: bytes
-    status: int
-
-
-@attrs.frozen(kw_only=True)
-class MessageInfo:
-    """Properties of the current message that are read from the parser.
-
-    Attributes:
-        method: Method of a request; empty in a response.
-        status: Status code of a response; 0 in a request.
-        keep_alive: Whether the connection can carry another message.
-    """
-
-    method: bytes
-    status: int
-    keep_alive: bool
+CONTENT_LENGTH = b'content-length'
+MAX_LENGTH_DIGITS = 18
+"""A longer number is far above each limit."""
 
 
 @attrs.define
@@ -77,6 +36,11 @@
         error: The first error found, if any.
         headers: Header fields of the current message.
         body_bytes: Size of its body so far.
+        announced_bytes: Size of its body according to its head; 0 if the head
+            does not say it, or is not complete.
+        checks_announced: Whether a body that is announced above the limit is an
+            error, before any of it is received.
+        completed_bytes: Memory of the messages that have not been taken yet.
     """
 
     limits: ReaderLimits
@@ -87,8 +51,12 @@
     error: EbonystreamError | None = None
     headers: list[tuple[bytes, bytes]] = attrs.field(factory=list)
     body_bytes: int = 0
+    announced_bytes: int = 0
+    checks_announced: bool = False
+    completed_bytes: int = 0
     _target: bytes = b''
-    _body: list[bytes] = attrs.field(factory=list)
+    _first_part: bytes = b''
+    _parts: BytesIO | None = None
     _head_bytes: int = 0
 
     def on_message_begin(self) -> None:
@@ -97,9 +65,11 @@
         self.in_body = False
         self.headers = []
         self._target = b''
-        self._body = []
+        self._first_part = b''
+        self._parts = None
         self._head_bytes = 0
         self.body_bytes = 0
+        self.announced_bytes = 0
 
     def on_url(self, data: bytes) -> None:
         """Append a part of the request target."""
@@ -115,12 +85,33 @@
     def on_headers_complete(self) -> None:
         """Mark the head as complete."""
         self.in_body = True
+        for name, value in self.headers:
+            if name == CONTENT_LENGTH and value.isdigit():
+                self.announced_bytes = int(value[:MAX_LENGTH_DIGITS])
+        if self.checks_announced:
+            self._check_body_size(self.announced_bytes)
 
     def on_body(self, data: bytes) -> None:
-        """Append a part of the body."""
-        self._body.append(data)
+        """Append a part of the body.
+
+        Most bodies have one part, which is kept as it is. The parts of others
+        are appended to one buffer, as small parts would take far more memory
+        than their bytes if each were an object.
+        """
+        if self._parts is not None:
+            self._parts.write(data)
+        elif self._first_part:
+            self._parts = BytesIO()
+            self._parts.write(self._first_part)
+            self._parts.write(data)
+            self._first_part = b''
+        else:
+            self._first_part = data
         self.body_bytes += len(data)
-        if self.body_bytes > self.limits.body_bytes:
+        self._check_body_size(self.body_bytes)
+
+    def _check_body_size(self, size: int) -> None:
+        if size > self.limits.body_bytes:
             self._record_oversize(
                 ErrorKind.BODY_TOO_LARGE, self.limits.body_bytes
             )
@@ -131,14 +122,34 @@
         if _is_informational(info.status):
             return
         self.in_message = False
-        self.completed.append(self.build_message(info))
+        message = self.build_message(info)
+        self.completed.append(message)
+        self.completed_bytes += message.count_bytes()
+        self._drop_body()
+
+    def take_message(self) -> Message | None:
+        """Return the oldest message that is complete, or None."""
+        if not self.completed:
+            return None
+        message = self.completed.popleft()
+        self.completed_bytes -= message.count_bytes()
+        return message
+
+    def count_bytes(self) -> int:
+        """Return the memory of what was received and not taken."""
+        if not self.in_message:
+            return self.completed_bytes
+        return self.completed_bytes + self._count_head() + self.body_bytes
 
     def discard(self) -> None:
         """Drop what has been received of messages that were not taken."""
         self.completed.clear()
+        self.completed_bytes = 0
         self.headers = []
         self._target = b''
-        self._body = []
+        self._head_bytes = 0
+        self.announced_bytes = 0
+        self._drop_body()
 
     def build_message(self, info: MessageInfo) -> Message:
         """Build a message from the parts received so far.
@@ -149,12 +160,27 @@
         return Message(
             target=self._target,
             headers=tuple(self.headers),
-            body=b''.join(self._body),
+            body=self._get_body(),
             keep_alive=info.keep_alive,
             method=info.method,
             status=info.status,
+            head_bytes=self._count_head(),
         )
 
+    def _get_body(self) -> bytes:
+        # `getvalue` returns the buffer itself, without a copy.
+        if self._parts is None:
+            return self._first_part
+        return self._parts.getvalue()
+
+    def _drop_body(self) -> None:
+        self._first_part = b''
+        self._parts = None
+        self.body_bytes = 0
+
+    def _count_head(self) -> int:
+        return self._head_bytes + FIELD_OBJECT_BYTES * len(self.headers)
+
     def _add_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self.limits.head_bytes:
--- a/src/ebonystream/http1/_reader.py
+++ b/src/ebonystream/http1/_reader.py
@@ -1,15 +1,13 @@
 """Incremental readers of HTTP/1.1 messages, based on httptools."""
 
+from collections.abc import Callable
+
 import attrs
 import httptools
 
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.http1._collector import (
-    Message,
-    MessageCollector,
-    MessageInfo,
-    ReaderLimits,
-)
+from ebonystream.http1._collector import MessageCollector
+from ebonystream.http1._message import Message, MessageInfo, ReaderLimits
 
 RECEIVE_BYTES = 65_536
 """Maximum number of bytes received from a connection at once."""
@@ -20,6 +18,13 @@
 Parser = httptools.HttpRequestParser | httptools.HttpResponseParser
 
 
+Meter = Callable[['MessageReader'], None]
+"""Called whenever a reader holds more or less than before.
+
+It raises `EbonystreamError` if the reader must not hold that much.
+"""
+
+
 @attrs.define
 class MessageReader:
     """Reads messages from the bytes of one connection.
@@ -27,10 +32,12 @@
     Attributes:
         collector: Assembles messages from the parser's callbacks.
         parser: The httptools parser of the connection.
+        meter: Called after each change of what is held; None for none.
     """
 
     collector: MessageCollector
     parser: Parser
+    meter: Meter | None = None
     _unfinished_bytes: int = 0
     _body_bytes_seen: int = 0
 
@@ -52,12 +59,29 @@
             self._record_malformed('upgrades are not supported')
         self.raise_for_error()
         self._check_unfinished_part(len(data))
+        if self.meter is not None:
+            self._check_meter(self.meter)
 
     def next_message(self) -> Message | None:
         """Return the next complete message, or None if there is none yet."""
-        if self.collector.completed:
-            return self.collector.completed.popleft()
-        return None
+        message = self.collector.take_message()
+        if message is not None and self.meter is not None:
+            self.meter(self)
+        return message
+
+    def count_bytes(self) -> int:
+        """Return the memory of what was received and not taken."""
+        return self.collector.count_bytes() + self._unfinished_bytes
+
+    def count_announced(self) -> int:
+        """Return the bytes of the current body that are still to come.
+
+        This is 0 where its head does not say it.
+        """
+        collector = self.collector
+        if not collector.in_message:
+            return 0
+        return max(0, collector.announced_bytes - collector.body_bytes)
 
     def finish(self) -> Message | None:
         """Return the response that ends with the connection, if any.
@@ -95,6 +119,8 @@
         kept until the next garbage collection.
         """
         self.collector.discard()
+        self.collector.error = None
+        self._unfinished_bytes = 0
 
     def raise_for_error(self) -> None:
         """Raise the error found in the bytes so far, if any.
@@ -106,6 +132,13 @@
         if self.collector.error is not None:
             raise self.collector.error
 
+    def _check_meter(self, meter: Meter) -> None:
+        try:
+            meter(self)
+        except EbonystreamError as error:
+            self.collector.error = error
+            raise
+
     def _record_malformed(self, detail: str) -> None:
         if self.collector.error is None:
             self.collector.error = EbonystreamError(
@@ -147,7 +180,7 @@
             keep_alive=parser.should_keep_alive(),
         )
 
-    collector = MessageCollector(limits, read_info)
+    collector = MessageCollector(limits, read_info, checks_announced=True)
     parser = httptools.HttpRequestParser(collector)
     return MessageReader(collector, parser)
 
--- a/src/ebonystream/ingress/__init__.py
+++ b/src/ebonystream/ingress/__init__.py
@@ -7,13 +7,29 @@
     Respond,
     serve_connection,
 )
+from ebonystream.ingress._descriptors import (
+    DEFAULT_DESCRIPTORS,
+    MIN_DESCRIPTORS,
+    ConnectionShares,
+    divide_descriptors,
+)
 from ebonystream.ingress._listener import HandleConnection, serve_listener
+from ebonystream.ingress._memory_budget import (
+    CloseReason,
+    MemoryBudget,
+)
 from ebonystream.ingress._open_connections import OpenConnections
 from ebonystream.ingress._presence import CallerPresence
 
 __all__ = (
+    'DEFAULT_DESCRIPTORS',
+    'MIN_DESCRIPTORS',
+    'ConnectionShares',
+    'divide_descriptors',
     'ConnectionLimits',
+    'CloseReason',
     'HandleConnection',
+    'MemoryBudget',
     'OpenConnections',
     'CallerPresence',
     'EncodeError',
--- /dev/null
+++ b/src/ebonystream/ingress/_account.py
@@ -0,0 +1,123 @@
+"""The bytes that one connection holds, and how fast they move."""
+
+from collections.abc import Callable
+
+import attrs
+
+from ebonystream._ids import Monotonic, Seconds
+
+CONNECTION_BYTES = 24_576
+"""Memory of a connection: its task and parser, and small messages."""
+
+SMALL_MESSAGE_BYTES = 4096
+"""Messages up to this size are covered by the memory of their connection."""
+
+MIN_RATE = 65_536
+"""Rate below which a message is slow, in bytes per second."""
+
+RATE_GRACE = Seconds(1)
+"""How long a message may take before its rate is judged, in seconds."""
+
+STALL_TIME = Seconds(0.5)
+"""Time without any progress after which a message is slow, in seconds."""
+
+
+@attrs.define
+class Progress:
+    """How fast a message moves.
+
+    Attributes:
+        started_at: When it started, on the monotonic clock.
+        moved_at: When its last bytes moved.
+        moved_bytes: Bytes that have moved since it started.
+    """
+
+    started_at: Monotonic = Monotonic(0)
+    moved_at: Monotonic = Monotonic(0)
+    moved_bytes: int = 0
+
+    def start(self, now: Monotonic) -> None:
+        """Start a message.
+
+        Args:
+            now: Current time on the monotonic clock, in seconds.
+        """
+        self.started_at = now
+        self.moved_at = now
+        self.moved_bytes = 0
+
+    def compute_rate(self, now: Monotonic) -> float:
+        """Return the mean rate since the start, in bytes per second.
+
+        Args:
+            now: Current time on the monotonic clock, in seconds.
+        """
+        return self.moved_bytes / max(now - self.started_at, STALL_TIME)
+
+    def is_slow(self, now: Monotonic) -> bool:
+        """Return whether the message makes no progress, or too little.
+
+        Args:
+            now: Current time on the monotonic clock, in seconds.
+        """
+        if now - self.moved_at >= STALL_TIME:
+            return True
+        has_rate = now - self.started_at >= RATE_GRACE
+        return has_rate and self.compute_rate(now) < MIN_RATE
+
+
+CloseConnection = Callable[[], None]
+"""Close the connection of an account at once."""
+
+StopReceiving = Callable[[], None]
+"""Stop to receive a request, which is then refused as too slow."""
+
+
+@attrs.define(eq=False, kw_only=True)
+class Account:
+    """The bytes that one connection holds.
+
+    Attributes:
+        close: Closes the connection.
+        stop_receiving: Refuses the request that is being received; None while
+            none is.
+        reading_bytes: Bytes of requests that were received and not yet
+            handled, and those reserved for an announced body.
+        serving_bytes: Bytes of requests that are being handled.
+        sending_bytes: Bytes of responses that the client has not taken.
+        socket_bytes: Bytes that the kernel may hold unread beyond the usual.
+        reading: Progress of the request that is being received.
+        sending: Progress of the responses.
+        is_shed: Whether the request that is being received gave way.
+    """
+
+    close: CloseConnection
+    stop_receiving: StopReceiving | None = None
+    reading_bytes: int = 0
+    serving_bytes: int = 0
+    sending_bytes: int = 0
+    socket_bytes: int = 0
+    reading: Progress = attrs.field(factory=Progress)
+    sending: Progress = attrs.field(factory=Progress)
+    is_shed: bool = False
+
+    def count_bytes(self) -> int:
+        """Return all bytes that the connection holds."""
+        messages = self.reading_bytes + self.serving_bytes + self.sending_bytes
+        return CONNECTION_BYTES + messages + self.socket_bytes
+
+    def is_slow_sender(self, now: Monotonic) -> bool:
+        """Return whether its client sends a request too slowly.
+
+        Args:
+            now: Current time on the monotonic clock, in seconds.
+        """
+        return self.stop_receiving is not None and self.reading.is_slow(now)
+
+    def is_slow_receiver(self, now: Monotonic) -> bool:
+        """Return whether its client takes responses too slowly.
+
+        Args:
+            now: Current time on the monotonic clock, in seconds.
+        """
+        return self.sending_bytes > 0 and self.sending.is_slow(now)
--- a/src/ebonystream/ingress/_connection.py
+++ b/src/ebonystream/ingress/_connection.py
@@ -1,7 +1,7 @@
 """Serve the requests of one caller's connection until it closes."""
 
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import closing, suppress
 
 import attrs
 import trio
@@ -16,6 +16,13 @@
     ReaderLimits,
     make_request_reader,
 )
+from ebonystream.ingress._metering import (
+    INITIAL_BUFFER_BYTES,
+    ConnectionMeter,
+    MeteredStream,
+    open_meter,
+    set_receive_buffer,
+)
 from ebonystream.ingress._open_connections import OpenConnections
 from ebonystream.ingress._presence import CallerPresence
 
@@ -27,6 +34,9 @@
 """How long input is still read and discarded after a refusal. Closing at once
 would reset the connection, and the sender might lose the refusal."""
 
+DISCARD_BYTES = 8_388_608
+"""Largest number of bytes that are read and discarded after a refusal."""
+
 
 @attrs.frozen
 class EncodedResponse:
@@ -67,7 +77,8 @@
 
 @attrs.define(kw_only=True)
 class _Session:
-    stream: trio.abc.Stream
+    stream: MeteredStream
+    meter: ConnectionMeter
     reader: MessageReader
     limits: ConnectionLimits
     timers: Timers
@@ -86,7 +97,8 @@
 ) -> None:
     """Serve the requests of one connection in order until it closes.
 
-    The connection is closed at once if too many are open.
+    If too many are open, an idle or slow one is closed, or else this one. What
+    it holds is counted in the memory budget of the connections.
 
     Args:
         stream: The accepted connection.
@@ -97,19 +109,41 @@
         connections: Open connections of this listener; its flags end the
             serving during shutdown.
     """
-    if connections.is_full():
+    if not connections.make_room(timers.now()):
         await trio.aclose_forcefully(stream)
         return
-    session = _Session(
-        stream=stream,
-        reader=make_request_reader(limits.message),
-        limits=limits,
-        timers=timers,
-        connections=connections,
-    )
-    async with stream:
-        with connections.track(), suppress(*DISCONNECT_ERRORS):
-            await _serve_requests(session, respond, encode_error)
+    set_receive_buffer(stream, INITIAL_BUFFER_BYTES)
+    with connections.track(), trio.CancelScope() as scope:
+        with open_meter(stream, connections.budget, scope, timers) as meter:
+            reader = make_request_reader(limits.message)
+            reader.meter = meter.observe_reader
+            session = _Session(
+                stream=MeteredStream(stream, meter),
+                meter=meter,
+                reader=reader,
+                limits=limits,
+                timers=timers,
+                connections=connections,
+            )
+            async with stream:
+                with closing(reader), suppress(*DISCONNECT_ERRORS):
+                    await _serve_requests(
+                        session, _meter_respond(meter, respond), encode_error
+                    )
+
+
+def _meter_respond(meter: ConnectionMeter, respond: Respond) -> Respond:
+    """Account for requests while they are handled, and for responses."""
+
+    async def respond_metered(
+        message: Message, arrived_at: Monotonic, presence: CallerPresence
+    ) -> EncodedResponse:
+        with meter.serve(message.count_bytes()):
+            response = await respond(message, arrived_at, presence)
+        meter.add_response(len(response.content))
+        return response
+
+    return respond_metered
 
 
 async def _serve_requests(
@@ -122,7 +156,11 @@
                 return
             if not await _serve_request(session, message, respond):
                 return
+            # Its body is freed before the wait for the next request.
+            del message
     except EbonystreamError as error:
+        session.reader.close()
+        session.meter.observe_reader(session.reader)
         await session.stream.send_all(encode_error(error))
         await _discard_input(session.stream)
 
@@ -197,8 +235,9 @@
         return message
     session.connections.receiving_count += 1
     try:
-        with trio.move_on_after(session.limits.receive_timeout):
-            return await _receive_parts(session)
+        with trio.move_on_after(session.limits.receive_timeout) as scope:
+            with session.meter.receive(scope):
+                return await _receive_parts(session)
     finally:
         session.connections.receiving_count -= 1
     raise EbonystreamError(ErrorKind.SLOW_SENDER)
@@ -219,10 +258,14 @@
     return message
 
 
-async def _discard_input(stream: trio.abc.Stream) -> None:
-    """Close the sending side and discard input for a limited time."""
-    if isinstance(stream, trio.SocketStream):
-        await stream.send_eof()
+async def _discard_input(stream: MeteredStream) -> None:
+    """Close the sending side; discard some input for a limited time."""
+    await stream.send_eof()
+    discarded_bytes = 0
     with trio.move_on_after(LINGER_TIMEOUT):
-        while await stream.receive_some(RECEIVE_BYTES):
+        while discarded_bytes < DISCARD_BYTES:
+            data = await stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                return
+            discarded_bytes += len(data)
             await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/src/ebonystream/ingress/_metering.py
@@ -0,0 +1,219 @@
+"""Accounting of what one connection holds, where it is received and sent."""
+
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+import trio
+
+from ebonystream._timers import Timers
+from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.http1 import MessageReader
+from ebonystream.ingress._account import SMALL_MESSAGE_BYTES, Account
+from ebonystream.ingress._memory_budget import MIN_LARGE_BYTES, MemoryBudget
+
+SEND_SLICE_BYTES = 262_144
+"""Largest part of a response that is sent at once, so that its progress is
+seen."""
+
+INITIAL_BUFFER_BYTES = 16_384
+"""Receive buffer of an accepted connection. The kernel allows twice as much,
+and would enlarge it to megabytes that are counted nowhere."""
+
+UPLOAD_BUFFER_BYTES = 262_144
+"""Receive buffer while a large body is received."""
+
+KERNEL_FACTOR = 2
+"""The kernel doubles the size of a buffer for its own bookkeeping."""
+
+
+@attrs.define(kw_only=True)
+class ConnectionMeter:
+    """Keeps the account of one connection.
+
+    Attributes:
+        budget: Bytes held for all clients.
+        account: Account of the connection.
+        stream: The connection.
+        timers: Source of the current time.
+    """
+
+    budget: MemoryBudget
+    account: Account
+    stream: trio.abc.Stream
+    timers: Timers
+
+    def observe_reader(self, reader: MessageReader) -> None:
+        """Count what a reader holds, and what it is to receive.
+
+        Args:
+            reader: The reader of the connection.
+
+        Raises:
+            EbonystreamError: It does not fit, or gave way to other requests.
+        """
+        account = self.account
+        held = reader.count_bytes()
+        size = held + reader.count_announced()
+        if size <= SMALL_MESSAGE_BYTES:
+            if not account.reading_bytes:
+                return
+            size = 0
+        if account.is_shed:
+            raise EbonystreamError(ErrorKind.SLOW_SENDER)
+        now = self.timers.now()
+        self.budget.set_reading(account, size, now)
+        account.reading.moved_at = now
+        account.reading.moved_bytes = held
+        if size > MIN_LARGE_BYTES and not account.socket_bytes:
+            self._enlarge_buffer()
+
+    @contextmanager
+    def receive(self, scope: trio.CancelScope) -> Iterator[None]:
+        """Account for the receipt of a request, which may have to give way.
+
+        Args:
+            scope: Cancelled if the request gives way.
+        """
+        account = self.account
+        account.reading.start(self.timers.now())
+        account.stop_receiving = scope.cancel
+        try:
+            yield
+        finally:
+            account.stop_receiving = None
+
+    @contextmanager
+    def serve(self, size: int) -> Iterator[None]:
+        """Account for a request that is handled.
+
+        Args:
+            size: Bytes of the request.
+        """
+        if size <= SMALL_MESSAGE_BYTES:
+            yield
+            return
+        self.budget.add_serving(self.account, size)
+        if self.account.socket_bytes:
+            self._restore_buffer()
+        try:
+            yield
+        finally:
+            self.budget.add_serving(self.account, -size)
+
+    def add_response(self, size: int) -> None:
+        """Account for a response until it is sent.
+
+        Args:
+            size: Bytes of the encoded response.
+        """
+        if size > SMALL_MESSAGE_BYTES:
+            self.budget.add_sending(self.account, size, self.timers.now())
+
+    def record_sent(self, size: int) -> None:
+        """Record that bytes of a response were sent.
+
+        Args:
+            size: Bytes that were sent.
+        """
+        if self.account.sending_bytes:
+            now = self.timers.now()
+            self.budget.record_sent(self.account, size, now)
+
+    def _enlarge_buffer(self) -> None:
+        set_receive_buffer(self.stream, UPLOAD_BUFFER_BYTES)
+        self.budget.set_socket_bytes(
+            self.account, KERNEL_FACTOR * UPLOAD_BUFFER_BYTES
+        )
+
+    def _restore_buffer(self) -> None:
+        set_receive_buffer(self.stream, INITIAL_BUFFER_BYTES)
+        self.budget.set_socket_bytes(self.account, 0)
+
+
+@attrs.define(eq=False)
+class MeteredStream(trio.abc.Stream):
+    """A connection whose sent bytes are accounted for.
+
+    Attributes:
+        inner: The connection.
+        meter: Keeps its account.
+    """
+
+    inner: trio.abc.Stream
+    meter: ConnectionMeter
+
+    async def receive_some(
+        self, max_bytes: int | None = None
+    ) -> bytes | bytearray:
+        """Receive bytes.
+
+        Args:
+            max_bytes: The most to receive.
+        """
+        return await self.inner.receive_some(max_bytes)
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Send all bytes, large messages in parts.
+
+        Args:
+            data: The bytes.
+        """
+        if len(data) <= SEND_SLICE_BYTES:
+            await self.inner.send_all(data)
+            self.meter.record_sent(len(data))
+            return
+        with memoryview(data) as view:
+            for start in range(0, len(view), SEND_SLICE_BYTES):
+                part = view[start : start + SEND_SLICE_BYTES]
+                await self.inner.send_all(part)
+                self.meter.record_sent(len(part))
+
+    async def send_eof(self) -> None:
+        """Close the sending side of a network connection."""
+        if isinstance(self.inner, trio.SocketStream):
+            await self.inner.send_eof()
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait until the connection may accept bytes."""
+        await self.inner.wait_send_all_might_not_block()
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self.inner.aclose()
+
+
+@contextmanager
+def open_meter(
+    stream: trio.abc.Stream,
+    budget: MemoryBudget,
+    scope: trio.CancelScope,
+    timers: Timers,
+) -> Iterator[ConnectionMeter]:
+    """Keep the account of a connection while it is open.
+
+    Args:
+        stream: The connection.
+        budget: Bytes held for all clients.
+        scope: Cancelled to close the connection.
+        timers: Source of the current time.
+    """
+    account = budget.open_account(scope.cancel)
+    try:
+        yield ConnectionMeter(
+            budget=budget, account=account, stream=stream, timers=timers
+        )
+    finally:
+        budget.close_account(account)
+
+
+def set_receive_buffer(stream: trio.abc.Stream, size: int) -> None:
+    """Set the size of the kernel's receive buffer of a network connection.
+
+    Args:
+        stream: The connection.
+        size: The size in bytes.
+    """
+    if isinstance(stream, trio.SocketStream):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
--- a/src/ebonystream/ingress/_open_connections.py
+++ b/src/ebonystream/ingress/_open_connections.py
@@ -6,10 +6,16 @@
 import attrs
 import trio
 
+from ebonystream._ids import Monotonic
+from ebonystream.ingress._memory_budget import CloseReason, MemoryBudget
+
 MAX_CONNECTIONS = 2000
 """Default limit on concurrent connections; about half of the file descriptors
 that a host has."""
 
+MAX_CLOSING = 16
+"""Connections above the limit while others, which make room, are closing."""
+
 
 @attrs.define
 class OpenConnections:
@@ -25,6 +31,7 @@
         active_requests: Number of requests being served.
         receiving_count: Number of requests being received.
         idle_scopes: Cancel scopes of the connections that wait for a request.
+        budget: Bytes that are held for the callers.
     """
 
     limit: int = MAX_CONNECTIONS
@@ -34,11 +41,37 @@
     active_requests: int = 0
     receiving_count: int = 0
     idle_scopes: set[trio.CancelScope] = attrs.field(factory=set)
+    budget: MemoryBudget = attrs.field(factory=MemoryBudget)
 
     def is_full(self) -> bool:
         """Return whether the maximum number of connections is open."""
         return self.open_count >= self.limit
 
+    def make_room(self, now: Monotonic) -> bool:
+        """Return whether another connection may open.
+
+        If the maximum number is open, an idle one is closed for it, or else the
+        slowest.
+
+        Args:
+            now: Current time on the monotonic clock, in seconds.
+        """
+        if not self.is_full():
+            return True
+        if self.open_count <= self.limit + MAX_CLOSING:
+            if self._close_one_idle() or self.budget.close_slowest(now):
+                return True
+        self.budget.record_closed(CloseReason.TOO_MANY, 0)
+        return False
+
+    def _close_one_idle(self) -> bool:
+        for scope in self.idle_scopes:
+            if not scope.cancel_called:
+                scope.cancel()
+                self.budget.record_closed(CloseReason.TOO_MANY, 0)
+                return True
+        return False
+
     def has_requests(self) -> bool:
         """Return whether a request is being received or served."""
         return self.active_requests > 0 or self.receiving_count > 0
--- a/src/ebonystream/link/_exchange.py
+++ b/src/ebonystream/link/_exchange.py
@@ -13,9 +13,11 @@
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.http1 import (
     RECEIVE_BYTES,
+    EncodedMessage,
     Message,
     MessageReader,
     ReaderLimits,
+    SplitMessage,
     make_response_reader,
 )
 from ebonystream.link._buffers import BufferShare, ResponseBuffers
@@ -74,7 +76,7 @@
 """Return whether a response with these header fields answers the request."""
 
 Exchange = Callable[
-    [ServerAddress, bytes, ResponseMatcher], Awaitable[ExchangeResult]
+    [ServerAddress, EncodedMessage, ResponseMatcher], Awaitable[ExchangeResult]
 ]
 """Send an encoded request to an address and return the result.
 
@@ -96,7 +98,7 @@
     shared_buffers = buffers or ResponseBuffers()
 
     async def exchange(
-        at: ServerAddress, request: bytes, matches: ResponseMatcher
+        at: ServerAddress, request: EncodedMessage, matches: ResponseMatcher
     ) -> ExchangeResult:
         stream = await pool.acquire(at)
         if stream is None:
@@ -122,7 +124,7 @@
 
 async def perform_exchange(
     stream: trio.abc.Stream,
-    request: bytes,
+    request: EncodedMessage,
     matches: ResponseMatcher,
     share: BufferShare,
 ) -> tuple[ExchangeResult, bool]:
@@ -147,13 +149,13 @@
 
 async def _perform(
     stream: trio.abc.Stream,
-    request: bytes,
+    request: EncodedMessage,
     matches: ResponseMatcher,
     reader: MessageReader,
     share: BufferShare,
 ) -> tuple[ExchangeResult, bool]:
     try:
-        await stream.send_all(request)
+        await _send(stream, request)
         received = await _receive_matching(stream, reader, matches, share)
     except CONNECTION_ERRORS:
         return ExchangeFailure.INTERRUPTED, False
@@ -168,6 +170,14 @@
     return message, message.keep_alive and in_step
 
 
+async def _send(stream: trio.abc.Stream, request: EncodedMessage) -> None:
+    if isinstance(request, SplitMessage):
+        await stream.send_all(request.head)
+        await stream.send_all(request.body)
+    else:
+        await stream.send_all(request)
+
+
 async def _receive_matching(
     stream: trio.abc.Stream,
     reader: MessageReader,
--- a/src/ebonystream/platform/_requests.py
+++ b/src/ebonystream/platform/_requests.py
@@ -4,7 +4,7 @@
 
 from ebonystream._ids import AttemptId, Monotonic, Seconds
 from ebonystream._timers import MS_PER_SECOND
-from ebonystream.http1 import Message, encode_request
+from ebonystream.http1 import EncodedMessage, Message, encode_request_parts
 from ebonystream.platform._headers import (
     ATTEMPT_ID,
     DEADLINE_MS,
@@ -46,7 +46,7 @@
 
 def encode_server_request(
     request: Request, server: ServerEntry, time_left: Seconds
-) -> bytes:
+) -> EncodedMessage:
     """Encode a request for a backend server.
 
     Args:
@@ -58,7 +58,7 @@
         (DEADLINE_MS, b'%d' % max(1, math.floor(time_left * MS_PER_SECOND))),
         (EXPECTED_INSTANCE, server.id.encode('latin-1')),
     )
-    return encode_request(
+    return encode_request_parts(
         request.method.encode('ascii'),
         request.target.encode('latin-1'),
         request.headers + added,
--- a/src/ebonystream/request/_codec.py
+++ b/src/ebonystream/request/_codec.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ebonystream._ids import Monotonic, Seconds
-from ebonystream.http1 import Message
+from ebonystream.http1 import EncodedMessage, Message
 from ebonystream.link import ResponseMatcher
 from ebonystream.request._request import Request
 from ebonystream.request._response import Response, ServerResponse
@@ -33,7 +33,7 @@
     """
 
     decode_request: Callable[[Message, Monotonic], Request]
-    encode_request: Callable[[Request, ServerEntry, Seconds], bytes]
+    encode_request: Callable[[Request, ServerEntry, Seconds], EncodedMessage]
     make_response_matcher: Callable[[Request], ResponseMatcher]
     decode_response: Callable[[Message], ServerResponse]
     encode_response: Callable[[Response, bool], bytes]
--- a/src/ebonystream/upstream/_message.py
+++ b/src/ebonystream/upstream/_message.py
@@ -20,7 +20,7 @@
     Headers,
 )
 from ebonystream.errors import Outcome
-from ebonystream.http1 import Message, encode_request
+from ebonystream.http1 import EncodedMessage, Message, encode_request_parts
 
 NOT_RUN_HEADER = b'x-not-run'
 BOOT_HEADER = b'x-boot-id'
@@ -37,7 +37,7 @@
 
 def encode_call(
     call: Call, server_address: ServerAddress, remaining: Seconds
-) -> bytes:
+) -> EncodedMessage:
     """Encode a call as an HTTP request.
 
     Args:
@@ -52,7 +52,7 @@
         (b'x-route', call.route.encode('latin-1')),
         (b'x-deadline-ms', str(remaining_ms).encode()),
     ]
-    return encode_request(
+    return encode_request_parts(
         call.method.encode(),
         call.target.encode('latin-1'),
         added + _filter_headers(call.headers, DROPPED_REQUEST_HEADERS),
