Bound what the product's own front end holds for callers

Cause: 160 bodies of 1 MiB that stop short took 257 MB, in small chunks 1160 MB.

Change: the same budget (callers.max_memory_bytes), checked against the largest body at start; connections bounded by the descriptors of the process. Large buffers go back to the system when they are freed (mallopt): after several crowds, holes in the heap had kept 60 MB.

--- a/src/ebonystream/caller/_connection.py
+++ b/src/ebonystream/caller/_connection.py
@@ -2,13 +2,14 @@
 
 from functools import partial
 
+import attrs
 import trio
 
 from ebonystream._ids import Monotonic
 from ebonystream._timers import Timers
 from ebonystream.call import CallResponse, HandleRequest, make_error_response
 from ebonystream.caller._message import decode_request, encode_call_response
-from ebonystream.errors import EbonystreamError
+from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.http1 import Message
 from ebonystream.ingress import (
     CallerPresence,
@@ -18,6 +19,9 @@
 )
 from ebonystream.ingress import serve_connection as serve_messages
 
+MEMORY_RETRY_AFTER = (b'retry-after', b'1')
+"""Advice after a refusal for memory, in seconds."""
+
 
 async def serve_connection(
     stream: trio.abc.Stream,
@@ -57,7 +61,12 @@
 
 
 def _encode_error(timers: Timers, error: EbonystreamError) -> bytes:
-    return _encode(timers, make_error_response(error), close=True)
+    response = make_error_response(error)
+    if error.kind is ErrorKind.MEMORY_SHORT:
+        response = attrs.evolve(
+            response, headers=(*response.headers, MEMORY_RETRY_AFTER)
+        )
+    return _encode(timers, response, close=True)
 
 
 def _encode(timers: Timers, response: CallResponse, *, close: bool) -> bytes:
--- a/src/ebonystream/composition/_listener.py
+++ b/src/ebonystream/composition/_listener.py
@@ -16,6 +16,7 @@
     make_handle_request,
 )
 from ebonystream.caller import CallerListener
+from ebonystream.composition._caller_limits import make_caller_connections
 from ebonystream.composition._extra_attempts import make_run_with_extra_attempts
 from ebonystream.composition._moves import (
     make_zone_counting_place,
@@ -26,7 +27,7 @@
 from ebonystream.composition._probes import make_response_observer
 from ebonystream.configuration import PlanClass
 from ebonystream.http1 import ReaderLimits
-from ebonystream.ingress import ConnectionLimits, OpenConnections
+from ebonystream.ingress import ConnectionLimits
 from ebonystream.observation import log_attempt, observe_calls, observe_requests
 from ebonystream.ownership import make_handle_key_requests, parse_key
 from ebonystream.upstream import make_sender
@@ -53,7 +54,7 @@
             receive_timeout=convert_ms(settings.receive_timeout_ms),
             idle_timeout=convert_ms(settings.idle_timeout_ms),
         ),
-        connections=OpenConnections(limit=settings.max_connections),
+        connections=make_caller_connections(parts),
         drain_grace=convert_ms(settings.drain_grace_ms),
         timers=parts.timers,
     )
--- a/src/ebonystream/composition/_root.py
+++ b/src/ebonystream/composition/_root.py
@@ -3,6 +3,7 @@
 import httpx
 import trio
 
+from ebonystream._allocator import return_large_buffers
 from ebonystream._ids import Seconds
 from ebonystream._timers import MS_PER_SECOND
 from ebonystream.composition._admin import serve_admin_api
@@ -45,6 +46,7 @@
     Args:
         settings: The checked settings of the host.
     """
+    return_large_buffers()
     timeout_ms = settings.log.timeout_ms + settings.log.poll_wait_ms
     platform_traffic = Traffic()
     async with (
--- a/src/ebonystream/entryhost/_gauges.py
+++ b/src/ebonystream/entryhost/_gauges.py
@@ -75,23 +75,29 @@
         ),
         'ebonystream_client_memory_bytes': _Gauge(
             'Bytes that are held or reserved for callers.',
-            lambda parts: parts.caller_connections.budget.used_bytes,
+            lambda parts: parts.caller_connections.budget.book.used_bytes,
         ),
         'ebonystream_client_memory_peak_bytes': _Gauge(
             'The most bytes that were held or reserved for callers.',
-            lambda parts: parts.caller_connections.budget.peak_bytes,
+            lambda parts: parts.caller_connections.budget.book.peak_bytes,
         ),
         'ebonystream_memory_refusals_total': _Gauge(
             'Requests refused as they did not fit into the memory.',
-            lambda parts: parts.caller_connections.budget.refusals,
+            lambda parts: (
+                parts.caller_connections.budget.closings.refused_requests
+            ),
         ),
         'ebonystream_memory_shed_total': _Gauge(
             'Requests ended as slow while others did not fit.',
-            lambda parts: parts.caller_connections.budget.shed_requests,
+            lambda parts: (
+                parts.caller_connections.budget.closings.shed_requests
+            ),
         ),
         'ebonystream_connections_closed_total': _Gauge(
             'Connections of callers closed to make room.',
-            lambda parts: parts.caller_connections.budget.closed_connections,
+            lambda parts: (
+                parts.caller_connections.budget.closings.closed_connections
+            ),
         ),
         'ebonystream_processor_seconds': _Gauge(
             'Processor time of this process.',
--- a/src/ebonystream/entryhost/_root.py
+++ b/src/ebonystream/entryhost/_root.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from ebonystream._allocator import return_large_buffers
 from ebonystream._ids import Incarnation, Seconds
 from ebonystream._timers import Timers, make_timers
 from ebonystream.decisionlog import make_event_logger, start_decision_log
@@ -30,6 +31,7 @@
 
 def run_entry_host() -> None:
     """Run an entry host until a signal stops it."""
+    return_large_buffers()
     path = Path(os.environ[SETTINGS_VARIABLE])
     trio.run(_run, path)
 
--- a/src/ebonystream/http1/__init__.py
+++ b/src/ebonystream/http1/__init__.py
@@ -12,6 +12,8 @@
     RECEIVE_BYTES,
     MessageReader,
     Meter,
+    count_awaited_bytes,
+    count_held_bytes,
     make_request_reader,
     make_response_reader,
 )
@@ -22,6 +24,8 @@
     'Message',
     'Meter',
     'SplitMessage',
+    'count_awaited_bytes',
+    'count_held_bytes',
     'MessageReader',
     'ReaderLimits',
     'make_request_reader',
--- a/src/ebonystream/http1/_message.py
+++ b/src/ebonystream/http1/_message.py
@@ -1,5 +1,7 @@
 """Complete HTTP/1.1 messages, and the limits on their size."""
 
+from collections import deque
+
 import attrs
 
 from ebonystream._calls import Headers
@@ -58,3 +60,38 @@
     method: bytes
     status: int
     keep_alive: bool
+
+
+@attrs.define
+class MessageQueue:
+    """Complete messages that have not been taken yet.
+
+    Attributes:
+        messages: The messages, the oldest first.
+        size: Memory that they take, in bytes.
+    """
+
+    messages: deque[Message] = attrs.field(factory=deque)
+    size: int = 0
+
+    def add(self, message: Message) -> None:
+        """Append a message.
+
+        Args:
+            message: The message.
+        """
+        self.messages.append(message)
+        self.size += message.count_bytes()
+
+    def take(self) -> Message | None:
+        """Remove and return the oldest message; None if there is none."""
+        if not self.messages:
+            return None
+        message = self.messages.popleft()
+        self.size -= message.count_bytes()
+        return message
+
+    def clear(self) -> None:
+        """Drop all messages."""
+        self.messages.clear()
+        self.size = 0
--- a/src/ebonystream/http1/_reader.py
+++ b/src/ebonystream/http1/_reader.py
@@ -6,7 +6,7 @@
 import httptools
 
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.http1._collector import MessageCollector
+from ebonystream.http1._collector import MessageCollector, count_head_bytes
 from ebonystream.http1._message import Message, MessageInfo, ReaderLimits
 
 RECEIVE_BYTES = 65_536
@@ -33,12 +33,13 @@
         collector: Assembles messages from the parser's callbacks.
         parser: The httptools parser of the connection.
         meter: Called after each change of what is held; None for none.
+        unfinished_bytes: Bytes since the last body byte or end of a message.
     """
 
     collector: MessageCollector
     parser: Parser
     meter: Meter | None = None
-    _unfinished_bytes: int = 0
+    unfinished_bytes: int = 0
     _body_bytes_seen: int = 0
 
     def feed(self, data: bytes) -> None:
@@ -60,29 +61,15 @@
         self.raise_for_error()
         self._check_unfinished_part(len(data))
         if self.meter is not None:
-            self._check_meter(self.meter)
+            self.meter(self)
 
     def next_message(self) -> Message | None:
         """Return the next complete message, or None if there is none yet."""
-        message = self.collector.take_message()
+        message = self.collector.completed.take()
         if message is not None and self.meter is not None:
             self.meter(self)
         return message
 
-    def count_bytes(self) -> int:
-        """Return the memory of what was received and not taken."""
-        return self.collector.count_bytes() + self._unfinished_bytes
-
-    def count_announced(self) -> int:
-        """Return the bytes of the current body that are still to come.
-
-        This is 0 where its head does not say it.
-        """
-        collector = self.collector
-        if not collector.in_message:
-            return 0
-        return max(0, collector.announced_bytes - collector.body_bytes)
-
     def finish(self) -> Message | None:
         """Return the response that ends with the connection, if any.
 
@@ -99,7 +86,9 @@
 
     def has_pending(self) -> bool:
         """Return whether a message has started or is waiting to be taken."""
-        return self.collector.in_message or bool(self.collector.completed)
+        return self.collector.in_message or bool(
+            self.collector.completed.messages
+        )
 
     def is_drained(self) -> bool:
         """Return whether nothing was received beyond the messages taken."""
@@ -120,7 +109,7 @@
         """
         self.collector.discard()
         self.collector.error = None
-        self._unfinished_bytes = 0
+        self.unfinished_bytes = 0
 
     def raise_for_error(self) -> None:
         """Raise the error found in the bytes so far, if any.
@@ -132,13 +121,6 @@
         if self.collector.error is not None:
             raise self.collector.error
 
-    def _check_meter(self, meter: Meter) -> None:
-        try:
-            meter(self)
-        except EbonystreamError as error:
-            self.collector.error = error
-            raise
-
     def _record_malformed(self, detail: str) -> None:
         if self.collector.error is None:
             self.collector.error = EbonystreamError(
@@ -153,19 +135,47 @@
         chunks, so the collector cannot count one that never ends.
         """
         collector = self.collector
-        has_body_bytes = collector.body_bytes != self._body_bytes_seen
-        self._body_bytes_seen = collector.body_bytes
+        has_body_bytes = collector.body.size != self._body_bytes_seen
+        self._body_bytes_seen = collector.body.size
         if not collector.in_message or has_body_bytes:
-            self._unfinished_bytes = 0
+            self.unfinished_bytes = 0
             return
-        self._unfinished_bytes += size
+        self.unfinished_bytes += size
         limit = collector.limits.head_bytes
-        if self._unfinished_bytes > limit + RECEIVE_BYTES:
+        if self.unfinished_bytes > limit + RECEIVE_BYTES:
             raise EbonystreamError(
                 ErrorKind.HEAD_TOO_LARGE, f'more than {limit} bytes'
             )
 
 
+def count_held_bytes(reader: MessageReader) -> int:
+    """Return the memory of what a reader has received and was not taken.
+
+    Args:
+        reader: The reader.
+    """
+    collector = reader.collector
+    if not collector.in_message:
+        return collector.completed.size
+    current = count_head_bytes(collector) + collector.body.size
+    return collector.completed.size + current + reader.unfinished_bytes
+
+
+def count_awaited_bytes(reader: MessageReader) -> int:
+    """Return how many bytes of the current body are still to come.
+
+    Args:
+        reader: The reader.
+
+    Returns:
+        The number of bytes; 0 where the head does not announce them.
+    """
+    collector = reader.collector
+    if not collector.in_message:
+        return 0
+    return max(0, collector.announced_bytes - collector.body.size)
+
+
 def make_request_reader(limits: ReaderLimits) -> MessageReader:
     """Make a reader of requests.
 
--- a/src/ebonystream/ingress/__init__.py
+++ b/src/ebonystream/ingress/__init__.py
@@ -1,10 +1,8 @@
 """Incoming connections: receive complete requests and send the responses."""
 
+from ebonystream.ingress._closings import CloseReason, Closings
 from ebonystream.ingress._connection import (
     ConnectionLimits,
-    EncodedResponse,
-    EncodeError,
-    Respond,
     serve_connection,
 )
 from ebonystream.ingress._descriptors import (
@@ -14,12 +12,14 @@
     divide_descriptors,
 )
 from ebonystream.ingress._listener import HandleConnection, serve_listener
-from ebonystream.ingress._memory_budget import (
-    CloseReason,
-    MemoryBudget,
-)
+from ebonystream.ingress._memory_budget import MemoryBudget
 from ebonystream.ingress._open_connections import OpenConnections
 from ebonystream.ingress._presence import CallerPresence
+from ebonystream.ingress._response import (
+    EncodedResponse,
+    EncodeError,
+    Respond,
+)
 
 __all__ = (
     'DEFAULT_DESCRIPTORS',
@@ -28,6 +28,7 @@
     'divide_descriptors',
     'ConnectionLimits',
     'CloseReason',
+    'Closings',
     'HandleConnection',
     'MemoryBudget',
     'OpenConnections',
--- a/src/ebonystream/ingress/_account.py
+++ b/src/ebonystream/ingress/_account.py
@@ -89,6 +89,7 @@
         reading: Progress of the request that is being received.
         sending: Progress of the responses.
         is_shed: Whether the request that is being received gave way.
+        counted_bytes: Bytes that the book of accounts has counted.
     """
 
     close: CloseConnection
@@ -100,6 +101,7 @@
     reading: Progress = attrs.field(factory=Progress)
     sending: Progress = attrs.field(factory=Progress)
     is_shed: bool = False
+    counted_bytes: int = 0
 
     def count_bytes(self) -> int:
         """Return all bytes that the connection holds."""
@@ -121,3 +123,50 @@
             now: Current time on the monotonic clock, in seconds.
         """
         return self.sending_bytes > 0 and self.sending.is_slow(now)
+
+
+@attrs.define
+class AccountBook:
+    """The accounts of the open connections, and the sum of their bytes.
+
+    Attributes:
+        accounts: The accounts.
+        used_bytes: Bytes of all accounts.
+        peak_bytes: The largest number of bytes so far.
+    """
+
+    accounts: set[Account] = attrs.field(factory=set)
+    used_bytes: int = 0
+    peak_bytes: int = 0
+
+    def open(self, close: CloseConnection) -> Account:
+        """Open the account of a connection.
+
+        Args:
+            close: Closes the connection.
+        """
+        account = Account(close=close)
+        self.accounts.add(account)
+        self.update(account)
+        return account
+
+    def update(self, account: Account) -> None:
+        """Count an account again after a change of its bytes.
+
+        Args:
+            account: The account.
+        """
+        counted = account.count_bytes()
+        self.used_bytes += counted - account.counted_bytes
+        account.counted_bytes = counted
+        if self.used_bytes > self.peak_bytes:
+            self.peak_bytes = self.used_bytes
+
+    def close(self, account: Account) -> None:
+        """Close an account and release its bytes.
+
+        Args:
+            account: The account.
+        """
+        self.accounts.discard(account)
+        self.used_bytes -= account.counted_bytes
--- a/src/ebonystream/ingress/_connection.py
+++ b/src/ebonystream/ingress/_connection.py
@@ -1,6 +1,5 @@
 """Serve the requests of one caller's connection until it closes."""
 
-from collections.abc import Awaitable, Callable
 from contextlib import closing, suppress
 
 import attrs
@@ -16,49 +15,27 @@
     ReaderLimits,
     make_request_reader,
 )
+from ebonystream.ingress._discarding import discard_input
 from ebonystream.ingress._metering import (
     INITIAL_BUFFER_BYTES,
     ConnectionMeter,
     MeteredStream,
+    meter_respond,
     open_meter,
     set_receive_buffer,
 )
 from ebonystream.ingress._open_connections import OpenConnections
 from ebonystream.ingress._presence import CallerPresence
+from ebonystream.ingress._response import (
+    EncodedResponse,
+    EncodeError,
+    Respond,
+)
 
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 DISCONNECT_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 """Errors that show that the peer has closed the connection."""
 
-LINGER_TIMEOUT = Seconds(1)
-"""How long input is still read and discarded after a refusal. Closing at once
-would reset the connection, and the sender might lose the refusal."""
-
-DISCARD_BYTES = 8_388_608
-"""Largest number of bytes that are read and discarded after a refusal."""
-
-
-@attrs.frozen
-class EncodedResponse:
-    """A response ready to be sent.
-
-    Attributes:
-        content: The encoded response.
-        close: Whether the connection is closed after the response.
-    """
-
-    content: bytes
-    close: bool
-
-
-Respond = Callable[
-    [Message, Monotonic, CallerPresence], Awaitable[EncodedResponse]
-]
-"""Respond to a request, given the arrival time of its first byte."""
-
-EncodeError = Callable[[EbonystreamError], bytes]
-"""Encode the response to invalid input; the connection is then closed."""
-
 
 @attrs.frozen(kw_only=True)
 class ConnectionLimits:
@@ -128,41 +105,30 @@
             async with stream:
                 with closing(reader), suppress(*DISCONNECT_ERRORS):
                     await _serve_requests(
-                        session, _meter_respond(meter, respond), encode_error
+                        session, meter_respond(meter, respond), encode_error
                     )
 
 
-def _meter_respond(meter: ConnectionMeter, respond: Respond) -> Respond:
-    """Account for requests while they are handled, and for responses."""
-
-    async def respond_metered(
-        message: Message, arrived_at: Monotonic, presence: CallerPresence
-    ) -> EncodedResponse:
-        with meter.serve(message.count_bytes()):
-            response = await respond(message, arrived_at, presence)
-        meter.add_response(len(response.content))
-        return response
-
-    return respond_metered
-
-
 async def _serve_requests(
     session: _Session, respond: Respond, encode_error: EncodeError
 ) -> None:
     try:
         while await _wait_for_request(session):
-            message = await _receive(session)
-            if message is None:
-                return
-            if not await _serve_request(session, message, respond):
+            if not await _serve_next(session, respond):
                 return
-            # Its body is freed before the wait for the next request.
-            del message
     except EbonystreamError as error:
         session.reader.close()
         session.meter.observe_reader(session.reader)
         await session.stream.send_all(encode_error(error))
-        await _discard_input(session.stream)
+        await discard_input(session.stream)
+
+
+async def _serve_next(session: _Session, respond: Respond) -> bool:
+    """Receive and serve one request, which is freed before the next."""
+    message = await _receive(session)
+    if message is None:
+        return False
+    return await _serve_request(session, message, respond)
 
 
 async def _serve_request(
@@ -256,16 +222,3 @@
         session.reader.feed(bytes(data))
         message = session.reader.next_message()
     return message
-
-
-async def _discard_input(stream: MeteredStream) -> None:
-    """Close the sending side; discard some input for a limited time."""
-    await stream.send_eof()
-    discarded_bytes = 0
-    with trio.move_on_after(LINGER_TIMEOUT):
-        while discarded_bytes < DISCARD_BYTES:
-            data = await stream.receive_some(RECEIVE_BYTES)
-            if not data:
-                return
-            discarded_bytes += len(data)
-            await trio.lowlevel.checkpoint()
--- /dev/null
+++ b/src/ebonystream/ingress/_discarding.py
@@ -0,0 +1,31 @@
+"""Input that is read and discarded after a refusal."""
+
+import trio
+
+from ebonystream._ids import Seconds
+from ebonystream.http1 import RECEIVE_BYTES
+from ebonystream.ingress._metering import MeteredStream
+
+LINGER_TIMEOUT = Seconds(1)
+"""How long input is still read and discarded after a refusal. Closing at once
+would reset the connection, and the sender might lose the refusal."""
+
+DISCARD_BYTES = 8_388_608
+"""Largest number of bytes that are read and discarded after a refusal."""
+
+
+async def discard_input(stream: MeteredStream) -> None:
+    """Close the sending side; discard some input for a limited time.
+
+    Args:
+        stream: The connection.
+    """
+    await stream.send_eof()
+    discarded_bytes = 0
+    with trio.move_on_after(LINGER_TIMEOUT):
+        while discarded_bytes < DISCARD_BYTES:
+            data = await stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                return
+            discarded_bytes += len(data)
+            await trio.lowlevel.checkpoint()
--- a/src/ebonystream/ingress/_metering.py
+++ b/src/ebonystream/ingress/_metering.py
@@ -7,11 +7,19 @@
 import attrs
 import trio
 
+from ebonystream._ids import Monotonic
 from ebonystream._timers import Timers
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.http1 import MessageReader
+from ebonystream.http1 import (
+    Message,
+    MessageReader,
+    count_awaited_bytes,
+    count_held_bytes,
+)
 from ebonystream.ingress._account import SMALL_MESSAGE_BYTES, Account
 from ebonystream.ingress._memory_budget import MIN_LARGE_BYTES, MemoryBudget
+from ebonystream.ingress._presence import CallerPresence
+from ebonystream.ingress._response import EncodedResponse, Respond
 
 SEND_SLICE_BYTES = 262_144
 """Largest part of a response that is sent at once, so that its progress is
@@ -54,16 +62,19 @@
             EbonystreamError: It does not fit, or gave way to other requests.
         """
         account = self.account
-        held = reader.count_bytes()
-        size = held + reader.count_announced()
+        held = count_held_bytes(reader)
+        size = held + count_awaited_bytes(reader)
         if size <= SMALL_MESSAGE_BYTES:
             if not account.reading_bytes:
                 return
             size = 0
-        if account.is_shed:
-            raise EbonystreamError(ErrorKind.SLOW_SENDER)
         now = self.timers.now()
-        self.budget.set_reading(account, size, now)
+        try:
+            self._set_reading(size, now)
+        except EbonystreamError as error:
+            # The reader keeps it, as what follows is not read.
+            reader.collector.error = error
+            raise
         account.reading.moved_at = now
         account.reading.moved_bytes = held
         if size > MIN_LARGE_BYTES and not account.socket_bytes:
@@ -121,6 +132,11 @@
             now = self.timers.now()
             self.budget.record_sent(self.account, size, now)
 
+    def _set_reading(self, size: int, now: Monotonic) -> None:
+        if self.account.is_shed:
+            raise EbonystreamError(ErrorKind.SLOW_SENDER)
+        self.budget.set_reading(self.account, size, now)
+
     def _enlarge_buffer(self) -> None:
         set_receive_buffer(self.stream, UPLOAD_BUFFER_BYTES)
         self.budget.set_socket_bytes(
@@ -184,6 +200,25 @@
         await self.inner.aclose()
 
 
+def meter_respond(meter: ConnectionMeter, respond: Respond) -> Respond:
+    """Account for requests while they are handled, and for responses.
+
+    Args:
+        meter: Keeps the account of their connection.
+        respond: Handles a request.
+    """
+
+    async def respond_metered(
+        message: Message, arrived_at: Monotonic, presence: CallerPresence
+    ) -> EncodedResponse:
+        with meter.serve(message.count_bytes()):
+            response = await respond(message, arrived_at, presence)
+        meter.add_response(len(response.content))
+        return response
+
+    return respond_metered
+
+
 @contextmanager
 def open_meter(
     stream: trio.abc.Stream,
@@ -199,13 +234,13 @@
         scope: Cancelled to close the connection.
         timers: Source of the current time.
     """
-    account = budget.open_account(scope.cancel)
+    account = budget.book.open(scope.cancel)
     try:
         yield ConnectionMeter(
             budget=budget, account=account, stream=stream, timers=timers
         )
     finally:
-        budget.close_account(account)
+        budget.book.close(account)
 
 
 def set_receive_buffer(stream: trio.abc.Stream, size: int) -> None:
--- a/src/ebonystream/ingress/_open_connections.py
+++ b/src/ebonystream/ingress/_open_connections.py
@@ -7,7 +7,8 @@
 import trio
 
 from ebonystream._ids import Monotonic
-from ebonystream.ingress._memory_budget import CloseReason, MemoryBudget
+from ebonystream.ingress._closings import CloseReason
+from ebonystream.ingress._memory_budget import MemoryBudget
 
 MAX_CONNECTIONS = 2000
 """Default limit on concurrent connections; about half of the file descriptors
@@ -61,15 +62,7 @@
         if self.open_count <= self.limit + MAX_CLOSING:
             if self._close_one_idle() or self.budget.close_slowest(now):
                 return True
-        self.budget.record_closed(CloseReason.TOO_MANY, 0)
-        return False
-
-    def _close_one_idle(self) -> bool:
-        for scope in self.idle_scopes:
-            if not scope.cancel_called:
-                scope.cancel()
-                self.budget.record_closed(CloseReason.TOO_MANY, 0)
-                return True
+        self.budget.closings.record(CloseReason.TOO_MANY, 0)
         return False
 
     def has_requests(self) -> bool:
@@ -90,3 +83,11 @@
         self.close_when_idle = True
         for scope in list(self.idle_scopes):
             scope.cancel()
+
+    def _close_one_idle(self) -> bool:
+        for scope in self.idle_scopes:
+            if not scope.cancel_called:
+                scope.cancel()
+                self.budget.closings.record(CloseReason.TOO_MANY, 0)
+                return True
+        return False
--- a/src/ebonystream/ingress/_shedding.py
+++ b/src/ebonystream/ingress/_shedding.py
@@ -3,7 +3,10 @@
 from collections.abc import Iterable
 
 from ebonystream._ids import Monotonic
-from ebonystream.ingress._account import MIN_RATE, Account
+from ebonystream.ingress._account import Account
+
+MIN_CLOSED_BYTES = 65_536
+"""Responses below this size are not worth the loss of a response."""
 
 
 def choose_shed_accounts(
@@ -20,11 +23,11 @@
         now: Current time on the monotonic clock, in seconds.
     """
     slow = [
-        (count_movable_bytes(account), account)
+        (_count_movable_bytes(account), account)
         for account in accounts
         if account.is_slow_sender(now) or account.is_slow_receiver(now)
     ]
-    slow.sort(key=lambda entry: (-entry[0], compute_rate(entry[1], now)))
+    slow.sort(key=lambda entry: (-entry[0], _compute_rate(entry[1], now)))
     chosen: list[Account] = []
     for freed_bytes, account in slow:
         if needed_bytes <= 0:
@@ -41,7 +44,7 @@
         accounts: The accounts to choose from.
     """
     largest = max(accounts, key=lambda each: each.sending_bytes, default=None)
-    if largest is None or largest.sending_bytes < MIN_RATE:
+    if largest is None or largest.sending_bytes < MIN_CLOSED_BYTES:
         return None
     return largest
 
@@ -60,27 +63,16 @@
         for account in accounts
         if account.is_slow_sender(now) or account.is_slow_receiver(now)
     ]
-    return min(slow, key=lambda each: compute_rate(each, now), default=None)
-
-
-def count_movable_bytes(account: Account) -> int:
-    """Return the bytes that are freed if an account gives way.
+    return min(slow, key=lambda each: _compute_rate(each, now), default=None)
 
-    Requests that are being handled keep their bytes until they end.
 
-    Args:
-        account: The account.
-    """
+def _count_movable_bytes(account: Account) -> int:
+    """Return the bytes that are freed at once if an account gives way."""
     return account.reading_bytes + account.sending_bytes + account.socket_bytes
 
 
-def compute_rate(account: Account, now: Monotonic) -> float:
-    """Return the rate of the message that an account is judged by.
-
-    Args:
-        account: The account.
-        now: Current time on the monotonic clock, in seconds.
-    """
+def _compute_rate(account: Account, now: Monotonic) -> float:
+    """Return the rate of the message that an account is judged by."""
     if account.stop_receiving is not None:
         return account.reading.compute_rate(now)
     return account.sending.compute_rate(now)
--- a/src/ebonystream/platform/_settings.py
+++ b/src/ebonystream/platform/_settings.py
@@ -8,49 +8,28 @@
 from ebonystream._ids import HostId, ZoneName
 from ebonystream._validation import MAX_PORT
 from ebonystream.entryhost import HostLimits, HostSettings
-from ebonystream.ingress import DEFAULT_DESCRIPTORS
 from ebonystream.placement import ColdLimits
 from ebonystream.platform._durations import parse_duration
-from ebonystream.platform._errors import (
-    FormatError,
-    decode_json,
-    reject_invalid_values,
-)
+from ebonystream.platform._errors import decode_json, reject_invalid_values
+from ebonystream.platform._process_limits import ProcessLimits
 from ebonystream.platform._servers import parse_address
 
 SETTINGS_VARIABLE = 'EBONYSTREAM_SETTINGS'
 
-MAX_MEMORY_MB = 1_048_576
-BYTES_PER_MB = 1_048_576
-RESPONSE_BUFFER_SHARE = 0.1
-"""Share of the memory of a process that incomplete responses may take."""
-
 MAX_PEER_PORT = MAX_PORT - 1
 """The port after it is used as well."""
 
-CLIENT_MEMORY_SHARE = 0.45
-"""Share of the memory of a process that it may hold for its clients."""
-
-MAX_CLIENT_MEMORY_SHARE = 0.6
-"""Largest share that may be set; the process itself needs the rest."""
-
 MAX_COLD_BOUND = 1_000_000
 _ColdBound = Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_BOUND)]
 
 _PeerPort = Annotated[int, msgspec.Meta(ge=1, le=MAX_PEER_PORT)]
 
 
-class _ProcessLimits(msgspec.Struct):
-    memory_mb: Annotated[int, msgspec.Meta(ge=1, le=MAX_MEMORY_MB)] = 200
-    max_fds: int = DEFAULT_DESCRIPTORS
-    client_memory_mb: float | None = None
-
-
 class _Local(msgspec.Struct):
     node_name: str
     zone: str
     ip: str
-    limits: _ProcessLimits = msgspec.field(default_factory=_ProcessLimits)
+    limits: ProcessLimits = msgspec.field(default_factory=ProcessLimits)
 
 
 class _Listen(msgspec.Struct):
@@ -123,8 +102,7 @@
     )
 
 
-def _decode_limits(bounds: _Bounds, process: _ProcessLimits) -> HostLimits:
-    memory_bytes = process.memory_mb * BYTES_PER_MB
+def _decode_limits(bounds: _Bounds, process: ProcessLimits) -> HostLimits:
     return HostLimits(
         shutdown_grace=parse_duration(bounds.grace),
         retry_ratio=bounds.retry_budget_ratio,
@@ -134,18 +112,7 @@
         cold_limits=ColdLimits(
             overshoot=bounds.cold_overshoot, slack=bounds.cold_slack
         ),
-        response_buffer_bytes=int(memory_bytes * RESPONSE_BUFFER_SHARE),
-        client_memory_bytes=_decode_client_memory(process),
+        response_buffer_bytes=process.compute_response_memory(),
+        client_memory_bytes=process.compute_client_memory(),
         max_descriptors=process.max_fds,
     )
-
-
-def _decode_client_memory(process: _ProcessLimits) -> int:
-    client_mb = process.client_memory_mb
-    if client_mb is None:
-        client_mb = process.memory_mb * CLIENT_MEMORY_SHARE
-    if client_mb > process.memory_mb * MAX_CLIENT_MEMORY_SHARE:
-        raise FormatError(
-            f'client_memory_mb above {MAX_CLIENT_MEMORY_SHARE} of memory_mb'
-        )
-    return int(client_mb * BYTES_PER_MB)
--- a/src/ebonystream/settings/_settings.py
+++ b/src/ebonystream/settings/_settings.py
@@ -26,6 +26,10 @@
 the time of its record, with a margin for clock differences. The log must
 retain records for longer than this plus the key window."""
 
+MEMORY_PER_BODY_BYTE = 1.25
+"""Memory for callers that one request needs, relative to its body: a part is
+kept for small requests and for connections."""
+
 
 class Section(BaseModel):
     """One section of the settings; rejects unknown keys."""
@@ -53,7 +57,9 @@
     Attributes:
         address: IP address to listen on.
         port: TCP port to listen on.
-        max_connections: Maximum number of open connections from callers.
+        max_connections: Maximum number of open connections from callers; half
+            of the descriptors of the process if that is less.
+        max_memory_bytes: Bytes that the host may hold for all callers together.
         max_head_bytes: Maximum size of the target and the header fields.
         max_body_bytes: Maximum size of a request body.
         receive_timeout_ms: Maximum time to receive one request.
@@ -67,10 +73,21 @@
     max_connections: Annotated[int, Field(ge=1, le=1_000_000)] = 4096
     max_head_bytes: Annotated[int, Field(ge=256, le=1_048_576)] = 16_384
     max_body_bytes: Annotated[int, Field(ge=0, le=1_073_741_824)] = 1_048_576
+    max_memory_bytes: Annotated[int, Field(ge=1_048_576)] = 50_331_648
     receive_timeout_ms: Milliseconds = 5000
     idle_timeout_ms: Milliseconds = 75_000
     drain_grace_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 1000
 
+    @model_validator(mode='after')
+    def check_memory(self) -> Self:
+        """Reject a bound on the memory that one request does not fit into."""
+        if self.max_memory_bytes < MEMORY_PER_BODY_BYTE * self.max_body_bytes:
+            raise ValueError(
+                'max_memory_bytes must be at least '
+                f'{MEMORY_PER_BODY_BYTE} * max_body_bytes'
+            )
+        return self
+
 
 class PeerSettings(Section):
     """Communication between entry hosts.
