--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -119,3 +119,25 @@
     print(kind, usage.describe())
     assert usage.memory_mb < FRONT_END_MEMORY_MB
     assert answer == b'HTTP/1.1'
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize('kind', ['whole', 'announced over the limit'])
+async def test_a_crowd_at_the_administration_api(tmp_path, kind):
+    # Guards against a host that holds the bodies of as many operators' requests
+    # as are open.
+    async with open_processes(tmp_path, SERVICES) as hosts:
+        process = hosts.running[A]
+        port = hosts.cluster.entry_hosts[0].admin_port
+        usage = Usage(process.pid)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(usage.watch)
+            await send_crowd(nursery, CROWDS[kind], LOOPBACK, port, '/v1/lists')
+            await trio.sleep(HELD_S)
+            status = await hosts.fetch(A, '/v1/status')
+            assert process.poll() is None
+            usage.sample()
+            nursery.cancel_scope.cancel()
+    print(kind, usage.describe())
+    assert usage.memory_mb < FRONT_END_MEMORY_MB
+    assert 'configuration_version' in status or 'error' not in status
