--- a/src/ebonystream/settings/_settings.py
+++ b/src/ebonystream/settings/_settings.py
@@ -134,11 +134,15 @@
         port: TCP port to listen on.
         key: Key that every request must carry; without one, the address must
             be a loopback address.
+        max_body_bytes: Maximum size of a request body.
+        max_bodies: Maximum number of requests with a body at a time.
     """
 
     address: IPvAnyAddress
     port: Port
     key: Annotated[str, Field(min_length=16, max_length=256)] | None = None
+    max_body_bytes: Annotated[int, Field(ge=1024, le=1_073_741_824)] = 4_194_304
+    max_bodies: Annotated[int, Field(ge=1, le=1024)] = 8
 
     @model_validator(mode='after')
     def check_key(self) -> Self:
