--- a/src/ebonystream/caller/_listener.py
+++ b/src/ebonystream/caller/_listener.py
@@ -7,7 +7,11 @@
 from ebonystream._timers import Timers
 from ebonystream.call import HandleRequest
 from ebonystream.caller._connection import serve_connection
-from ebonystream.ingress import ConnectionLimits, OpenConnections
+from ebonystream.ingress import (
+    ConnectionLimits,
+    OpenConnections,
+    bound_unread_bytes,
+)
 
 
 @attrs.define(kw_only=True)
@@ -46,6 +50,9 @@
                 accept_nursery.start_soon(
                     self._accept, listeners, connection_nursery
                 )
+                accept_nursery.start_soon(
+                    bound_unread_bytes, self.connections, self.timers
+                )
                 await stopping.wait()
                 self.connections.close_after_response = True
                 await self.timers.wait(self.drain_grace)
--- a/src/ebonystream/composition/_caller_limits.py
+++ b/src/ebonystream/composition/_caller_limits.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from functools import partial
 
+from ebonystream.composition._gauges import GAUGE_HELP_TEXTS
 from ebonystream.composition._parts import Parts
 from ebonystream.decisionlog import EventLogger, LineBuffer, make_event_logger
 from ebonystream.ingress import (
@@ -54,26 +55,17 @@
 
 
 def _add_gauges(parts: Parts, budget: MemoryBudget) -> None:
-    gauges: Mapping[str, tuple[str, ReadGauge]] = {
-        'ebonystream_client_memory_bytes': (
-            'Bytes that are held or reserved for callers.',
-            lambda: budget.book.used_bytes,
-        ),
-        'ebonystream_memory_refusals_total': (
-            'Requests refused as they did not fit into the memory.',
-            lambda: budget.closings.refused_requests,
-        ),
-        'ebonystream_memory_shed_total': (
-            'Requests ended as slow while others did not fit.',
-            lambda: budget.closings.shed_requests,
-        ),
-        'ebonystream_connections_closed_total': (
-            'Connections of callers closed to make room.',
-            lambda: budget.closings.closed_connections,
+    closings = budget.closings
+    gauges: Mapping[str, ReadGauge] = {
+        'ebonystream_client_memory_bytes': lambda: budget.book.used_bytes,
+        'ebonystream_memory_refusals_total': lambda: closings.refused_requests,
+        'ebonystream_memory_shed_total': lambda: closings.shed_requests,
+        'ebonystream_connections_closed_total': lambda: (
+            closings.closed_connections
         ),
     }
-    for name, (help_text, read) in gauges.items():
-        parts.metrics.page.add_gauge(name, help_text, read)
+    for name, read in gauges.items():
+        parts.metrics.page.add_gauge(name, GAUGE_HELP_TEXTS[name], read)
 
 
 def _read_max_descriptors() -> int:
--- a/src/ebonystream/composition/_gauges.py
+++ b/src/ebonystream/composition/_gauges.py
@@ -37,6 +37,10 @@
         'ebonystream_keys_remembered': 'Keys whose outcome is remembered.',
         'ebonystream_keys_bytes': 'Memory of remembered outcomes.',
         'ebonystream_configuration_version': 'The version in force.',
+        'ebonystream_client_memory_bytes': 'Bytes held for callers.',
+        'ebonystream_memory_refusals_total': 'Requests that did not fit.',
+        'ebonystream_memory_shed_total': 'Slow requests ended for others.',
+        'ebonystream_connections_closed_total': 'Closed to make room.',
     }
 )
 
--- a/src/ebonystream/entryhost/_listening.py
+++ b/src/ebonystream/entryhost/_listening.py
@@ -12,7 +12,11 @@
 )
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._request_wiring import make_request_handler
-from ebonystream.ingress import HandleConnection, serve_listener
+from ebonystream.ingress import (
+    HandleConnection,
+    bound_unread_bytes,
+    serve_listener,
+)
 
 METRICS_VARIABLE = 'EBONYSTREAM_METRICS_PORT'
 """Environment variable with the port of the metrics page; no page if unset."""
@@ -37,6 +41,9 @@
     if port is not None:
         at = ServerAddress(caller_endpoint.address, int(port))
         await _listen(nursery, at, make_metrics_handler(parts))
+    nursery.start_soon(
+        bound_unread_bytes, parts.caller_connections, parts.timers
+    )
     return await _listen(nursery, caller_endpoint, make_request_handler(parts))
 
 
--- a/src/ebonystream/http1/_collector.py
+++ b/src/ebonystream/http1/_collector.py
@@ -78,15 +78,16 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header field; trailer fields are counted and ignored."""
         self._add_head_bytes(len(name) + len(value) + FIELD_OVERHEAD_BYTES)
-        if not self.in_body:
-            self.headers.append((name.lower(), value))
+        if self.in_body:
+            return
+        lower_name = name.lower()
+        self.headers.append((lower_name, value))
+        if lower_name == CONTENT_LENGTH and value.isdigit():
+            self.announced_bytes = int(value[:MAX_LENGTH_DIGITS])
 
     def on_headers_complete(self) -> None:
-        """Mark the head as complete; read the size that it announces."""
+        """Mark the head as complete; check the size that it announces."""
         self.in_body = True
-        for name, value in self.headers:
-            if name == CONTENT_LENGTH and value.isdigit():
-                self.announced_bytes = int(value[:MAX_LENGTH_DIGITS])
         if self.checks_announced:
             self._check_body_size(self.announced_bytes)
 
--- a/src/ebonystream/http1/_message.py
+++ b/src/ebonystream/http1/_message.py
@@ -6,6 +6,9 @@
 
 from ebonystream._calls import Headers
 
+MESSAGE_OBJECT_BYTES = 400
+"""Memory of the objects of a message, besides its fields and its body."""
+
 
 @attrs.frozen(kw_only=True)
 class ReaderLimits:
@@ -44,7 +47,7 @@
 
     def count_bytes(self) -> int:
         """Return the memory that the message takes."""
-        return self.head_bytes + len(self.body)
+        return MESSAGE_OBJECT_BYTES + self.head_bytes + len(self.body)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/ebonystream/ingress/__init__.py
+++ b/src/ebonystream/ingress/__init__.py
@@ -20,6 +20,7 @@
     EncodeError,
     Respond,
 )
+from ebonystream.ingress._unread import bound_unread_bytes
 
 __all__ = (
     'DEFAULT_DESCRIPTORS',
@@ -36,6 +37,7 @@
     'EncodeError',
     'Respond',
     'EncodedResponse',
+    'bound_unread_bytes',
     'serve_connection',
     'serve_listener',
 )
--- a/src/ebonystream/ingress/_account.py
+++ b/src/ebonystream/ingress/_account.py
@@ -73,19 +73,29 @@
 """Stop to receive a request, which is then refused as too slow."""
 
 
+CountUnread = Callable[[], int]
+"""Return the bytes of a connection that the kernel holds unread."""
+
+
+def count_nothing_unread() -> int:
+    """Return 0, for a connection that the kernel holds nothing of."""
+    return 0
+
+
 @attrs.define(eq=False, kw_only=True)
 class Account:
     """The bytes that one connection holds.
 
     Attributes:
         close: Closes the connection.
+        count_unread: Returns the bytes that the kernel holds unread.
         stop_receiving: Refuses the request that is being received; None while
             none is.
         reading_bytes: Bytes of requests that were received and not yet
             handled, and those reserved for an announced body.
         serving_bytes: Bytes of requests that are being handled.
         sending_bytes: Bytes of responses that the client has not taken.
-        socket_bytes: Bytes that the kernel may hold unread beyond the usual.
+        unread_bytes: Bytes that the kernel held unread when it was asked last.
         reading: Progress of the request that is being received.
         sending: Progress of the responses.
         is_shed: Whether the request that is being received gave way.
@@ -93,11 +103,12 @@
     """
 
     close: CloseConnection
+    count_unread: CountUnread = count_nothing_unread
     stop_receiving: StopReceiving | None = None
     reading_bytes: int = 0
     serving_bytes: int = 0
     sending_bytes: int = 0
-    socket_bytes: int = 0
+    unread_bytes: int = 0
     reading: Progress = attrs.field(factory=Progress)
     sending: Progress = attrs.field(factory=Progress)
     is_shed: bool = False
@@ -106,7 +117,7 @@
     def count_bytes(self) -> int:
         """Return all bytes that the connection holds."""
         messages = self.reading_bytes + self.serving_bytes + self.sending_bytes
-        return CONNECTION_BYTES + messages + self.socket_bytes
+        return CONNECTION_BYTES + messages + self.unread_bytes
 
     def is_slow_sender(self, now: Monotonic) -> bool:
         """Return whether its client sends a request too slowly.
@@ -139,13 +150,18 @@
     used_bytes: int = 0
     peak_bytes: int = 0
 
-    def open(self, close: CloseConnection) -> Account:
+    def open(
+        self,
+        close: CloseConnection,
+        count_unread: CountUnread = count_nothing_unread,
+    ) -> Account:
         """Open the account of a connection.
 
         Args:
             close: Closes the connection.
+            count_unread: Returns the bytes that the kernel holds unread.
         """
-        account = Account(close=close)
+        account = Account(close=close, count_unread=count_unread)
         self.accounts.add(account)
         self.update(account)
         return account
--- a/src/ebonystream/ingress/_closings.py
+++ b/src/ebonystream/ingress/_closings.py
@@ -17,6 +17,9 @@
     LARGE_RESPONSE = 'large_response'
     """Its response was the largest while the budget was exceeded."""
 
+    UNREAD_INPUT = 'unread_input'
+    """It sent most while a request of it was handled and the budget short."""
+
     TOO_MANY = 'too_many_connections'
     """It was the slowest, or a new one, while the maximum were open."""
 
@@ -105,6 +108,6 @@
         account.is_shed = True
         account.reading_bytes = 0
         account.sending_bytes = 0
-        account.socket_bytes = 0
+        account.unread_bytes = 0
         account.stop_receiving = None
         account.close()
--- a/src/ebonystream/ingress/_connection.py
+++ b/src/ebonystream/ingress/_connection.py
@@ -17,12 +17,10 @@
 )
 from ebonystream.ingress._discarding import discard_input
 from ebonystream.ingress._metering import (
-    INITIAL_BUFFER_BYTES,
     ConnectionMeter,
     MeteredStream,
     meter_respond,
     open_meter,
-    set_receive_buffer,
 )
 from ebonystream.ingress._open_connections import OpenConnections
 from ebonystream.ingress._presence import CallerPresence
@@ -89,7 +87,6 @@
     if not connections.make_room(timers.now()):
         await trio.aclose_forcefully(stream)
         return
-    set_receive_buffer(stream, INITIAL_BUFFER_BYTES)
     with connections.track(), trio.CancelScope() as scope:
         with open_meter(stream, connections.budget, scope, timers) as meter:
             reader = make_request_reader(limits.message)
--- a/src/ebonystream/ingress/_memory_budget.py
+++ b/src/ebonystream/ingress/_memory_budget.py
@@ -14,6 +14,7 @@
 from ebonystream.ingress._closings import CloseReason, Closings
 from ebonystream.ingress._shedding import (
     choose_largest_receiver,
+    choose_most_unread,
     choose_shed_accounts,
     choose_slowest,
 )
@@ -106,15 +107,22 @@
         account.sending.moved_at = now
         self.book.update(account)
 
-    def set_socket_bytes(self, account: Account, size: int) -> None:
-        """Set the bytes that the kernel may hold unread beyond the usual.
+    def count_unread(self) -> None:
+        """Count what the kernel holds unread; close those with most of it.
 
-        Args:
-            account: Account of the connection.
-            size: The bytes.
+        A client may send further requests while one of its requests is handled.
+        They are not read before its response, but are held by the kernel, which
+        counts towards the memory of the machine.
         """
-        account.socket_bytes = size
-        self.book.update(account)
+        for account in self.book.accounts:
+            account.unread_bytes = account.count_unread()
+            self.book.update(account)
+        while self.book.used_bytes > self.max_bytes:
+            most = choose_most_unread(self.book.accounts)
+            if most is None:
+                return
+            self.closings.close(most, CloseReason.UNREAD_INPUT)
+            self.book.update(most)
 
     def close_slowest(self, now: Monotonic) -> bool:
         """Close the slowest connection; return whether one was slow.
--- a/src/ebonystream/ingress/_metering.py
+++ b/src/ebonystream/ingress/_metering.py
@@ -1,8 +1,11 @@
 """Accounting of what one connection holds, where it is received and sent."""
 
-import socket
-from collections.abc import Iterator
+import fcntl
+import termios
+from array import array
+from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
+from functools import partial
 
 import attrs
 import trio
@@ -17,7 +20,7 @@
     count_held_bytes,
 )
 from ebonystream.ingress._account import SMALL_MESSAGE_BYTES, Account
-from ebonystream.ingress._memory_budget import MIN_LARGE_BYTES, MemoryBudget
+from ebonystream.ingress._memory_budget import MemoryBudget
 from ebonystream.ingress._presence import CallerPresence
 from ebonystream.ingress._response import EncodedResponse, Respond
 
@@ -25,16 +28,6 @@
 """Largest part of a response that is sent at once, so that its progress is
 seen."""
 
-INITIAL_BUFFER_BYTES = 16_384
-"""Receive buffer of an accepted connection. The kernel allows twice as much,
-and would enlarge it to megabytes that are counted nowhere."""
-
-UPLOAD_BUFFER_BYTES = 262_144
-"""Receive buffer while a large body is received."""
-
-KERNEL_FACTOR = 2
-"""The kernel doubles the size of a buffer for its own bookkeeping."""
-
 
 @attrs.define(kw_only=True)
 class ConnectionMeter:
@@ -43,13 +36,11 @@
     Attributes:
         budget: Bytes held for all clients.
         account: Account of the connection.
-        stream: The connection.
         timers: Source of the current time.
     """
 
     budget: MemoryBudget
     account: Account
-    stream: trio.abc.Stream
     timers: Timers
 
     def observe_reader(self, reader: MessageReader) -> None:
@@ -62,6 +53,10 @@
             EbonystreamError: It does not fit, or gave way to other requests.
         """
         account = self.account
+        if not (account.reading_bytes or reader.collector.in_message):
+            # The usual request is small and was received at once.
+            if reader.collector.completed.size <= SMALL_MESSAGE_BYTES:
+                return
         held = count_held_bytes(reader)
         size = held + count_awaited_bytes(reader)
         if size <= SMALL_MESSAGE_BYTES:
@@ -77,8 +72,6 @@
             raise
         account.reading.moved_at = now
         account.reading.moved_bytes = held
-        if size > MIN_LARGE_BYTES and not account.socket_bytes:
-            self._enlarge_buffer()
 
     @contextmanager
     def receive(self, scope: trio.CancelScope) -> Iterator[None]:
@@ -102,12 +95,7 @@
         Args:
             size: Bytes of the request.
         """
-        if size <= SMALL_MESSAGE_BYTES:
-            yield
-            return
         self.budget.add_serving(self.account, size)
-        if self.account.socket_bytes:
-            self._restore_buffer()
         try:
             yield
         finally:
@@ -137,16 +125,6 @@
             raise EbonystreamError(ErrorKind.SLOW_SENDER)
         self.budget.set_reading(self.account, size, now)
 
-    def _enlarge_buffer(self) -> None:
-        set_receive_buffer(self.stream, UPLOAD_BUFFER_BYTES)
-        self.budget.set_socket_bytes(
-            self.account, KERNEL_FACTOR * UPLOAD_BUFFER_BYTES
-        )
-
-    def _restore_buffer(self) -> None:
-        set_receive_buffer(self.stream, INITIAL_BUFFER_BYTES)
-        self.budget.set_socket_bytes(self.account, 0)
-
 
 @attrs.define(eq=False)
 class MeteredStream(trio.abc.Stream):
@@ -160,15 +138,15 @@
     inner: trio.abc.Stream
     meter: ConnectionMeter
 
-    async def receive_some(
+    def receive_some(
         self, max_bytes: int | None = None
-    ) -> bytes | bytearray:
+    ) -> Coroutine[object, object, bytes | bytearray]:
         """Receive bytes.
 
         Args:
             max_bytes: The most to receive.
         """
-        return await self.inner.receive_some(max_bytes)
+        return self.inner.receive_some(max_bytes)
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
         """Send all bytes, large messages in parts.
@@ -211,7 +189,11 @@
     async def respond_metered(
         message: Message, arrived_at: Monotonic, presence: CallerPresence
     ) -> EncodedResponse:
-        with meter.serve(message.count_bytes()):
+        size = message.count_bytes()
+        if size > SMALL_MESSAGE_BYTES:
+            with meter.serve(size):
+                response = await respond(message, arrived_at, presence)
+        else:
             response = await respond(message, arrived_at, presence)
         meter.add_response(len(response.content))
         return response
@@ -234,21 +216,22 @@
         scope: Cancelled to close the connection.
         timers: Source of the current time.
     """
-    account = budget.book.open(scope.cancel)
+    account = budget.book.open(
+        scope.cancel, count_unread=partial(_count_unread_bytes, stream)
+    )
     try:
-        yield ConnectionMeter(
-            budget=budget, account=account, stream=stream, timers=timers
-        )
+        yield ConnectionMeter(budget=budget, account=account, timers=timers)
     finally:
         budget.book.close(account)
 
 
-def set_receive_buffer(stream: trio.abc.Stream, size: int) -> None:
-    """Set the size of the kernel's receive buffer of a network connection.
-
-    Args:
-        stream: The connection.
-        size: The size in bytes.
-    """
-    if isinstance(stream, trio.SocketStream):
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+def _count_unread_bytes(stream: trio.abc.Stream) -> int:
+    """Return the bytes that the kernel has received and holds unread."""
+    if not isinstance(stream, trio.SocketStream):
+        return 0
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
+        return 0
+    count = array('i', [0])
+    fcntl.ioctl(descriptor, termios.FIONREAD, count)
+    return count[0]
--- a/src/ebonystream/ingress/_shedding.py
+++ b/src/ebonystream/ingress/_shedding.py
@@ -49,6 +49,16 @@
     return largest
 
 
+def choose_most_unread(accounts: Iterable[Account]) -> Account | None:
+    """Choose the account that the kernel holds most unread bytes of.
+
+    Args:
+        accounts: The accounts to choose from.
+    """
+    most = max(accounts, key=lambda each: each.unread_bytes, default=None)
+    return most if most is not None and most.unread_bytes > 0 else None
+
+
 def choose_slowest(
     accounts: Iterable[Account], now: Monotonic
 ) -> Account | None:
@@ -68,7 +78,7 @@
 
 def _count_movable_bytes(account: Account) -> int:
     """Return the bytes that are freed at once if an account gives way."""
-    return account.reading_bytes + account.sending_bytes + account.socket_bytes
+    return account.reading_bytes + account.sending_bytes + account.unread_bytes
 
 
 def _compute_rate(account: Account, now: Monotonic) -> float:
