--- a/src/ebonystream/ingress/_descriptors.py
+++ b/src/ebonystream/ingress/_descriptors.py
@@ -20,7 +20,7 @@
 PEER_SHARE = 1 / 8
 READINESS_SHARE = 1 / 32
 METRICS_SHARE = 1 / 64
-CONNECTION_MEMORY_SHARE = 1 / 4
+CONNECTION_MEMORY_SHARE = 1 / 2
 """Largest share of the memory budget that idle connections may take."""
 
 MAX_PEER_CONNECTIONS = 512
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -17,6 +17,8 @@
 )
 from ebonystream.ingress import MemoryBudget, divide_descriptors
 from ebonystream.ingress._account import CONNECTION_BYTES
+from ebonystream.platform._errors import FormatError
+from ebonystream.platform._process_limits import ProcessLimits
 
 MIB = 1_048_576
 MAX_BYTES = 80 * MIB
@@ -124,6 +126,24 @@
     assert shares.callers * CONNECTION_BYTES <= max(budget_bytes, MIB) / 2
 
 
+@pytest.mark.parametrize(
+    ('limits', 'client_bytes'),
+    [
+        ({}, 90 * MIB),
+        ({'memory_mb': 300}, 135 * MIB),
+        ({'memory_mb': 300, 'client_memory_mb': 100}, 100 * MIB),
+        ({'memory_mb': 300, 'client_memory_mb': 180.5}, None),
+    ],
+)
+def test_memory_for_clients_in_the_settings(limits, client_bytes):
+    if client_bytes is None:
+        with pytest.raises(FormatError):
+            ProcessLimits(**limits).compute_client_memory()
+    else:
+        found = ProcessLimits(**limits).compute_client_memory()
+        assert found == client_bytes
+
+
 CHUNKED_HEAD = b'transfer-encoding: chunked\r\n\r\n'
 FIELDS_HEAD = b'a:b\r\n' * 300 + CHUNKED_HEAD
 HEADS = st.sampled_from(
