--- a/tests/test_memory_of_connections.py
+++ b/tests/test_memory_of_connections.py
@@ -1,12 +1,15 @@
 """Connections whose clients stall, read slowly or send ahead, in one process."""
 
 from contextlib import suppress
+from types import SimpleNamespace
 
 import pytest
 import trio
+import trio.lowlevel
 import trio.testing
 
 from ebonystream._timers import Timers
+from ebonystream.entryhost._handlers import make_caller_handler
 from ebonystream.http1 import ReaderLimits, encode_response
 from ebonystream.ingress import (
     ConnectionLimits,
@@ -15,6 +18,7 @@
     OpenConnections,
     serve_connection,
 )
+from ebonystream.platform import make_codec
 
 KIB, MIB = 1024, 1_048_576
 LIMITS = ConnectionLimits(
@@ -160,3 +164,35 @@
         assert budget.book.used_bytes <= budget.max_bytes
         assert budget.closings.closed_connections > 0
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ('size', 'status', 'fields'),
+    [
+        (200 * KIB, 503, [b'retry-after: 1.000', b'connection: close']),
+        (290 * KIB, 413, [b'connection: close']),
+        (2 * MIB, 413, [b'connection: close']),
+    ],
+)
+async def test_refusals_before_the_body(autojump_clock, size, status, fields):
+    # Guards against bodies that are read although they do not fit, and against
+    # refusals that leave no line.
+    lines = []
+    parts = SimpleNamespace(
+        log_event=lambda event, **fields: lines.append((event, fields)),
+        orders=SimpleNamespace(configuration=None),
+        timers=Timers(epoch_offset=0),
+        caller_connections=OpenConnections(budget=MemoryBudget(300 * KIB)),
+    )
+    handle = make_caller_handler(parts, None, make_codec())
+    async with trio.open_nursery() as nursery:
+        for announced in (100 * KIB, size):
+            client, server = trio.testing.memory_stream_pair()
+            nursery.start_soon(handle, server)
+            await client.send_all(HEAD % announced)
+            await trio.lowlevel.checkpoint()
+        head = (await client.receive_some()).partition(b'\r\n\r\n')[0]
+        nursery.cancel_scope.cancel()
+    assert int(head.split(b' ')[1]) == status
+    assert all(field in head.lower() for field in fields)
+    assert [event for event, _ in lines] == ['request_refused']
