--- a/src/ebonystream/ingress/_connection.py
+++ b/src/ebonystream/ingress/_connection.py
@@ -117,7 +117,7 @@
         session.reader.close()
         session.meter.observe_reader(session.reader)
         await session.stream.send_all(encode_error(error))
-        await discard_input(session.stream)
+        await discard_input(session.stream, session.connections)
 
 
 async def _serve_next(session: _Session, respond: Respond) -> bool:
--- a/src/ebonystream/ingress/_metering.py
+++ b/src/ebonystream/ingress/_metering.py
@@ -59,17 +59,14 @@
                 return
         held = count_held_bytes(reader)
         size = held + count_awaited_bytes(reader)
-        if size <= SMALL_MESSAGE_BYTES:
-            if not account.reading_bytes:
-                return
-            size = 0
         now = self.timers.now()
-        try:
-            self._set_reading(size, now)
-        except EbonystreamError as error:
-            # The reader keeps it, as what follows is not read.
-            reader.collector.error = error
-            raise
+        if size > SMALL_MESSAGE_BYTES or account.reading_bytes:
+            try:
+                self._set_reading(size, now)
+            except EbonystreamError as error:
+                # The reader keeps it, as what follows is not read.
+                reader.collector.error = error
+                raise
         account.reading.moved_at = now
         account.reading.moved_bytes = held
 
@@ -123,7 +120,8 @@
     def _set_reading(self, size: int, now: Monotonic) -> None:
         if self.account.is_shed:
             raise EbonystreamError(ErrorKind.SLOW_SENDER)
-        self.budget.set_reading(self.account, size, now)
+        counted = size if size > SMALL_MESSAGE_BYTES else 0
+        self.budget.set_reading(self.account, counted, now)
 
 
 @attrs.define(eq=False)
--- a/src/ebonystream/ingress/_open_connections.py
+++ b/src/ebonystream/ingress/_open_connections.py
@@ -32,6 +32,8 @@
         active_requests: Number of requests being served.
         receiving_count: Number of requests being received.
         idle_scopes: Cancel scopes of the connections that wait for a request.
+        lingering_scopes: Cancel scopes of the connections that discard input
+            after a refusal.
         budget: Bytes that are held for the callers.
     """
 
@@ -42,6 +44,7 @@
     active_requests: int = 0
     receiving_count: int = 0
     idle_scopes: set[trio.CancelScope] = attrs.field(factory=set)
+    lingering_scopes: set[trio.CancelScope] = attrs.field(factory=set)
     budget: MemoryBudget = attrs.field(factory=MemoryBudget)
 
     def is_full(self) -> bool:
@@ -51,8 +54,8 @@
     def make_room(self, now: Monotonic) -> bool:
         """Return whether another connection may open.
 
-        If the maximum number is open, an idle one is closed for it, or else the
-        slowest.
+        If the maximum number is open, one that was refused is closed for it,
+        else the one that has been idle for longest, else the slowest.
 
         Args:
             now: Current time on the monotonic clock, in seconds.
@@ -60,7 +63,7 @@
         if not self.is_full():
             return True
         if self.open_count <= self.limit + MAX_CLOSING:
-            if self._close_one_idle() or self.budget.close_slowest(now):
+            if self._close_one_unused() or self.budget.close_slowest(now):
                 return True
         self.budget.closings.record(CloseReason.TOO_MANY, 0)
         return False
@@ -84,10 +87,16 @@
         for scope in list(self.idle_scopes):
             scope.cancel()
 
-    def _close_one_idle(self) -> bool:
-        for scope in self.idle_scopes:
-            if not scope.cancel_called:
-                scope.cancel()
+    def _close_one_unused(self) -> bool:
+        for scopes in (self.lingering_scopes, self.idle_scopes):
+            unused = [scope for scope in scopes if not scope.cancel_called]
+            if unused:
+                # All have the same timeout, so this one began first.
+                min(unused, key=_get_deadline).cancel()
                 self.budget.closings.record(CloseReason.TOO_MANY, 0)
                 return True
         return False
+
+
+def _get_deadline(scope: trio.CancelScope) -> float:
+    return scope.deadline
--- a/src/ebonystream/ingress/_shedding.py
+++ b/src/ebonystream/ingress/_shedding.py
@@ -1,6 +1,7 @@
 """The choice of the connections that give way when the budget is short."""
 
 from collections.abc import Iterable
+from functools import partial
 
 from ebonystream._ids import Monotonic
 from ebonystream.ingress._account import Account
@@ -73,7 +74,12 @@
         for account in accounts
         if account.is_slow_sender(now) or account.is_slow_receiver(now)
     ]
-    return min(slow, key=lambda each: _compute_rate(each, now), default=None)
+    return min(slow, key=partial(_get_pace, now=now), default=None)
+
+
+def _get_pace(account: Account, now: Monotonic) -> tuple[float, Monotonic]:
+    """Return a key that sorts by rate, and the oldest first where equal."""
+    return _compute_rate(account, now), account.reading.started_at
 
 
 def _count_movable_bytes(account: Account) -> int:
--- a/tests/test_memory_of_connections.py
+++ b/tests/test_memory_of_connections.py
@@ -196,3 +196,39 @@
     assert int(head.split(b' ')[1]) == status
     assert all(field in head.lower() for field in fields)
     assert [event for event, _ in lines] == ['request_refused']
+
+
+@pytest.mark.parametrize(
+    ('sent', 'closed'),
+    [
+        # The one that has been idle for longest.
+        ([b'', b'', b''], 0),
+        # One that was refused, before those that are idle.
+        ([b'', b'', b'no request\r\n\r\n'], 2),
+        ([b'', HEAD % 9, b''], 0),
+        # The slowest request, where none is idle.
+        ([HEAD % 9, HEAD % 9 + b'1', HEAD % 9 + b'123'], 0),
+    ],
+)
+async def test_which_connection_makes_room(autojump_clock, sent, closed):
+    # Guards against new connections that close those of ordinary clients.
+    connections = OpenConnections(limit=len(sent))
+    serve = make_serve(connections, respond_ok)
+    async with trio.open_nursery() as nursery:
+        clients = []
+        for data in (*sent, GET):
+            client, server = trio.testing.memory_stream_pair()
+            clients.append(client)
+            nursery.start_soon(serve, server)
+            if data:
+                await client.send_all(data)
+            await trio.sleep(0.6)
+        assert (await clients[-1].receive_some()).startswith(b'HTTP/1.1 200')
+        ended = []
+        for number, client in enumerate(clients[:-1]):
+            with trio.move_on_after(0.1):
+                while await client.receive_some():
+                    await trio.lowlevel.checkpoint()
+                ended.append(number)
+        nursery.cancel_scope.cancel()
+    assert ended == [closed]
