--- a/tests/test_memory_of_connections.py
+++ b/tests/test_memory_of_connections.py
@@ -18,6 +18,7 @@
     OpenConnections,
     serve_connection,
 )
+from ebonystream.ingress._account import CONNECTION_BYTES
 from ebonystream.platform import make_codec
 
 KIB, MIB = 1024, 1_048_576
@@ -104,6 +105,28 @@
     assert connections.budget.book.used_bytes == 0
 
 
+async def test_bytes_of_an_open_connection_are_released(autojump_clock):
+    # Guards against requests and responses that stay counted, or held, until
+    # their connection ends.
+    connections = OpenConnections()
+
+    async def respond(message, arrived_at, presence):
+        await trio.lowlevel.checkpoint()
+        content = encode_response(200, (), message.body)
+        return EncodedResponse(content, close=False)
+
+    serve = make_serve(connections, respond)
+    async with trio.open_nursery() as nursery:
+        client, server = trio.testing.memory_stream_pair()
+        nursery.start_soon(serve, server)
+        for size in (900 * KIB, 10, 900 * KIB):
+            await client.send_all(HEAD % size + bytes(size))
+            await trio.testing.wait_all_tasks_blocked()
+            assert len(await client.receive_some()) > size
+            assert connections.budget.book.used_bytes == CONNECTION_BYTES
+        nursery.cancel_scope.cancel()
+
+
 async def test_clients_that_do_not_read(autojump_clock):
     # Guards against responses that are held for clients that do not take them.
     connections = OpenConnections(budget=MemoryBudget(4 * MIB))
@@ -167,14 +190,18 @@
 
 
 @pytest.mark.parametrize(
-    ('size', 'status', 'fields'),
+    ('budget_bytes', 'size', 'status', 'fields'),
     [
-        (200 * KIB, 503, [b'retry-after: 1.000', b'connection: close']),
-        (290 * KIB, 413, [b'connection: close']),
-        (2 * MIB, 413, [b'connection: close']),
+        (300 * KIB, 200 * KIB, 503, [b'retry-after: 1.000']),
+        # It would not fit alone.
+        (300 * KIB, 290 * KIB, 413, []),
+        # It is above the limit of the configuration.
+        (64 * MIB, 2 * MIB, 413, []),
     ],
 )
-async def test_refusals_before_the_body(autojump_clock, size, status, fields):
+async def test_refusals_before_the_body(
+    autojump_clock, budget_bytes, size, status, fields
+):
     # Guards against bodies that are read although they do not fit, and against
     # refusals that leave no line.
     lines = []
@@ -182,7 +209,7 @@
         log_event=lambda event, **fields: lines.append((event, fields)),
         orders=SimpleNamespace(configuration=None),
         timers=Timers(epoch_offset=0),
-        caller_connections=OpenConnections(budget=MemoryBudget(300 * KIB)),
+        caller_connections=OpenConnections(budget=MemoryBudget(budget_bytes)),
     )
     handle = make_caller_handler(parts, None, make_codec())
     async with trio.open_nursery() as nursery:
@@ -194,7 +221,9 @@
         head = (await client.receive_some()).partition(b'\r\n\r\n')[0]
         nursery.cancel_scope.cancel()
     assert int(head.split(b' ')[1]) == status
-    assert all(field in head.lower() for field in fields)
+    assert {b'connection: close', *fields} <= set(
+        bytes(head).lower().split(b'\r\n')
+    )
     assert [event for event, _ in lines] == ['request_refused']
 
 
