--- a/src/ebonystream/settings/_settings.py
+++ b/src/ebonystream/settings/_settings.py
@@ -27,8 +27,7 @@
 retain records for longer than this plus the key window."""
 
 MEMORY_PER_BODY_BYTE = 1.25
-"""Memory for callers that one request needs, relative to its body: a part is
-kept for small requests and for connections."""
+"""Memory for callers that one request needs, relative to its body."""
 
 
 class Section(BaseModel):
@@ -82,10 +81,7 @@
     def check_memory(self) -> Self:
         """Reject a bound on the memory that one request does not fit into."""
         if self.max_memory_bytes < MEMORY_PER_BODY_BYTE * self.max_body_bytes:
-            raise ValueError(
-                'max_memory_bytes must be at least '
-                f'{MEMORY_PER_BODY_BYTE} * max_body_bytes'
-            )
+            raise ValueError('max_memory_bytes is too small for one body')
         return self
 
 
