--- a/src/ebonystream/_timers.py
+++ b/src/ebonystream/_timers.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from ebonystream._ids import BootTime, EpochMs, Monotonic, Seconds
+from ebonystream._ids import BootTime, EpochMs, Incarnation, Monotonic, Seconds
 
 MS_PER_SECOND = 1000
 
@@ -49,6 +49,10 @@
         seconds = self.epoch_offset + trio.current_time()
         return EpochMs(int(seconds * MS_PER_SECOND))
 
+    def make_incarnation(self) -> Incarnation:
+        """Make an incarnation that sorts after those of earlier starts."""
+        return Incarnation(f'{self.wall_ms():013d}')
+
     async def subscribe(self, *, period: Seconds) -> AsyncIterator[Monotonic]:
         """Yield the time immediately and then once per period.
 
--- a/src/ebonystream/entryhost/_observers.py
+++ b/src/ebonystream/entryhost/_observers.py
@@ -2,14 +2,22 @@
 
 from functools import partial
 
+from ebonystream._ids import Seconds
 from ebonystream.dispatch import Attempt, ObserveAttempt
-from ebonystream.entryhost._crashes import update_suspects_from_attempt
+from ebonystream.entryhost._crashes import (
+    update_suspects_from_attempt,
+    update_suspects_from_probe,
+)
 from ebonystream.entryhost._parts import HostParts
-from ebonystream.entryhost._request_log import log_attempt, log_notice
+from ebonystream.entryhost._request_log import (
+    log_attempt,
+    log_notice,
+    update_silence,
+)
 from ebonystream.entryhost._version_moves import record_move_attempt
 from ebonystream.link import ExchangeFailure
 from ebonystream.placement import ProbeResult
-from ebonystream.request import Request, ResponseVerdict
+from ebonystream.request import Request, Response, ResponseVerdict
 from ebonystream.roster import HealthReport
 from ebonystream.route import Route
 
@@ -38,6 +46,33 @@
     return (*updates, *reports, partial(_offer_freed_server, parts))
 
 
+def observe_probe(parts: HostParts, result: ProbeResult) -> None:
+    """Count a probe and update what is known of its server.
+
+    Args:
+        parts: The state of the host.
+        result: Result of the probe.
+    """
+    parts.metrics.count_probe(result)
+    update_silence(parts, result)
+    update_suspects_from_probe(parts, result)
+
+
+def count_response(
+    parts: HostParts, request: Request, route: Route | None, response: Response
+) -> None:
+    """Count a response to a caller, with its latency.
+
+    Args:
+        parts: The state of the host.
+        request: The request.
+        route: The route of the request; None if it matched none.
+        response: The response.
+    """
+    duration = Seconds(parts.timers.now() - request.arrived_at)
+    parts.metrics.count_response(route, response, duration)
+
+
 def _update_server(
     parts: HostParts, request: Request, route: Route, attempt: Attempt
 ) -> None:
--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -2,7 +2,6 @@
 
 from functools import partial
 
-from ebonystream._ids import Seconds
 from ebonystream.dispatch import (
     Dispatcher,
     HandleRequest,
@@ -13,28 +12,29 @@
 from ebonystream.entryhost._cold_servers import make_cold_gate
 from ebonystream.entryhost._crashes import (
     refuse_crashing_request,
-    update_suspects_from_probe,
 )
 from ebonystream.entryhost._handlers import make_caller_handler
 from ebonystream.entryhost._hedging import make_hedge_rules
 from ebonystream.entryhost._listing import list_servers, list_service_settings
-from ebonystream.entryhost._observers import make_attempt_observers
+from ebonystream.entryhost._observers import (
+    count_response,
+    make_attempt_observers,
+    observe_probe,
+)
 from ebonystream.entryhost._parts import HostParts
-from ebonystream.entryhost._request_log import log_no_capacity, update_silence
+from ebonystream.entryhost._request_log import log_no_capacity
 from ebonystream.entryhost._retry_budget import make_retry_budget
 from ebonystream.entryhost._searches import make_stoppable_search
 from ebonystream.entryhost._supervision import supervise_probe
 from ebonystream.ingress import CallerPresence, HandleConnection
 from ebonystream.link import make_exchange
 from ebonystream.placement import (
-    ProbeResult,
     SearchContext,
     make_find_server,
     make_probe,
 )
 from ebonystream.platform import make_codec
 from ebonystream.request import Request, Response
-from ebonystream.route import Route
 
 
 def make_request_handler(parts: HostParts) -> HandleConnection:
@@ -52,7 +52,7 @@
         codec=codec,
         list_service_settings=partial(list_service_settings, parts),
         timers=parts.timers,
-        observe=partial(_observe_probe, parts),
+        observe=partial(observe_probe, parts),
     )
     search_context = SearchContext(
         list_servers=partial(list_servers, parts),
@@ -80,7 +80,7 @@
             retry_budget=make_retry_budget(parts),
             attempt_observers=make_attempt_observers(parts),
             observe_no_capacity=partial(log_no_capacity, parts),
-            observe_response=partial(_count_response, parts),
+            observe_response=partial(count_response, parts),
             timers=parts.timers,
             check_send=gate.check_send,
             hedging=make_hedge_rules(parts, search_context),
@@ -106,20 +106,7 @@
         refusal = refuse_crashing_request(parts, request)
         if refusal is None:
             return await handle_request(request, presence)
-        _count_response(parts, request, None, refusal)
+        count_response(parts, request, None, refusal)
         return refusal
 
     return handle_unless_crashing
-
-
-def _observe_probe(parts: HostParts, result: ProbeResult) -> None:
-    parts.metrics.count_probe(result)
-    update_silence(parts, result)
-    update_suspects_from_probe(parts, result)
-
-
-def _count_response(
-    parts: HostParts, request: Request, route: Route | None, response: Response
-) -> None:
-    duration = Seconds(parts.timers.now() - request.arrived_at)
-    parts.metrics.count_response(route, response, duration)
--- a/src/ebonystream/entryhost/_root.py
+++ b/src/ebonystream/entryhost/_root.py
@@ -9,25 +9,23 @@
 
 import trio
 
-from ebonystream._ids import Incarnation, Seconds
-from ebonystream._timers import Timers, make_timers
+from ebonystream._timers import make_timers
 from ebonystream.decisionlog import make_event_logger, start_decision_log
-from ebonystream.entryhost._hedging import read_hedge_ratio
+from ebonystream.entryhost._client_limits import make_caller_connections
 from ebonystream.entryhost._listening import start_listeners
 from ebonystream.entryhost._parts import HostParts
+from ebonystream.entryhost._process import prepare_process
 from ebonystream.entryhost._reload import read_settings, reload_changed_settings
+from ebonystream.entryhost._server_pool import (
+    close_idle_connections,
+    make_server_pool,
+)
 from ebonystream.entryhost._shutdown import stop_on_signal
 from ebonystream.entryhost._sync_tasks import start_sync_tasks
 from ebonystream.gossip import HostFactTable
-from ebonystream.link import ConnectionPool, PoolLimits, ResponseBuffers
-from ebonystream.platform import SETTINGS_VARIABLE
+from ebonystream.link import ResponseBuffers
 from ebonystream.suspects import SuspectExchange, SuspectTable
 
-SERVER_POOL_LIMITS = PoolLimits(
-    max_idle=4, idle_timeout=Seconds(8), connect_timeout=Seconds(0.25)
-)
-CLOSE_IDLE_PERIOD = Seconds(1)
-
 
 def run_entry_host() -> None:
     """Run an entry host until a signal stops it.
@@ -35,9 +33,7 @@
     Raises:
         ValueError: A setting is invalid.
     """
-    read_hedge_ratio(os.environ)
-    path = Path(os.environ[SETTINGS_VARIABLE])
-    trio.run(_run, path)
+    trio.run(_run, prepare_process(os.environ))
 
 
 async def _run(path: Path) -> None:
@@ -48,32 +44,31 @@
     settings = read_settings(path)
     buffer = start_decision_log(sys.stdout.fileno())
     suspects = SuspectTable(timers)
+    log_event = make_event_logger(timers=timers, buffer=buffer)
     async with trio.open_nursery() as nursery:
         parts = HostParts(
             settings=settings,
             timers=timers,
             random=Random(),
-            log_event=make_event_logger(timers=timers, buffer=buffer),
+            log_event=log_event,
             log_buffer=buffer,
             background=nursery,
-            server_pool=ConnectionPool(SERVER_POOL_LIMITS, timers),
+            server_pool=make_server_pool(timers),
             response_buffers=ResponseBuffers(
                 settings.limits.response_buffer_bytes
             ),
             facts=HostFactTable(settings.name, settings.zone),
             suspects=suspects,
             suspect_exchange=SuspectExchange(suspects, timers, Random()),
-            incarnation=_make_incarnation(timers),
+            incarnation=timers.make_incarnation(),
+            caller_connections=make_caller_connections(
+                settings.limits, log_event
+            ),
         )
         parts.log_event('started', host=settings.name, zone=settings.zone)
         await _start(parts, nursery, path)
 
 
-def _make_incarnation(timers: Timers) -> Incarnation:
-    """Make an incarnation that sorts after those of earlier starts."""
-    return Incarnation(f'{timers.wall_ms():013d}')
-
-
 async def _start(parts: HostParts, nursery: trio.Nursery, path: Path) -> None:
     await start_sync_tasks(parts, nursery)
     nursery.start_soon(reload_changed_settings, parts, path)
@@ -81,10 +76,5 @@
     nursery.start_soon(
         stop_on_signal, parts, caller_listener, nursery.cancel_scope
     )
-    nursery.start_soon(_close_idle, parts)
+    nursery.start_soon(close_idle_connections, parts)
     parts.log_event('listening')
-
-
-async def _close_idle(parts: HostParts) -> None:
-    async for _ in parts.timers.subscribe(period=CLOSE_IDLE_PERIOD):
-        await parts.server_pool.close_expired()
--- a/src/ebonystream/http1/_collector.py
+++ b/src/ebonystream/http1/_collector.py
@@ -1,64 +1,27 @@
 """Assemble the callbacks of the httptools parser into complete messages."""
 
-from collections import deque
 from collections.abc import Callable
 
 import attrs
 
-from ebonystream._calls import Headers
 from ebonystream.errors import EbonystreamError, ErrorKind
+from ebonystream.http1._body import BodyBuffer
+from ebonystream.http1._message import (
+    Message,
+    MessageInfo,
+    MessageQueue,
+    ReaderLimits,
+)
 
 FIELD_OVERHEAD_BYTES = 4
 """Bytes of a header field besides name and value: colon, space, line break."""
 
+FIELD_OBJECT_BYTES = 160
+"""Memory of the objects that hold a header field, besides its characters."""
 
-@attrs.frozen(kw_only=True)
-class ReaderLimits:
-    """Size limits of an accepted message.
-
-    Attributes:
-        head_bytes: Maximum size of the target and the header fields.
-        body_bytes: Maximum size of the body.
-    """
-
-    head_bytes: int
-    body_bytes: int
-
-
-@attrs.frozen(kw_only=True)
-class Message:
-    """A complete request or response.
-
-    Attributes:
-        target: Target of a request; empty in a response.
-        headers: Header fields in the order received, with lower-case names.
-        body: The complete body.
-        keep_alive: Whether the connection can carry another message.
-        method: Method of a request; empty in a response.
-        status: Status code of a response; 0 in a request.
-    """
-
-    target: bytes
-    headers: Headers
-    body: bytes
-    keep_alive: bool
-    method: bytes
-    status: int
-
-
-@attrs.frozen(kw_only=True)
-class MessageInfo:
-    """Properties of the current message that are read from the parser.
-
-    Attributes:
-        method: Method of a request; empty in a response.
-        status: Status code of a response; 0 in a request.
-        keep_alive: Whether the connection can carry another message.
-    """
-
-    method: bytes
-    status: int
-    keep_alive: bool
+CONTENT_LENGTH = b'content-length'
+MAX_LENGTH_DIGITS = 18
+"""A longer number is far above each limit."""
 
 
 @attrs.define
@@ -76,20 +39,26 @@
         in_body: Whether the head of that message is complete.
         error: The first error found, if any.
         headers: Header fields of the current message.
-        body_bytes: Size of its body so far.
+        body: Its body so far.
+        announced_bytes: Size of its body according to its head; 0 if the head
+            does not say it, or is not complete.
+        checks_announced: Whether a body that is announced above the limit is an
+            error, before any of it is received.
+        head_bytes: Size of its head so far.
     """
 
     limits: ReaderLimits
     read_info: Callable[[], MessageInfo]
-    completed: deque[Message] = attrs.field(factory=deque)
+    completed: MessageQueue = attrs.field(factory=MessageQueue)
     in_message: bool = False
     in_body: bool = False
     error: EbonystreamError | None = None
     headers: list[tuple[bytes, bytes]] = attrs.field(factory=list)
-    body_bytes: int = 0
+    body: BodyBuffer = attrs.field(factory=BodyBuffer)
+    announced_bytes: int = 0
+    checks_announced: bool = False
+    head_bytes: int = 0
     _target: bytes = b''
-    _body: list[bytes] = attrs.field(factory=list)
-    _head_bytes: int = 0
 
     def on_message_begin(self) -> None:
         """Reset the state for a new message."""
@@ -97,9 +66,9 @@
         self.in_body = False
         self.headers = []
         self._target = b''
-        self._body = []
-        self._head_bytes = 0
-        self.body_bytes = 0
+        self.head_bytes = 0
+        self.announced_bytes = 0
+        self.body.clear()
 
     def on_url(self, data: bytes) -> None:
         """Append a part of the request target."""
@@ -109,21 +78,23 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header field; trailer fields are counted and ignored."""
         self._add_head_bytes(len(name) + len(value) + FIELD_OVERHEAD_BYTES)
-        if not self.in_body:
-            self.headers.append((name.lower(), value))
+        if self.in_body:
+            return
+        lower_name = name.lower()
+        self.headers.append((lower_name, value))
+        if lower_name == CONTENT_LENGTH and value.isdigit():
+            self.announced_bytes = int(value[:MAX_LENGTH_DIGITS])
 
     def on_headers_complete(self) -> None:
-        """Mark the head as complete."""
+        """Mark the head as complete; check the size that it announces."""
         self.in_body = True
+        if self.checks_announced:
+            self._check_body_size(self.announced_bytes)
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
-        self._body.append(data)
-        self.body_bytes += len(data)
-        if self.body_bytes > self.limits.body_bytes:
-            self._record_oversize(
-                ErrorKind.BODY_TOO_LARGE, self.limits.body_bytes
-            )
+        self.body.add(data)
+        self._check_body_size(self.body.size)
 
     def on_message_complete(self) -> None:
         """Queue the message, unless it is an informational (1xx) response."""
@@ -131,14 +102,17 @@
         if _is_informational(info.status):
             return
         self.in_message = False
-        self.completed.append(self.build_message(info))
+        self.completed.add(self.build_message(info))
+        self.body.clear()
 
     def discard(self) -> None:
         """Drop what has been received of messages that were not taken."""
         self.completed.clear()
         self.headers = []
         self._target = b''
-        self._body = []
+        self.head_bytes = 0
+        self.announced_bytes = 0
+        self.body.clear()
 
     def build_message(self, info: MessageInfo) -> Message:
         """Build a message from the parts received so far.
@@ -149,22 +123,37 @@
         return Message(
             target=self._target,
             headers=tuple(self.headers),
-            body=b''.join(self._body),
+            body=self.body.get_content(),
             keep_alive=info.keep_alive,
             method=info.method,
             status=info.status,
+            head_bytes=count_head_bytes(self),
         )
 
     def _add_head_bytes(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > self.limits.head_bytes:
-            self._record_oversize(
-                ErrorKind.HEAD_TOO_LARGE, self.limits.head_bytes
-            )
-
-    def _record_oversize(self, kind: ErrorKind, limit: int) -> None:
-        if self.error is None:
-            self.error = EbonystreamError(kind, f'more than {limit} bytes')
+        self.head_bytes += size
+        limit = self.limits.head_bytes
+        if self.head_bytes > limit and self.error is None:
+            self.error = _make_oversize(ErrorKind.HEAD_TOO_LARGE, limit)
+
+    def _check_body_size(self, size: int) -> None:
+        limit = self.limits.body_bytes
+        if size > limit and self.error is None:
+            self.error = _make_oversize(ErrorKind.BODY_TOO_LARGE, limit)
+
+
+def count_head_bytes(collector: MessageCollector) -> int:
+    """Return the memory of the head of the current message.
+
+    Args:
+        collector: The collector that receives it.
+    """
+    fields = FIELD_OBJECT_BYTES * len(collector.headers)
+    return collector.head_bytes + fields
+
+
+def _make_oversize(kind: ErrorKind, limit: int) -> EbonystreamError:
+    return EbonystreamError(kind, f'more than {limit} bytes')
 
 
 def _is_informational(status: int) -> bool:
--- a/src/ebonystream/http1/_reader.py
+++ b/src/ebonystream/http1/_reader.py
@@ -1,15 +1,13 @@
 """Incremental readers of HTTP/1.1 messages, based on httptools."""
 
+from collections.abc import Callable
+
 import attrs
 import httptools
 
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.http1._collector import (
-    Message,
-    MessageCollector,
-    MessageInfo,
-    ReaderLimits,
-)
+from ebonystream.http1._collector import MessageCollector, count_head_bytes
+from ebonystream.http1._message import Message, MessageInfo, ReaderLimits
 
 RECEIVE_BYTES = 65_536
 """Maximum number of bytes received from a connection at once."""
@@ -20,6 +18,13 @@
 Parser = httptools.HttpRequestParser | httptools.HttpResponseParser
 
 
+Meter = Callable[['MessageReader'], None]
+"""Called whenever a reader holds more or less than before.
+
+It raises `EbonystreamError` if the reader must not hold that much.
+"""
+
+
 @attrs.define
 class MessageReader:
     """Reads messages from the bytes of one connection.
@@ -27,11 +32,14 @@
     Attributes:
         collector: Assembles messages from the parser's callbacks.
         parser: The httptools parser of the connection.
+        meter: Called after each change of what is held; None for none.
+        unfinished_bytes: Bytes since the last body byte or end of a message.
     """
 
     collector: MessageCollector
     parser: Parser
-    _unfinished_bytes: int = 0
+    meter: Meter | None = None
+    unfinished_bytes: int = 0
     _body_bytes_seen: int = 0
 
     def feed(self, data: bytes) -> None:
@@ -52,12 +60,15 @@
             self._record_malformed('upgrades are not supported')
         self.raise_for_error()
         self._check_unfinished_part(len(data))
+        if self.meter is not None:
+            self.meter(self)
 
     def next_message(self) -> Message | None:
         """Return the next complete message, or None if there is none yet."""
-        if self.collector.completed:
-            return self.collector.completed.popleft()
-        return None
+        message = self.collector.completed.take()
+        if message is not None and self.meter is not None:
+            self.meter(self)
+        return message
 
     def finish(self) -> Message | None:
         """Return the response that ends with the connection, if any.
@@ -75,7 +86,9 @@
 
     def has_pending(self) -> bool:
         """Return whether a message has started or is waiting to be taken."""
-        return self.collector.in_message or bool(self.collector.completed)
+        return self.collector.in_message or bool(
+            self.collector.completed.messages
+        )
 
     def is_drained(self) -> bool:
         """Return whether nothing was received beyond the messages taken."""
@@ -95,6 +108,8 @@
         kept until the next garbage collection.
         """
         self.collector.discard()
+        self.collector.error = None
+        self.unfinished_bytes = 0
 
     def raise_for_error(self) -> None:
         """Raise the error found in the bytes so far, if any.
@@ -120,19 +135,47 @@
         chunks, so the collector cannot count one that never ends.
         """
         collector = self.collector
-        has_body_bytes = collector.body_bytes != self._body_bytes_seen
-        self._body_bytes_seen = collector.body_bytes
+        has_body_bytes = collector.body.size != self._body_bytes_seen
+        self._body_bytes_seen = collector.body.size
         if not collector.in_message or has_body_bytes:
-            self._unfinished_bytes = 0
+            self.unfinished_bytes = 0
             return
-        self._unfinished_bytes += size
+        self.unfinished_bytes += size
         limit = collector.limits.head_bytes
-        if self._unfinished_bytes > limit + RECEIVE_BYTES:
+        if self.unfinished_bytes > limit + RECEIVE_BYTES:
             raise EbonystreamError(
                 ErrorKind.HEAD_TOO_LARGE, f'more than {limit} bytes'
             )
 
 
+def count_held_bytes(reader: MessageReader) -> int:
+    """Return the memory of what a reader has received and was not taken.
+
+    Args:
+        reader: The reader.
+    """
+    collector = reader.collector
+    if not collector.in_message:
+        return collector.completed.size
+    current = count_head_bytes(collector) + collector.body.size
+    return collector.completed.size + current + reader.unfinished_bytes
+
+
+def count_awaited_bytes(reader: MessageReader) -> int:
+    """Return how many bytes of the current body are still to come.
+
+    Args:
+        reader: The reader.
+
+    Returns:
+        The number of bytes; 0 where the head does not announce them.
+    """
+    collector = reader.collector
+    if not collector.in_message:
+        return 0
+    return max(0, collector.announced_bytes - collector.body.size)
+
+
 def make_request_reader(limits: ReaderLimits) -> MessageReader:
     """Make a reader of requests.
 
@@ -147,7 +190,7 @@
             keep_alive=parser.should_keep_alive(),
         )
 
-    collector = MessageCollector(limits, read_info)
+    collector = MessageCollector(limits, read_info, checks_announced=True)
     parser = httptools.HttpRequestParser(collector)
     return MessageReader(collector, parser)
 
--- a/src/ebonystream/ingress/_connection.py
+++ b/src/ebonystream/ingress/_connection.py
@@ -1,22 +1,24 @@
 """Serve the requests of one caller's connection until it closes."""
 
-from contextlib import suppress
+from contextlib import closing, suppress
 
 import trio
 
-from ebonystream._ids import Seconds
 from ebonystream._timers import Timers
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.http1 import RECEIVE_BYTES, Message, make_request_reader
+from ebonystream.ingress._discarding import discard_input
+from ebonystream.ingress._metering import (
+    MeteredStream,
+    meter_respond,
+    open_meter,
+)
 from ebonystream.ingress._open_connections import OpenConnections
 from ebonystream.ingress._response import EncodeError, Respond
 from ebonystream.ingress._serving import DISCONNECT_ERRORS, serve_pipeline
 from ebonystream.ingress._session import ConnectionLimits, Session
 
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
-LINGER_TIMEOUT = Seconds(1)
-"""How long input is still read and discarded after a refusal. Closing at once
-would reset the connection, and the sender might lose the refusal."""
 
 
 async def serve_connection(
@@ -30,9 +32,9 @@
 ) -> None:
     """Serve the requests of one connection until it closes.
 
-    Responses are sent in the order of the requests.
-
-    The connection is closed at once if too many are open.
+    Responses are sent in the order of the requests. If too many connections
+    are open, an idle or slow one is closed, or else this one. What it holds is
+    counted in the memory budget of the connections.
 
     Args:
         stream: The accepted connection.
@@ -43,33 +45,45 @@
         connections: Open connections of this listener; its flags end the
             serving during shutdown.
     """
-    if connections.is_full():
+    if not connections.make_room(timers.now()):
         await trio.aclose_forcefully(stream)
         return
-    session = Session(
-        stream=stream,
-        reader=make_request_reader(limits.message),
-        limits=limits,
-        timers=timers,
-        connections=connections,
-        respond=respond,
-    )
-    async with stream:
-        with connections.track(), suppress(*DISCONNECT_ERRORS):
-            await _serve_requests(session, encode_error)
+    with connections.track(), trio.CancelScope() as scope:
+        with open_meter(stream, connections.budget, scope, timers) as meter:
+            reader = make_request_reader(limits.message)
+            reader.meter = meter.observe_reader
+            session = Session(
+                stream=MeteredStream(stream, meter),
+                meter=meter,
+                reader=reader,
+                limits=limits,
+                timers=timers,
+                connections=connections,
+                respond=meter_respond(meter, respond),
+            )
+            async with stream:
+                with closing(reader), suppress(*DISCONNECT_ERRORS):
+                    await _serve_requests(session, encode_error)
 
 
 async def _serve_requests(session: Session, encode_error: EncodeError) -> None:
     try:
         while await _wait_for_request(session):
-            message = await _receive(session)
-            if message is None:
-                return
-            if not await serve_pipeline(session, message):
+            if not await _serve_next(session):
                 return
     except EbonystreamError as error:
+        session.reader.close()
+        session.meter.observe_reader(session.reader)
         await session.stream.send_all(encode_error(error))
-        await _discard_input(session.stream)
+        await discard_input(session.stream, session.connections)
+
+
+async def _serve_next(session: Session) -> bool:
+    """Receive and serve a request, which is freed before the next."""
+    message = await _receive(session)
+    if message is None:
+        return False
+    return await serve_pipeline(session, message)
 
 
 async def _wait_for_request(session: Session) -> bool:
@@ -99,8 +113,9 @@
         return message
     session.connections.receiving_count += 1
     try:
-        with trio.move_on_after(session.limits.receive_timeout):
-            return await _receive_parts(session)
+        with trio.move_on_after(session.limits.receive_timeout) as scope:
+            with session.meter.receive(scope):
+                return await _receive_parts(session)
     finally:
         session.connections.receiving_count -= 1
     raise EbonystreamError(ErrorKind.SLOW_SENDER)
@@ -119,12 +134,3 @@
         session.reader.feed(bytes(data))
         message = session.reader.next_message()
     return message
-
-
-async def _discard_input(stream: trio.abc.Stream) -> None:
-    """Close the sending side and discard input for a limited time."""
-    if isinstance(stream, trio.SocketStream):
-        await stream.send_eof()
-    with trio.move_on_after(LINGER_TIMEOUT):
-        while await stream.receive_some(RECEIVE_BYTES):
-            await trio.lowlevel.checkpoint()
--- a/src/ebonystream/ingress/_serving.py
+++ b/src/ebonystream/ingress/_serving.py
@@ -53,10 +53,24 @@
     session: Session, pipeline: Pipeline, nursery: trio.Nursery
 ) -> None:
     """Start the received requests that may be served now, in order."""
-    received = session.reader.collector.completed
+    received = session.reader.collector.completed.messages
     while received and pipeline.accepts(received[0]):
+        message = _take_request(session)
+        if message is None:
+            return
         session.first_byte_at = session.timers.now()
-        _start_request(session, pipeline, nursery, received.popleft())
+        _start_request(session, pipeline, nursery, message)
+
+
+def _take_request(session: Session) -> Message | None:
+    """Take the next request; None if it has to give way to others.
+
+    The reader keeps the error and raises it in `_wait_for_request`.
+    """
+    try:
+        return session.reader.next_message()
+    except EbonystreamError:
+        return None
 
 
 async def _serve_request(
@@ -95,7 +109,7 @@
     the maximum number of requests.
     """
     reader = session.reader
-    while len(reader.collector.completed) < MAX_PIPELINED_REQUESTS:
+    while len(reader.collector.completed.messages) < MAX_PIPELINED_REQUESTS:
         try:
             data = await session.stream.receive_some(RECEIVE_BYTES)
         except trio.BrokenResourceError:
--- a/src/ebonystream/ingress/_session.py
+++ b/src/ebonystream/ingress/_session.py
@@ -1,11 +1,11 @@
 """State and limits of one caller's connection."""
 
 import attrs
-import trio
 
 from ebonystream._ids import Monotonic, Seconds
 from ebonystream._timers import Timers
 from ebonystream.http1 import MessageReader, ReaderLimits
+from ebonystream.ingress._metering import ConnectionMeter, MeteredStream
 from ebonystream.ingress._open_connections import OpenConnections
 from ebonystream.ingress._response import (
     MayOverlap,
@@ -38,6 +38,7 @@
 
     Attributes:
         stream: The connection.
+        meter: Accounts for what the connection holds.
         reader: Reads requests from the connection.
         limits: Size limits and timeouts.
         timers: Clock that arrival times are read from.
@@ -46,7 +47,8 @@
         first_byte_at: When the first byte of the latest request was received.
     """
 
-    stream: trio.abc.Stream
+    stream: MeteredStream
+    meter: ConnectionMeter
     reader: MessageReader
     limits: ConnectionLimits
     timers: Timers
--- a/src/ebonystream/link/_exchange.py
+++ b/src/ebonystream/link/_exchange.py
@@ -11,9 +11,11 @@
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.http1 import (
     RECEIVE_BYTES,
+    EncodedMessage,
     Message,
     MessageReader,
     ReaderLimits,
+    SplitMessage,
     make_response_reader,
 )
 from ebonystream.link._buffers import BufferShare, ResponseBuffers
@@ -72,7 +74,7 @@
 
     async def exchange(
         at: ServerAddress,
-        request: bytes,
+        request: EncodedMessage,
         matches: ResponseMatcher,
         may_send: MaySend = permit_always,
     ) -> ExchangeResult:
@@ -103,7 +105,7 @@
 
 async def perform_exchange(
     stream: trio.abc.Stream,
-    request: bytes,
+    request: EncodedMessage,
     matches: ResponseMatcher,
     share: BufferShare,
 ) -> tuple[ExchangeResult, bool]:
@@ -128,13 +130,13 @@
 
 async def _perform(
     stream: trio.abc.Stream,
-    request: bytes,
+    request: EncodedMessage,
     matches: ResponseMatcher,
     reader: MessageReader,
     share: BufferShare,
 ) -> tuple[ExchangeResult, bool]:
     try:
-        await stream.send_all(request)
+        await _send(stream, request)
         received = await _receive_matching(stream, reader, matches, share)
     except CONNECTION_ERRORS:
         return ExchangeFailure.INTERRUPTED, False
@@ -149,6 +151,14 @@
     return message, message.keep_alive and in_step
 
 
+async def _send(stream: trio.abc.Stream, request: EncodedMessage) -> None:
+    if isinstance(request, SplitMessage):
+        await stream.send_all(request.head)
+        await stream.send_all(request.body)
+    else:
+        await stream.send_all(request)
+
+
 async def _receive_matching(
     stream: trio.abc.Stream,
     reader: MessageReader,
--- a/src/ebonystream/link/_interface.py
+++ b/src/ebonystream/link/_interface.py
@@ -6,7 +6,7 @@
 
 from ebonystream._address import ServerAddress
 from ebonystream._calls import Headers
-from ebonystream.http1 import Message
+from ebonystream.http1 import EncodedMessage, Message
 
 
 class ExchangeFailure(enum.Enum):
@@ -53,7 +53,7 @@
     def __call__(
         self,
         at: ServerAddress,
-        request: bytes,
+        request: EncodedMessage,
         matches: ResponseMatcher,
         may_send: MaySend = permit_always,
     ) -> Awaitable[ExchangeResult]:
--- a/src/ebonystream/platform/_settings.py
+++ b/src/ebonystream/platform/_settings.py
@@ -11,15 +11,11 @@
 from ebonystream.placement import ColdLimits
 from ebonystream.platform._durations import parse_duration
 from ebonystream.platform._errors import decode_json, reject_invalid_values
+from ebonystream.platform._process_limits import ProcessLimits
 from ebonystream.platform._servers import parse_address
 
 SETTINGS_VARIABLE = 'EBONYSTREAM_SETTINGS'
 
-MAX_MEMORY_MB = 1_048_576
-BYTES_PER_MB = 1_048_576
-RESPONSE_BUFFER_SHARE = 0.1
-"""Share of the memory of a process that incomplete responses may take."""
-
 MAX_PEER_PORT = MAX_PORT - 1
 """The port after it is used as well."""
 
@@ -29,15 +25,11 @@
 _PeerPort = Annotated[int, msgspec.Meta(ge=1, le=MAX_PEER_PORT)]
 
 
-class _ProcessLimits(msgspec.Struct):
-    memory_mb: Annotated[int, msgspec.Meta(ge=1, le=MAX_MEMORY_MB)] = 200
-
-
 class _Local(msgspec.Struct):
     node_name: str
     zone: str
     ip: str
-    limits: _ProcessLimits = msgspec.field(default_factory=_ProcessLimits)
+    limits: ProcessLimits = msgspec.field(default_factory=ProcessLimits)
 
 
 class _Listen(msgspec.Struct):
@@ -108,13 +100,11 @@
         ),
         seeds=tuple(parse_address(seed) for seed in settings.network.seeds),
         store_endpoint=parse_address(settings.platform.platform.address),
-        limits=_decode_limits(
-            settings.terms.bounds, memory_mb=settings.local.limits.memory_mb
-        ),
+        limits=_decode_limits(settings.terms.bounds, settings.local.limits),
     )
 
 
-def _decode_limits(bounds: _Bounds, *, memory_mb: int) -> HostLimits:
+def _decode_limits(bounds: _Bounds, process: ProcessLimits) -> HostLimits:
     return HostLimits(
         shutdown_grace=parse_duration(bounds.grace),
         retry_ratio=bounds.retry_budget_ratio,
@@ -124,8 +114,8 @@
         cold_limits=ColdLimits(
             overshoot=bounds.cold_overshoot, slack=bounds.cold_slack
         ),
-        response_buffer_bytes=int(
-            memory_mb * BYTES_PER_MB * RESPONSE_BUFFER_SHARE
-        ),
+        response_buffer_bytes=process.compute_response_memory(),
+        client_memory_bytes=process.compute_client_memory(),
+        max_descriptors=process.max_fds,
         revoke=parse_duration(bounds.revoke) if bounds.strict_revoke else None,
     )
