Report usage through one host at a time

Cause: usage has to be reported once for each window, by one host at a time, although hosts, links and the store fail at any moment. Change: a pure state machine decides who acts, with which token and what is sent again (duty/); hosts count requests by window and workspace and send the counts to the holder (usage/, gossip/_counts.py); the holder appends each report to the topic duty under the condition of its end before it sends it (platform/_usage_*.py, entryhost/_duty.py). Timers.boot_now, WorkspaceName and Request.workspace are added. Active only where platform.cloud.duties names usage_reporting.

--- a/src/ebonystream/_ids.py
+++ b/src/ebonystream/_ids.py
@@ -74,3 +74,15 @@
 
 EpochMs = NewType('EpochMs', int)
 """Milliseconds since the Unix epoch, as in the timestamp of a UUIDv7."""
+
+WorkspaceName = NewType('WorkspaceName', str)
+"""Name of a workspace, whose requests are counted and charged together."""
+
+WindowNumber = NewType('WindowNumber', int)
+"""Number of a reporting window since the Unix epoch."""
+
+FencingToken = NewType('FencingToken', int)
+"""Orders the holders of a duty: a later holder has a higher token."""
+
+BootTime = NewType('BootTime', float)
+"""Time since the machine was booted, with suspended time, in seconds."""
--- a/src/ebonystream/_timers.py
+++ b/src/ebonystream/_timers.py
@@ -4,12 +4,13 @@
 clock, so that a run on a virtual clock sees one consistent time.
 """
 
+import time
 from collections.abc import AsyncIterator, Callable
 
 import attrs
 import trio
 
-from ebonystream._ids import EpochMs, Monotonic, Seconds
+from ebonystream._ids import BootTime, EpochMs, Monotonic, Seconds
 
 MS_PER_SECOND = 1000
 
@@ -17,6 +18,10 @@
 """Return the wall-clock time in seconds since the Unix epoch."""
 
 
+def _read_boot_clock() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @attrs.define
 class Timers:
     """Clock and periodic wake-ups.
@@ -25,14 +30,27 @@
         epoch_offset: Seconds since the Unix epoch when the monotonic clock
             read zero. Hosts' clocks may disagree; no safety property depends on
             it.
+        boot_clock: Reads the clock that counts the time during which the
+            machine is suspended.
     """
 
     epoch_offset: float
+    boot_clock: Callable[[], float] = attrs.field(
+        default=_read_boot_clock, kw_only=True
+    )
 
     def now(self) -> Monotonic:
         """Read the monotonic clock, in seconds."""
         return Monotonic(trio.current_time())
 
+    def boot_now(self) -> BootTime:
+        """Read the time since the boot of the machine, in seconds.
+
+        Unlike the monotonic clock it counts the time during which the machine
+        is suspended.
+        """
+        return BootTime(self.boot_clock())
+
     def wall_ms(self) -> EpochMs:
         """Read the wall clock, in milliseconds since the Unix epoch."""
         seconds = self.epoch_offset + trio.current_time()
--- a/src/ebonystream/entryhost/_gauges.py
+++ b/src/ebonystream/entryhost/_gauges.py
@@ -27,6 +27,17 @@
     return BYTES_PER_KIB * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
 
 
+def _read_duty(parts: HostParts, name: str) -> float:
+    if parts.usage is None:
+        return 0
+    facts = parts.usage.make_facts(parts.timers.boot_now())
+    return float(getattr(facts, name))
+
+
+def _read_unreported(parts: HostParts) -> float:
+    return parts.usage.counted.count_unreported() if parts.usage else 0
+
+
 GAUGES: Mapping[str, _Gauge] = MappingProxyType(
     {
         'ebonystream_ready': _Gauge(
@@ -73,6 +84,26 @@
             'Log lines that found no room.',
             lambda parts: parts.log_buffer.total_drops,
         ),
+        'ebonystream_duty_held': _Gauge(
+            '1 where this host reports usage.',
+            lambda parts: int(_read_duty(parts, 'acting')),
+        ),
+        'ebonystream_duty_token': _Gauge(
+            'The newest fencing token that is known; 0 where there is none.',
+            lambda parts: _read_duty(parts, 'token'),
+        ),
+        'ebonystream_usage_window_reported': _Gauge(
+            'The newest window that is known to be reported.',
+            lambda parts: _read_duty(parts, 'reported'),
+        ),
+        'ebonystream_usage_unreported': _Gauge(
+            'Requests that this host counted in windows not reported yet.',
+            _read_unreported,
+        ),
+        'ebonystream_usage_dropped_total': _Gauge(
+            'Requests that were counted too late for the report.',
+            lambda parts: parts.usage.counted.dropped if parts.usage else 0,
+        ),
         'ebonystream_processor_seconds': _Gauge(
             'Processor time of this process.',
             lambda parts: time.process_time(),
--- a/src/ebonystream/entryhost/_gossip.py
+++ b/src/ebonystream/entryhost/_gossip.py
@@ -6,6 +6,7 @@
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._version_moves import make_move_facts
 from ebonystream.gossip import (
+    DutyFacts,
     FailingServer,
     GossipSocket,
     HostFacts,
@@ -89,6 +90,8 @@
         for leaving in facts.leaving_servers:
             parts.roster.mark_leaving(leaving.server, leaving.started)
         parts.suspect_exchange.update_from_notes(facts.suspect_notes)
+        if parts.usage is not None and facts.duty is not None:
+            parts.usage.hear(facts.duty, parts.timers.boot_now())
         if facts.orders_end > parts.orders.end:
             parts.cancel_orders_wait()
             parts.request_orders_from(facts)
@@ -121,9 +124,16 @@
         leaving_servers=_list_leaving_servers(parts),
         probe_demand=round(parts.probe_budget.estimate_demand(now), 1),
         settled=now - parts.started_at >= SETTLING_TIME,
+        duty=_make_duty_facts(parts),
     )
 
 
+def _make_duty_facts(parts: HostParts) -> DutyFacts | None:
+    if parts.usage is None:
+        return None
+    return parts.usage.make_facts(parts.timers.boot_now())
+
+
 def _list_leaving_servers(parts: HostParts) -> tuple[LeavingServer, ...]:
     leaving = (
         LeavingServer(server.entry.id, server.entry.started)
--- a/src/ebonystream/entryhost/_internal_handlers.py
+++ b/src/ebonystream/entryhost/_internal_handlers.py
@@ -8,6 +8,7 @@
 from ebonystream._ids import Monotonic, Seconds
 from ebonystream.entryhost._connections import serve_logged
 from ebonystream.entryhost._parts import HostParts
+from ebonystream.entryhost._usage_tasks import accept_counts
 from ebonystream.errors import EbonystreamError
 from ebonystream.gossip import make_shared_handler
 from ebonystream.http1 import Message, ReaderLimits, encode_response
@@ -79,20 +80,20 @@
 
 
 def make_sharing_handler(parts: HostParts) -> HandleConnection:
-    """Return the handler of requests for shared state from other hosts.
+    """Return the handler of requests of other hosts.
+
+    They ask for shared state, or send their counts of requests.
 
     Args:
         parts: The state of the host.
     """
-    return _make_internal_handler(
-        parts,
-        make_shared_handler(
-            orders=parts.orders,
-            roster=parts.roster,
-            source=parts.incarnation,
-            timers=parts.timers,
-        ),
+    respond = make_shared_handler(
+        orders=parts.orders,
+        roster=parts.roster,
+        source=parts.incarnation,
+        timers=parts.timers,
     )
+    return _make_internal_handler(parts, accept_counts(parts, respond))
 
 
 def _make_internal_handler(
--- a/src/ebonystream/entryhost/_metrics.py
+++ b/src/ebonystream/entryhost/_metrics.py
@@ -78,6 +78,21 @@
         )
     )
 
+    usage_reports: LabeledCounter = attrs.field(
+        factory=lambda: LabeledCounter(
+            'ebonystream_usage_reports_total',
+            'Usage reports that this host sent, by result.',
+            ('result',),
+        )
+    )
+    usage_sends: LabeledCounter = attrs.field(
+        factory=lambda: LabeledCounter(
+            'ebonystream_usage_sends_total',
+            'Counts sent to the host that reports usage, by result.',
+            ('result',),
+        )
+    )
+
     def count_response(
         self, route: Route | None, response: Response, duration: Seconds
     ) -> None:
@@ -126,6 +141,8 @@
             self.probes,
             self.store_calls,
             self.failed_tasks,
+            self.usage_reports,
+            self.usage_sends,
         )
         return (*without_attempts, self.attempts)
 
--- a/src/ebonystream/entryhost/_observers.py
+++ b/src/ebonystream/entryhost/_observers.py
@@ -6,6 +6,7 @@
 from ebonystream.entryhost._crashes import update_suspects_from_attempt
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._request_log import log_attempt, log_notice
+from ebonystream.entryhost._usage_counts import count_attempt_usage
 from ebonystream.entryhost._version_moves import record_move_attempt
 from ebonystream.link import ExchangeFailure
 from ebonystream.placement import ProbeResult
@@ -32,6 +33,7 @@
             _update_server,
             record_move_attempt,
             update_suspects_from_attempt,
+            count_attempt_usage,
         )
     ]
     reports = (partial(log_attempt, parts), parts.metrics.count_attempt)
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -1,5 +1,6 @@
 """State and dependencies that the tasks of an entry host share."""
 
+from collections.abc import Awaitable, Callable
 from random import Random
 
 import attrs
@@ -12,6 +13,7 @@
 from ebonystream.entryhost._searches import ActiveSearches
 from ebonystream.entryhost._settings import HostSettings
 from ebonystream.entryhost._unreadable import UnreadableRecords
+from ebonystream.entryhost._usage import UsageReporting, make_usage_reporting
 from ebonystream.gossip import HostFacts, HostFactTable
 from ebonystream.ingress import OpenConnections
 from ebonystream.link import ConnectionPool, ResponseBuffers
@@ -30,6 +32,9 @@
 )
 from ebonystream.versionmove import VersionMoves
 
+LastTask = Callable[[], Awaitable[None]]
+"""Sends what would be lost with this host; ends in bounded time."""
+
 
 @attrs.define(kw_only=True)
 class HostParts:
@@ -70,6 +75,8 @@
         caller_connections: Connections from callers.
         leaving: Set once this host is shutting down.
         searches: Searches for a server for the requests of callers.
+        usage: State of usage reporting; None if it is not asked for.
+        last_tasks: Run one after another at the end of a shutdown.
     """
 
     settings: HostSettings
@@ -104,6 +111,8 @@
     caller_connections: OpenConnections = attrs.field(factory=OpenConnections)
     leaving: trio.Event = attrs.field(factory=trio.Event)
     searches: ActiveSearches = attrs.field(factory=ActiveSearches)
+    usage: UsageReporting | None = attrs.field(init=False)
+    last_tasks: list[LastTask] = attrs.field(factory=list)
 
     def is_ready(self) -> bool:
         """Return whether this host can serve callers."""
@@ -154,3 +163,9 @@
     @unreadable_records.default
     def _make_unreadable_records(self) -> UnreadableRecords:
         return UnreadableRecords(self.log_event)
+
+    @usage.default
+    def _make_usage(self) -> UsageReporting | None:
+        return make_usage_reporting(
+            self.settings, self.incarnation, self.timers
+        )
--- a/src/ebonystream/entryhost/_settings.py
+++ b/src/ebonystream/entryhost/_settings.py
@@ -16,6 +16,10 @@
 MAX_RETRY_RATIO = 100
 MAX_RETRIES = 1_000_000
 MAX_PROBE_RATE = 1_000_000
+MIN_WINDOW = Seconds(1)
+MAX_WINDOW = Seconds(3600)
+MIN_LEASE = Seconds(0.5)
+MAX_LEASE = Seconds(60)
 
 
 @attrs.frozen(kw_only=True)
@@ -52,6 +56,30 @@
     response_buffer_bytes: int
 
 
+@attrs.frozen(kw_only=True)
+class UsageSettings:
+    """Settings of the reporting of usage.
+
+    Attributes:
+        endpoint: Address of the service that takes the reports.
+        lease: Least time between the calls of two hosts, in seconds.
+        window: Length of a window, in seconds.
+        late: How long after the end of a window its report is due, in
+            seconds.
+    """
+
+    endpoint: ServerAddress = attrs.field(validator=validate_endpoint)
+    lease: Seconds = attrs.field(
+        validator=make_range_validator(MIN_LEASE, MAX_LEASE)
+    )
+    window: Seconds = attrs.field(
+        validator=make_range_validator(MIN_WINDOW, MAX_WINDOW)
+    )
+    late: Seconds = attrs.field(
+        validator=make_range_validator(MIN_WINDOW, MAX_WINDOW)
+    )
+
+
 @attrs.frozen(kw_only=True)
 class HostSettings:
     """Settings of one entry host.
@@ -66,6 +94,8 @@
         seeds: Addresses of some hosts, which may be out of date.
         store_endpoint: Address of the platform's store.
         limits: Limits that the platform sets.
+        usage: Settings of the reporting of usage; None if it is not reported.
+            They take effect at the next start.
     """
 
     name: HostId = attrs.field(validator=validate_token)
@@ -76,3 +106,4 @@
     seeds: tuple[ServerAddress, ...]
     store_endpoint: ServerAddress
     limits: HostLimits
+    usage: UsageSettings | None = None
--- a/src/ebonystream/entryhost/_shutdown.py
+++ b/src/ebonystream/entryhost/_shutdown.py
@@ -91,6 +91,8 @@
         took_s=parts.timers.now() - started_at,
         still_serving=parts.caller_connections.active_requests,
     )
+    for run_last_task in parts.last_tasks:
+        await run_last_task()
     all_tasks.cancel()
 
 
--- a/src/ebonystream/entryhost/_sync_tasks.py
+++ b/src/ebonystream/entryhost/_sync_tasks.py
@@ -22,6 +22,7 @@
 )
 from ebonystream.entryhost._store_sync import sync_orders, sync_servers
 from ebonystream.entryhost._supervision import RunTask, run_supervised
+from ebonystream.entryhost._usage_tasks import list_usage_tasks
 from ebonystream.entryhost._version_moves import run_version_moves
 from ebonystream.gossip import (
     GossipSocket,
@@ -65,6 +66,7 @@
     tasks: Mapping[str, RunTask] = {
         **_list_gossip_tasks(parts, gossip_socket, store),
         **_list_store_tasks(parts, store),
+        **list_usage_tasks(parts, store, exchange),
         'fetch_from_peers': partial(
             fetch_from_peers, parts, make_fetch_shared(exchange=exchange)
         ),
--- /dev/null
+++ b/src/ebonystream/entryhost/_usage.py
@@ -0,0 +1,172 @@
+"""State of usage reporting on one host, and what gossip tells of it."""
+
+import attrs
+
+from ebonystream._ids import (
+    BootTime,
+    FencingToken,
+    HostId,
+    Incarnation,
+    Seconds,
+)
+from ebonystream._timers import MS_PER_SECOND, Timers
+from ebonystream.duty import DutyHolder, KnownRecord, Lease, LeaseTimes, Role
+from ebonystream.entryhost._settings import HostSettings
+from ebonystream.gossip import DutyFacts
+from ebonystream.usage import (
+    CollectedCounts,
+    CountedRequests,
+    CountsMessage,
+    HostCounts,
+    UsageSchedule,
+    WindowClock,
+    WindowCounts,
+)
+
+
+@attrs.define(kw_only=True)
+class UsageReporting:
+    """State of usage reporting on one host.
+
+    Attributes:
+        duty: The decisions on the duty.
+        schedule: When counts are sent and windows are reported.
+        counted: What this host has counted.
+        collected: What this host has collected from all hosts; used while it
+            holds the duty.
+        counted_requests: Open requests that were counted.
+        elected: Host that should hold the duty; None if none is known.
+        role: What is expected of this host.
+        role_since: When the role began.
+    """
+
+    duty: DutyHolder
+    schedule: UsageSchedule
+    counted: HostCounts = attrs.field(factory=HostCounts)
+    collected: CollectedCounts = attrs.field(factory=CollectedCounts)
+    counted_requests: CountedRequests = attrs.field(factory=CountedRequests)
+    elected: HostId | None = None
+    role: Role = Role.NONE
+    role_since: BootTime = BootTime(0)
+
+    def change_role(self, role: Role, now: BootTime) -> None:
+        """Change what is expected of this host.
+
+        Args:
+            role: The new role.
+            now: The current time.
+        """
+        if role is not self.role:
+            self.role = role
+            self.role_since = now
+
+    def make_message(
+        self, now: BootTime, part: tuple[WindowCounts, ...], *, complete: bool
+    ) -> CountsMessage:
+        """Make the message that carries counts of this host.
+
+        Args:
+            now: The current time.
+            part: The counts.
+            complete: Whether nothing else is left to send.
+        """
+        return CountsMessage(
+            host=self.duty.name,
+            incarnation=self.duty.incarnation,
+            sent_at=self.schedule.clock.read(now),
+            windows=part,
+            complete=complete,
+        )
+
+    def collect_own(self, now: BootTime) -> None:
+        """Merge the counts of this host into those of all hosts.
+
+        Args:
+            now: The current time.
+        """
+        own = self.duty.name
+        untold = self.counted.list_untold(own)
+        for part in untold.parts:
+            message = self.make_message(now, part, complete=True)
+            self.collected.merge(message, message.sent_at)
+        self.counted.mark_told(own, untold)
+
+    def drop_reported(self, now: BootTime) -> None:
+        """Drop the counts of windows that are reported.
+
+        Args:
+            now: The current time.
+        """
+        reported = self.duty.sightings.newest.reported
+        self.counted.drop_reported(reported)
+        schedule = self.schedule
+        oldest = schedule.clock.read(now) - schedule.late
+        self.collected.drop_reported(reported, oldest)
+
+    def make_facts(self, now: BootTime) -> DutyFacts:
+        """Make the facts that this host tells the others.
+
+        Args:
+            now: The current time.
+        """
+        known = self.duty.sightings.newest
+        return DutyFacts(
+            acting=self.role is Role.HOLDER and self.duty.is_acting(),
+            unfit=now < self.duty.retries.unfit_until,
+            holder=known.holder,
+            token=known.token,
+            end=known.end,
+            window=known.window,
+            reported=known.reported,
+        )
+
+    def hear(self, facts: DutyFacts, now: BootTime) -> None:
+        """Learn what another host knows about the duty.
+
+        Args:
+            facts: Its facts.
+            now: The current time.
+        """
+        self.duty.sightings.hear(
+            KnownRecord(
+                holder=facts.holder,
+                token=facts.token,
+                end=facts.end,
+                window=facts.window,
+                reported=facts.reported,
+            ),
+            now,
+        )
+
+    def get_least_token(self, now: BootTime) -> FencingToken:
+        """Return a lower bound on new tokens, from the time of day.
+
+        Args:
+            now: The current time.
+        """
+        return FencingToken(int(self.schedule.clock.read(now)))
+
+
+def make_usage_reporting(
+    settings: HostSettings, incarnation: Incarnation, timers: Timers
+) -> UsageReporting | None:
+    """Make the state of usage reporting; None if it is not asked for.
+
+    Args:
+        settings: Settings of the host.
+        incarnation: Incarnation of the host.
+        timers: Source of the current time.
+    """
+    usage = settings.usage
+    if usage is None:
+        return None
+    time_of_day = Seconds(timers.wall_ms() / MS_PER_SECOND)
+    clock = WindowClock(usage.window, time_of_day - timers.boot_now())
+    return UsageReporting(
+        duty=DutyHolder(
+            name=settings.name,
+            incarnation=incarnation,
+            lease=Lease(LeaseTimes(usage.lease)),
+        ),
+        schedule=UsageSchedule(clock, usage.late),
+    )
--- /dev/null
+++ b/src/ebonystream/entryhost/_usage_counts.py
@@ -0,0 +1,172 @@
+"""Counting of requests, and their collection by the holder of the duty."""
+
+import zlib
+
+import trio
+
+from ebonystream._address import ServerAddress
+from ebonystream._ids import HostId, Seconds
+from ebonystream.dispatch import Attempt
+from ebonystream.duty import Role
+from ebonystream.entryhost._parts import HostParts
+from ebonystream.entryhost._usage import UsageReporting
+from ebonystream.gossip import HostFacts, SendCounts
+from ebonystream.request import Request
+from ebonystream.route import Route
+from ebonystream.usage import CountsMessage, CountsReply
+
+SEND_CHECK_PERIOD = Seconds(0.2)
+"""How often a host checks whether it has to send counts, in seconds."""
+
+SEND_TIMEOUT = Seconds(0.6)
+"""Timeout of sending one message, in seconds."""
+
+LAST_SEND_TIMEOUT = Seconds(0.25)
+"""Timeout of the last send of a host that shuts down, in seconds: it has to
+fit into the margin that is left then."""
+
+SPREAD_STEPS = 100
+
+
+def count_attempt_usage(
+    parts: HostParts, request: Request, route: Route, attempt: Attempt
+) -> None:
+    """Count a request with its first attempt that a server may have run.
+
+    It counts in the window in which that attempt began, also if its response
+    was lost.
+
+    Args:
+        parts: The state of the host.
+        request: The request of the attempt.
+        route: The route of the request.
+        attempt: The attempt, after its end.
+    """
+    usage = parts.usage
+    if usage is None or request.workspace is None or attempt.is_not_run():
+        return
+    if not usage.counted_requests.add(request):
+        return
+    clock = usage.schedule.clock
+    began_at = clock.read(parts.timers.boot_now()) - attempt.duration
+    usage.counted.add(clock.get_window(began_at), request.workspace)
+
+
+def take_counts(
+    parts: HostParts, usage: UsageReporting, message: CountsMessage
+) -> CountsReply:
+    """Take the counts of another host.
+
+    Args:
+        parts: The state of this host.
+        usage: The state of usage reporting.
+        message: The counts.
+    """
+    received_at = usage.schedule.clock.read(parts.timers.boot_now())
+    if usage.role is not Role.HOLDER:
+        return CountsReply(collecting=False)
+    if not usage.collected.merge(message, received_at):
+        parts.log_event('usage_counts_refused', host=message.host)
+        return CountsReply(collecting=False)
+    return CountsReply(
+        collecting=True,
+        clock_error=usage.collected.compute_sender_error(message),
+    )
+
+
+async def send_counts(
+    parts: HostParts, usage: UsageReporting, send: SendCounts
+) -> None:
+    """Send the counts to the holder of the duty at their times; never return.
+
+    Args:
+        parts: The state of the host.
+        usage: The state of usage reporting.
+        send: Sends counts to a host.
+    """
+    spread = _compute_spread(parts.settings.name)
+    send_at: float = 0
+    told: HostId | None = None
+    async for _ in parts.timers.subscribe(period=SEND_CHECK_PERIOD):
+        now = usage.schedule.clock.read(parts.timers.boot_now())
+        usage.drop_reported(parts.timers.boot_now())
+        target = usage.elected
+        if target is None or (now < send_at and target == told):
+            continue
+        sent = False
+        with trio.move_on_after(SEND_TIMEOUT):
+            sent = await _send_to(parts, usage, target, send)
+        parts.metrics.usage_sends.increment('taken' if sent else 'failed')
+        if sent:
+            told = target
+            send_at = usage.schedule.get_next_send(now, spread)
+
+
+async def send_last_counts(
+    parts: HostParts, usage: UsageReporting, send: SendCounts
+) -> None:
+    """Send what is left before this host exits.
+
+    Args:
+        parts: The state of the host.
+        usage: The state of usage reporting.
+        send: Sends counts to a host.
+    """
+    sent = False
+    target = usage.elected
+    with trio.move_on_after(LAST_SEND_TIMEOUT):
+        if target is not None:
+            sent = await _send_to(parts, usage, target, send)
+    parts.log_event(
+        'usage_last_counts',
+        to=target,
+        sent=sent,
+        unreported=usage.counted.count_unreported(),
+    )
+
+
+async def _send_to(
+    parts: HostParts, usage: UsageReporting, target: HostId, send: SendCounts
+) -> bool:
+    """Send all untold counts to a host; return whether it took them."""
+    now = parts.timers.boot_now()
+    if target == parts.settings.name:
+        usage.collect_own(now)
+        return True
+    facts = find_host(parts, target)
+    if facts is None:
+        return False
+    at = ServerAddress(facts.address, parts.settings.peer_endpoint.port + 1)
+    untold = usage.counted.list_untold(target)
+    for index, part in enumerate(untold.parts, start=1):
+        message = usage.make_message(
+            now, part, complete=index == len(untold.parts)
+        )
+        reply = await send(at, message)
+        if reply is None or not reply.collecting:
+            return False
+        _correct_clock(parts, usage, reply.clock_error)
+    usage.counted.mark_told(target, untold)
+    return True
+
+
+def find_host(parts: HostParts, name: HostId) -> HostFacts | None:
+    """Return the facts of a host; None if it is unknown.
+
+    Args:
+        parts: The state of this host.
+        name: Name of the host.
+    """
+    peers = parts.facts.list_peers(parts.timers.now())
+    return next((facts for facts in peers if facts.host == name), None)
+
+
+def _correct_clock(
+    parts: HostParts, usage: UsageReporting, error: Seconds
+) -> None:
+    if usage.schedule.clock.correct(Seconds(-error)):
+        parts.log_event('usage_clock_corrected', was_ahead_s=error)
+
+
+def _compute_spread(name: HostId) -> float:
+    return zlib.crc32(name.encode()) % SPREAD_STEPS / SPREAD_STEPS
--- a/src/ebonystream/gossip/__init__.py
+++ b/src/ebonystream/gossip/__init__.py
@@ -1,6 +1,13 @@
 """Gossip between entry hosts, and sharing of state read from the store."""
 
+from ebonystream.gossip._counts import (
+    SendCounts,
+    encode_counts,
+    make_counts_handler,
+    make_send_counts,
+)
 from ebonystream.gossip._facts import (
+    DutyFacts,
     FailingServer,
     HostFacts,
     LeavingServer,
@@ -27,6 +34,11 @@
 from ebonystream.gossip._table import HostFactTable
 
 __all__ = (
+    'SendCounts',
+    'encode_counts',
+    'make_counts_handler',
+    'make_send_counts',
+    'DutyFacts',
     'FetchShared',
     'GossipSocket',
     'HostFactTable',
--- a/src/ebonystream/gossip/_facts.py
+++ b/src/ebonystream/gossip/_facts.py
@@ -6,12 +6,14 @@
 
 from ebonystream._ids import (
     EpochMs,
+    FencingToken,
     HostId,
     Incarnation,
     MoveId,
     Offset,
     Seconds,
     ServerId,
+    WindowNumber,
     ZoneName,
 )
 from ebonystream._validation import MAX_DURATION_S, MAX_NAME_LENGTH
@@ -74,6 +76,28 @@
     store_checked: bool = False
 
 
+class DutyFacts(msgspec.Struct, frozen=True, array_like=True):
+    """What one host knows about the duty of reporting usage.
+
+    Attributes:
+        acting: Whether this host holds the duty.
+        unfit: Whether this host lately could not perform the duty.
+        holder: Host that appended the newest record; empty if none is known.
+        token: Fencing token of that record.
+        end: End of the topic after that record.
+        window: Newest window of which a report was appended; -1 if none.
+        reported: Newest window whose report was answered; -1 if none.
+    """
+
+    acting: bool
+    unfit: bool
+    holder: Annotated[HostId, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+    token: Annotated[FencingToken, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
+    end: Annotated[Offset, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
+    window: Annotated[WindowNumber, msgspec.Meta(ge=-1, le=MAX_SEQUENCE)]
+    reported: Annotated[WindowNumber, msgspec.Meta(ge=-1, le=MAX_SEQUENCE)]
+
+
 class HostFacts(msgspec.Struct, frozen=True, array_like=True):
     """State of one entry host, as it reports it to its peers.
 
@@ -96,6 +120,8 @@
         probe_demand: Probes per second that the host has wanted lately.
         settled: Whether the host has run long enough to know its peers, and
             to be known by them.
+        duty: What the host knows about the duty of reporting usage; None if
+            this deployment does not report it.
     """
 
     host: Annotated[HostId, _NAME]
@@ -112,3 +138,4 @@
     leaving_servers: tuple[LeavingServer, ...] = ()
     probe_demand: Annotated[float, msgspec.Meta(ge=0, le=MAX_DEMAND)] = 0
     settled: bool = False
+    duty: DutyFacts | None = None
--- a/src/ebonystream/platform/__init__.py
+++ b/src/ebonystream/platform/__init__.py
@@ -18,12 +18,28 @@
     OPERATOR_TOPIC,
     SERVERS_TOPIC,
     STATUS_TOPIC,
+    StoreClient,
+)
+from ebonystream.platform._store_messages import (
     KeyedRecord,
     Listing,
-    StoreClient,
+    TopicEnd,
+)
+from ebonystream.platform._usage_reports import (
+    DUTY_TOPIC,
+    encode_duty_record,
+    encode_usage_report,
+    find_last_duty_record,
 )
+from ebonystream.platform._usage_service import UsageService
 
 __all__ = (
+    'DUTY_TOPIC',
+    'TopicEnd',
+    'UsageService',
+    'encode_duty_record',
+    'encode_usage_report',
+    'find_last_duty_record',
     'HOSTS_TOPIC',
     'OPERATOR_TOPIC',
     'SERVERS_TOPIC',
--- a/src/ebonystream/platform/_hosts.py
+++ b/src/ebonystream/platform/_hosts.py
@@ -6,7 +6,7 @@
 from ebonystream._validation import is_host_address, quote
 from ebonystream.gossip import RegisteredHost
 from ebonystream.platform._errors import FormatError, decode_json
-from ebonystream.platform._store import KeyedRecord
+from ebonystream.platform._store_messages import KeyedRecord
 
 HOSTS_TOPIC = 'keyed.hosts'
 
--- a/src/ebonystream/platform/_listing.py
+++ b/src/ebonystream/platform/_listing.py
@@ -17,7 +17,7 @@
     parse_evacuated_zone,
 )
 from ebonystream.platform._servers import decode_server
-from ebonystream.platform._store import KeyedRecord, Listing
+from ebonystream.platform._store_messages import KeyedRecord, Listing
 from ebonystream.roster import ServerEntry
 from ebonystream.route import RouteConfiguration
 
--- a/src/ebonystream/platform/_orders.py
+++ b/src/ebonystream/platform/_orders.py
@@ -6,7 +6,7 @@
 from ebonystream.orders import VersionOrder
 from ebonystream.platform._durations import parse_duration
 from ebonystream.platform._errors import decode_json, reject_invalid_values
-from ebonystream.platform._store import KeyedRecord
+from ebonystream.platform._store_messages import KeyedRecord
 
 ROLLOUT_PREFIX = 'rollout/'
 EVACUATE_PREFIX = 'evacuate/'
--- a/src/ebonystream/platform/_servers.py
+++ b/src/ebonystream/platform/_servers.py
@@ -22,7 +22,7 @@
     decode_json,
     reject_invalid_values,
 )
-from ebonystream.platform._store import KeyedRecord
+from ebonystream.platform._store_messages import KeyedRecord
 from ebonystream.roster import EntryState, ServerEntry
 
 ENTRY_STATES: Mapping[str, EntryState] = MappingProxyType(
--- a/src/ebonystream/platform/_settings.py
+++ b/src/ebonystream/platform/_settings.py
@@ -12,6 +12,11 @@
 from ebonystream.platform._durations import parse_duration
 from ebonystream.platform._errors import decode_json, reject_invalid_values
 from ebonystream.platform._servers import parse_address
+from ebonystream.platform._usage_settings import (
+    Cloud,
+    UsageBounds,
+    decode_usage,
+)
 
 SETTINGS_VARIABLE = 'EBONYSTREAM_SETTINGS'
 
@@ -57,9 +62,10 @@
 
 class _Platform(msgspec.Struct):
     platform: _Store
+    cloud: Cloud | None = None
 
 
-class _Bounds(msgspec.Struct):
+class _Bounds(UsageBounds):
     grace: str = '6s'
     retry_budget_ratio: float = 0.2
     retry_budget_slack: float = 20
@@ -109,6 +115,7 @@
         limits=_decode_limits(
             settings.terms.bounds, memory_mb=settings.local.limits.memory_mb
         ),
+        usage=decode_usage(settings.platform.cloud, settings.terms.bounds),
     )
 
 
--- a/src/ebonystream/platform/_status.py
+++ b/src/ebonystream/platform/_status.py
@@ -9,7 +9,7 @@
 from ebonystream._ids import MoveId, ServiceName, VersionName
 from ebonystream.platform._errors import FormatError, decode_json
 from ebonystream.platform._orders import ROLLOUT_PREFIX
-from ebonystream.platform._store import KeyedRecord, Listing
+from ebonystream.platform._store_messages import KeyedRecord, Listing
 from ebonystream.versionmove import MoveVerdict, VersionMove
 
 
--- a/src/ebonystream/platform/_store.py
+++ b/src/ebonystream/platform/_store.py
@@ -1,13 +1,10 @@
 """Client of the platform's store: a log with keyed topics, over HTTP."""
 
-import base64
 import struct
 from collections.abc import Callable
-from typing import TypeVar
 from urllib.parse import urlencode
 
 import attrs
-import msgspec
 import trio
 
 from ebonystream._address import ServerAddress
@@ -17,9 +14,19 @@
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.http1 import Message, encode_request
 from ebonystream.link import Exchange, ExchangeFailure
-from ebonystream.platform._errors import FormatError, decode_json
-
-Decoded = TypeVar('Decoded')
+from ebonystream.platform._store_messages import (
+    READ_HEADER,
+    AppendResult,
+    GoneOffsets,
+    KeyedRecord,
+    Listing,
+    ListingPage,
+    TopicEnd,
+    decode_body,
+    decode_bounds,
+    decode_item,
+    encode_record,
+)
 
 OPERATOR_TOPIC = 'keyed.op'
 SERVERS_TOPIC = 'keyed.servers'
@@ -34,56 +41,15 @@
 OK_STATUS = 200
 GONE_STATUS = 410
 PRECONDITION_FAILED_STATUS = 412
+OUTSIDE_STATUSES = frozenset((400, 404, 416))
+"""Statuses of a read that may begin after the end of a topic."""
 
-RECORD_LENGTH = struct.Struct('>I')
-KEY_LENGTH = struct.Struct('>B')
-READ_HEADER = struct.Struct('>QQ')
-"""The end offset of a partition and the first offset that it retains."""
-
-
-@attrs.frozen
-class KeyedRecord:
-    """The newest record of one key.
-
-    Attributes:
-        key: The key, unique in its topic's listing.
-        content: The value, as stored.
-        offset: The offset of the record in its topic; None before the append.
-    """
-
-    key: str
-    content: bytes
-    offset: Offset | None = None
-
-
-@attrs.frozen
-class Listing:
-    """The newest records of a keyed topic.
-
-    Attributes:
-        records: One record for each key.
-        end: Offset of the record after the last one that is surely among them;
-            some may be newer.
-    """
-
-    records: tuple[KeyedRecord, ...]
-    end: Offset
+MAX_LAST_READS = 4
+"""Reads in search of the last record; other hosts may append meanwhile."""
 
+LAST_READ_KB = 1024
 
-class _Item(msgspec.Struct):
-    key: str
-    value: str
-    offset: Offset
-
-
-class _ListingPage(msgspec.Struct):
-    items: tuple[_Item, ...]
-    more: bool
-    end: Offset
-
-
-class _AppendResult(msgspec.Struct):
-    offset: Offset
+RECORD_LENGTH = struct.Struct('>I')
 
 
 @attrs.define
@@ -115,10 +81,10 @@
         """
         page = await self._fetch_page(topic, after=None)
         first_end = page.end
-        records = [_decode_item(item) for item in page.items]
+        records = [decode_item(item) for item in page.items]
         while page.more and page.items:
             page = await self._fetch_page(topic, page.items[-1].key)
-            records.extend(_decode_item(item) for item in page.items)
+            records.extend(decode_item(item) for item in page.items)
         return Listing(tuple(records), first_end)
 
     async def wait_for_append(
@@ -135,21 +101,11 @@
         Raises:
             EbonystreamError: `LOG_UNAVAILABLE`, if the call fails.
         """
-        query: dict[str, str | int] = {
-            'topic': topic,
-            'part': ONLY_PARTITION,
-            'from': known_end,
-            'max_kb': 1,
-            'wait_ms': int(wait * MS_PER_SECOND),
-        }
-        response = await self._call('GET', 'log-read', query, wait=wait)
+        response = await self._read(topic, known_end, max_kb=1, wait=wait)
         if response.status == GONE_STATUS:
             return Offset(known_end + 1)
         _require_ok(response)
-        if len(response.body) < READ_HEADER.size:
-            raise EbonystreamError(ErrorKind.LOG_UNAVAILABLE, 'short read')
-        end, _ = READ_HEADER.unpack_from(response.body)
-        return Offset(end)
+        return decode_bounds(response.body).end
 
     async def append_keyed(
         self,
@@ -170,23 +126,86 @@
             EbonystreamError: `LOG_UNAVAILABLE`, if the call fails; the record
                 may have been appended nevertheless.
         """
+        return await self._append(topic, encode_record(record), expected_end)
+
+    async def append(
+        self, topic: str, content: bytes, *, expected_end: Offset
+    ) -> Offset | None:
+        """Append a record without a key; None if the topic ends elsewhere.
+
+        Args:
+            topic: The name of a topic without keys.
+            content: The record.
+            expected_end: The end offset that the topic must have.
+
+        Raises:
+            EbonystreamError: `LOG_UNAVAILABLE`, if the call fails; the record
+                may have been appended nevertheless.
+        """
+        return await self._append(topic, content, expected_end)
+
+    async def read_last(self, topic: str, hint: Offset) -> TopicEnd:
+        """Read the last record of a topic without keys.
+
+        Args:
+            topic: The name of the topic.
+            hint: Where the last record may be.
+
+        Raises:
+            EbonystreamError: `LOG_UNAVAILABLE`, if a call fails.
+        """
+        start = hint
+        for _ in range(MAX_LAST_READS):
+            response = await self._read(
+                topic, start, max_kb=LAST_READ_KB, wait=NO_WAIT
+            )
+            if response.status == GONE_STATUS:
+                start = decode_body(response.body, GoneOffsets).first
+                continue
+            if response.status in OUTSIDE_STATUSES and start:
+                start = Offset(0)
+                continue
+            _require_ok(response)
+            bounds = decode_bounds(response.body)
+            if bounds.end <= bounds.first:
+                return TopicEnd(bounds.end, b'')
+            if bounds.end == start + 1:
+                return TopicEnd(bounds.end, response.body[READ_HEADER.size :])
+            start = Offset(bounds.end - 1)
+        raise EbonystreamError(ErrorKind.LOG_UNAVAILABLE, 'its end moves')
+
+    async def _append(
+        self, topic: str, content: bytes, expected_end: Offset | None
+    ) -> Offset | None:
         query: dict[str, str | int] = {'topic': topic, 'part': ONLY_PARTITION}
         if expected_end is not None:
             query['at'] = expected_end
-        body = _encode_record(record)
+        body = RECORD_LENGTH.pack(len(content)) + content
         response = await self._call('POST', 'log-append', query, body=body)
         if response.status == PRECONDITION_FAILED_STATUS:
             return None
         _require_ok(response)
-        return _decode(response.body, _AppendResult).offset
+        return decode_body(response.body, AppendResult).offset
 
-    async def _fetch_page(self, topic: str, after: str | None) -> _ListingPage:
+    async def _read(
+        self, topic: str, start: Offset, *, max_kb: int, wait: Seconds
+    ) -> Message:
+        query: dict[str, str | int] = {
+            'topic': topic,
+            'part': ONLY_PARTITION,
+            'from': start,
+            'max_kb': max_kb,
+            'wait_ms': int(wait * MS_PER_SECOND),
+        }
+        return await self._call('GET', 'log-read', query, wait=wait)
+
+    async def _fetch_page(self, topic: str, after: str | None) -> ListingPage:
         query: dict[str, str | int] = {'topic': topic, 'part': ONLY_PARTITION}
         if after is not None:
             query['after'] = after
         response = await self._call('GET', 'log-newest', query)
         _require_ok(response)
-        return _decode(response.body, _ListingPage)
+        return decode_body(response.body, ListingPage)
 
     async def _call(
         self,
@@ -225,24 +244,3 @@
         raise EbonystreamError(
             ErrorKind.LOG_UNAVAILABLE, f'status {response.status}'
         )
-
-
-def _decode(body: bytes, expected_type: type[Decoded]) -> Decoded:
-    try:
-        return decode_json(body, expected_type)
-    except FormatError as error:
-        raise EbonystreamError(ErrorKind.LOG_UNAVAILABLE, str(error)) from error
-
-
-def _decode_item(item: _Item) -> KeyedRecord:
-    try:
-        content = base64.b64decode(item.value, validate=True)
-    except ValueError as error:
-        raise EbonystreamError(ErrorKind.LOG_UNAVAILABLE, str(error)) from error
-    return KeyedRecord(item.key, content, item.offset)
-
-
-def _encode_record(record: KeyedRecord) -> bytes:
-    key = record.key.encode()
-    content = KEY_LENGTH.pack(len(key)) + key + record.content
-    return RECORD_LENGTH.pack(len(content)) + content
--- /dev/null
+++ b/src/ebonystream/platform/_usage_service.py
@@ -0,0 +1,122 @@
+"""Client of the service that takes usage reports."""
+
+import socket
+import struct
+
+import attrs
+import trio
+
+from ebonystream._address import ServerAddress
+from ebonystream._calls import Headers
+from ebonystream._ids import Seconds
+from ebonystream._timers import MS_PER_SECOND, Timers
+from ebonystream.duty import CallResult, DutyRecord, SendReport
+from ebonystream.http1 import encode_request
+from ebonystream.link import ExchangeFailure, ResponseBuffers, perform_exchange
+
+USAGE_TARGET = b'/usage'
+CONFLICT_STATUS = 409
+TOO_MANY_STATUS = 429
+FIRST_CLIENT_ERROR = 400
+FIRST_SERVER_ERROR = 500
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
+
+CALL_TIMEOUT = Seconds(2)
+"""Upper bound on the wait for a response, in seconds."""
+
+DISCARD_UNSENT = struct.pack('ii', 1, 0)
+"""Closing a connection discards what was not delivered yet. Otherwise the
+kernel might deliver a call after a cut, when another host holds the duty."""
+
+
+@attrs.define
+class UsageService:
+    """Client of the service.
+
+    Attributes:
+        endpoint: Address at which the service listens.
+        timers: Source of the current time.
+        delivery: How long the kernel tries to deliver a call, in seconds.
+        buffers: Bounds the memory of responses.
+    """
+
+    endpoint: ServerAddress
+    timers: Timers
+    delivery: Seconds
+    buffers: ResponseBuffers = attrs.field(factory=ResponseBuffers)
+
+    async def call(self, step: SendReport) -> CallResult:
+        """Send a report, each on a connection of its own.
+
+        Args:
+            step: The report, and when it is too late to send it.
+        """
+        left = Seconds(step.until - self.timers.boot_now())
+        stream: trio.SocketStream | None = None
+        with trio.move_on_after(max(0, left)):
+            stream = await self._open()
+        if stream is None:
+            return CallResult.UNKNOWN
+        try:
+            return await self._exchange(stream, step)
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _open(self) -> trio.SocketStream | None:
+        at = self.endpoint
+        try:
+            stream = await trio.open_tcp_stream(at.address, at.port)
+        except OSError:
+            return None
+        delivery_ms = int(self.delivery * MS_PER_SECOND)
+        stream.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, delivery_ms
+        )
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD_UNSENT)
+        return stream
+
+    async def _exchange(
+        self, stream: trio.SocketStream, step: SendReport
+    ) -> CallResult:
+        request = _encode_call(self.endpoint, step.record)
+        # The process may have been frozen since the connection was opened.
+        if self.timers.boot_now() >= step.until:
+            return CallResult.UNKNOWN
+        with trio.move_on_after(CALL_TIMEOUT):
+            with self.buffers.open_share() as share:
+                result, _ = await perform_exchange(
+                    stream, request, _accept_any, share
+                )
+            if not isinstance(result, ExchangeFailure):
+                return _judge(result.status)
+        return CallResult.UNKNOWN
+
+
+def _encode_call(endpoint: ServerAddress, record: DutyRecord) -> bytes:
+    host = f'{endpoint.address}:{endpoint.port}'
+    headers = (
+        (b'host', host.encode()),
+        (b'ebonystream-duty-holder', record.holder.encode()),
+        (b'ebonystream-fencing-token', b'%d' % record.token),
+        (b'content-type', b'application/json'),
+    )
+    return encode_request(b'POST', USAGE_TARGET, headers, record.report.body)
+
+
+def _judge(status: int) -> CallResult:
+    """Return what a status says about a call."""
+    if FIRST_SUCCESS <= status < FIRST_REDIRECT:
+        return CallResult.ACCEPTED
+    if status == CONFLICT_STATUS:
+        return CallResult.FENCED
+    if status == TOO_MANY_STATUS:
+        return CallResult.LIMITED
+    if FIRST_CLIENT_ERROR <= status < FIRST_SERVER_ERROR:
+        return CallResult.REFUSED
+    return CallResult.UNKNOWN
+
+
+def _accept_any(headers: Headers) -> bool:
+    """Accept any response: each connection carries one call."""
+    return True
--- a/src/ebonystream/request/_request.py
+++ b/src/ebonystream/request/_request.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ebonystream._calls import Headers
-from ebonystream._ids import AttemptId, Monotonic
+from ebonystream._ids import AttemptId, Monotonic, WorkspaceName
 
 
 @attrs.frozen(kw_only=True)
@@ -20,6 +20,8 @@
         body: Complete body.
         arrived_at: When the first byte arrived, on the monotonic clock.
         deadline: When the caller stops waiting; None if it sent no deadline.
+        workspace: Workspace that the request is counted for; None if it has
+            none.
     """
 
     attempt_id: AttemptId
@@ -31,3 +33,4 @@
     body: bytes
     arrived_at: Monotonic
     deadline: Monotonic | None
+    workspace: WorkspaceName | None = None
