--- a/src/ebonystream/duty/_election.py
+++ b/src/ebonystream/duty/_election.py
@@ -15,9 +15,10 @@
         host: Name of the host.
         leads_zone: Whether it is the leader of its zone.
         leaving: Whether it is shutting down.
-        acting: Whether it says that it holds the duty.
+        acting: Whether it says that it should hold the duty.
         unfit: Whether it says that it lately could not perform the duty.
         token: The newest token that it knows.
+        has_token: Whether that token is its own.
     """
 
     host: HostId
@@ -26,6 +27,7 @@
     acting: bool
     unfit: bool
     token: FencingToken
+    has_token: bool
 
 
 def elect_holder(candidates: Iterable[Candidate]) -> HostId | None:
@@ -42,8 +44,13 @@
     staying = [host for host in candidates if not host.leaving]
     acting = [host for host in staying if host.acting and not host.unfit]
     if acting:
-        return max(acting, key=lambda host: (host.token, host.host)).host
+        return min(acting, key=_rank_acting).host
     leaders = [host for host in staying if host.leads_zone]
     if not leaders:
         return None
     return min(leaders, key=lambda host: (host.unfit, host.host)).host
+
+
+def _rank_acting(candidate: Candidate) -> tuple[int, bool, HostId]:
+    """Prefer the newest token, then its holder, then the lowest name."""
+    return (-candidate.token, not candidate.has_token, candidate.host)
--- a/src/ebonystream/entryhost/_duty.py
+++ b/src/ebonystream/entryhost/_duty.py
@@ -218,7 +218,7 @@
     clock = schedule.clock
     oldest = clock.get_window(clock.read(now)) - MAX_CATCH_UP
     window = WindowNumber(max(after + 1, oldest))
-    if emptied_at is None:
+    if emptied_at is None or usage.is_sole_since(emptied_at):
         return window
     first = schedule.get_first_window_due_after(clock.read(emptied_at))
     return max(window, first)
--- a/src/ebonystream/entryhost/_usage.py
+++ b/src/ebonystream/entryhost/_usage.py
@@ -23,6 +23,10 @@
     WindowCounts,
 )
 
+SILENCE = Seconds(2.5)
+"""How long other hosts do not hear from a host before they take it for lost,
+in seconds."""
+
 
 @attrs.define(kw_only=True)
 class UsageReporting:
@@ -36,6 +40,7 @@
             holds the duty.
         counted_requests: Open requests that were counted.
         elected: Host that should hold the duty; None if none is known.
+        deputy: Host that should hold it if that one is lost.
         role: What is expected of this host.
         role_since: When the role began.
     """
@@ -46,6 +51,7 @@
     collected: CollectedCounts = attrs.field(factory=CollectedCounts)
     counted_requests: CountedRequests = attrs.field(factory=CountedRequests)
     elected: HostId | None = None
+    deputy: HostId | None = None
     role: Role = Role.NONE
     role_since: BootTime = BootTime(0)
 
@@ -84,12 +90,8 @@
         Args:
             now: The current time.
         """
-        own = self.duty.name
-        untold = self.counted.list_untold(own)
-        for part in untold.parts:
-            message = self.make_message(now, part, complete=True)
-            self.collected.merge(message, message.sent_at)
-        self.counted.mark_told(own, untold)
+        message = self.make_message(now, self.counted.list_all(), complete=True)
+        self.collected.merge(message, message.sent_at)
 
     def drop_reported(self, now: BootTime) -> None:
         """Drop the counts of windows that are reported.
@@ -111,7 +113,7 @@
         """
         known = self.duty.sightings.newest
         return DutyFacts(
-            acting=self.role is Role.HOLDER and self.duty.is_acting(),
+            acting=self.role is Role.HOLDER,
             unfit=now < self.duty.retries.unfit_until,
             holder=known.holder,
             token=known.token,
@@ -138,6 +140,19 @@
             now,
         )
 
+    def is_sole_since(self, at: BootTime) -> bool:
+        """Return whether nobody else can have held the duty at a time.
+
+        Other hosts act only after they have missed this one for a while, and
+        have waited for its lease. A host that was frozen or cut off has a new
+        role afterwards.
+
+        Args:
+            at: The time.
+        """
+        least = SILENCE + self.duty.lease.times.wait
+        return self.role is Role.HOLDER and at - self.role_since >= least
+
     def get_least_token(self, now: BootTime) -> FencingToken:
         """Return a lower bound on new tokens, from the time of day.
 
--- a/src/ebonystream/entryhost/_usage_counts.py
+++ b/src/ebonystream/entryhost/_usage_counts.py
@@ -10,7 +10,7 @@
 from ebonystream.duty import Role
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._usage import UsageReporting
-from ebonystream.gossip import HostFacts, SendCounts
+from ebonystream.gossip import SendCounts
 from ebonystream.request import Request
 from ebonystream.route import Route
 from ebonystream.usage import CountsMessage, CountsReply
@@ -63,11 +63,12 @@
         message: The counts.
     """
     received_at = usage.schedule.clock.read(parts.timers.boot_now())
-    if usage.role is not Role.HOLDER:
-        return CountsReply(collecting=False)
     if not usage.collected.merge(message, received_at):
         parts.log_event('usage_counts_refused', host=message.host)
         return CountsReply(collecting=False)
+    # The holder sends its own counts to its deputy.
+    if usage.role is not Role.HOLDER:
+        return CountsReply(collecting=message.host == usage.elected)
     return CountsReply(
         collecting=True,
         clock_error=usage.collected.compute_sender_error(message),
@@ -95,7 +96,10 @@
             continue
         sent = False
         with trio.move_on_after(SEND_TIMEOUT):
-            sent = await _send_to(parts, usage, target, send)
+            is_new = target not in {told, parts.settings.name}
+            sent = await _send_to(parts, usage, target, send) and (
+                not is_new or await _relay_orphans(parts, usage, target, send)
+            )
         parts.metrics.usage_sends.increment('taken' if sent else 'failed')
         if sent:
             told = target
@@ -116,7 +120,9 @@
     target = usage.elected
     with trio.move_on_after(LAST_SEND_TIMEOUT):
         if target is not None:
-            sent = await _send_to(parts, usage, target, send)
+            sent = await _send_to(
+                parts, usage, target, send
+            ) and await _relay_orphans(parts, usage, target, send)
     parts.log_event(
         'usage_last_counts',
         to=target,
@@ -132,11 +138,12 @@
     now = parts.timers.boot_now()
     if target == parts.settings.name:
         usage.collect_own(now)
-        return True
-    facts = find_host(parts, target)
-    if facts is None:
+        if usage.deputy is None:
+            return True
+        return await _send_to(parts, usage, usage.deputy, send)
+    at = find_counts_endpoint(parts, target)
+    if at is None:
         return False
-    at = ServerAddress(facts.address, parts.settings.peer_endpoint.port + 1)
     untold = usage.counted.list_untold(target)
     for index, part in enumerate(untold.parts, start=1):
         message = usage.make_message(
@@ -150,15 +157,40 @@
     return True
 
 
-def find_host(parts: HostParts, name: HostId) -> HostFacts | None:
-    """Return the facts of a host; None if it is unknown.
+async def _relay_orphans(
+    parts: HostParts, usage: UsageReporting, target: HostId, send: SendCounts
+) -> bool:
+    """Send a new holder what hosts that are gone had sent to this one."""
+    at = find_counts_endpoint(parts, target)
+    if at is None:
+        return False
+    alive = {
+        (facts.host, facts.incarnation)
+        for facts in parts.facts.list_alive(parts.timers.now())
+    }
+    alive.add((usage.duty.name, usage.duty.incarnation))
+    for message in usage.collected.list_orphans(alive):
+        reply = await send(at, message)
+        if reply is None or not reply.collecting:
+            return False
+    return True
+
+
+def find_counts_endpoint(
+    parts: HostParts, name: HostId
+) -> ServerAddress | None:
+    """Return the address at which a host takes counts; None if unknown.
 
     Args:
         parts: The state of this host.
         name: Name of the host.
     """
     peers = parts.facts.list_peers(parts.timers.now())
-    return next((facts for facts in peers if facts.host == name), None)
+    addresses = [facts.address for facts in peers if facts.host == name]
+    if not addresses:
+        return None
+    port = parts.settings.peer_endpoint.port + 1
+    return ServerAddress(addresses[0], port)
 
 
 def _correct_clock(
--- a/src/ebonystream/entryhost/_usage_election.py
+++ b/src/ebonystream/entryhost/_usage_election.py
@@ -10,6 +10,10 @@
 """Time after its start in which a host leaves the duty to others, in seconds:
 it may not know its peers yet."""
 
+MIN_KNOWN_HOSTS = 4
+"""Number of known hosts from which a host may find itself cut off. With fewer
+the loss of one host would look like it."""
+
 
 def update_role(parts: HostParts, usage: UsageReporting) -> None:
     """Update who should hold the duty, and the role of this host.
@@ -22,26 +26,45 @@
     own_facts = usage.make_facts(parts.timers.boot_now())
     candidates = _list_candidates(parts, own_facts, now)
     usage.elected = elect_holder(candidates)
-    usage.change_role(
-        _select_role(parts, usage, candidates), parts.timers.boot_now()
+    usage.deputy = elect_holder(
+        [host for host in candidates if host.host != usage.elected]
     )
+    usage.change_role(_select_role(parts, usage), parts.timers.boot_now())
 
 
-def _select_role(
-    parts: HostParts, usage: UsageReporting, candidates: list[Candidate]
-) -> Role:
+def _select_role(parts: HostParts, usage: UsageReporting) -> Role:
     own = parts.settings.name
     run_time = parts.timers.now() - parts.started_at
     if parts.leaving.is_set() or run_time < MIN_RUN_TIME:
         return Role.NONE
+    if is_cut_off(parts):
+        return Role.NONE
     if usage.elected == own:
         return Role.HOLDER
-    others = [host for host in candidates if host.host != usage.elected]
-    if elect_holder(others) == own and _is_overdue(parts, usage):
+    if usage.deputy == own and _is_overdue(parts, usage):
         return Role.STANDBY
     return Role.NONE
 
 
+def is_cut_off(parts: HostParts) -> bool:
+    """Return whether this host hears from less than half of the hosts it knows.
+
+    Addresses a partition, and a freeze: such a host has the counts of few
+    others, and another host may hold the duty. Of two halves, the one with the
+    lowest name acts.
+
+    Args:
+        parts: The state of the host.
+    """
+    now = parts.timers.now()
+    own = parts.settings.name
+    alive = {own, *(facts.host for facts in parts.facts.list_alive(now))}
+    known = {own, *(facts.host for facts in parts.facts.list_peers(now))}
+    if len(known) < MIN_KNOWN_HOSTS or 2 * len(alive) > len(known):
+        return False
+    return 2 * len(alive) < len(known) or min(known) not in alive
+
+
 def _is_overdue(parts: HostParts, usage: UsageReporting) -> bool:
     """Return whether the holder of the duty seems to be lost."""
     now = usage.schedule.clock.read(parts.timers.boot_now())
@@ -76,4 +99,5 @@
         acting=duty is not None and duty.acting,
         unfit=duty is None or duty.unfit,
         token=duty.token if duty else NO_TOKEN,
+        has_token=duty is not None and duty.holder == facts.host,
     )
--- a/src/ebonystream/gossip/_facts.py
+++ b/src/ebonystream/gossip/_facts.py
@@ -80,7 +80,7 @@
     """What one host knows about the duty of reporting usage.
 
     Attributes:
-        acting: Whether this host holds the duty.
+        acting: Whether this host performs the duty or is about to.
         unfit: Whether this host lately could not perform the duty.
         holder: Host that appended the newest record; empty if none is known.
         token: Fencing token of that record.
--- a/src/ebonystream/usage/_collected.py
+++ b/src/ebonystream/usage/_collected.py
@@ -1,7 +1,7 @@
 """What the holder of the duty has collected from all hosts."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import attrs
 
@@ -77,10 +77,10 @@
             if len(self._runs) >= MAX_RUNS:
                 return False
             run = self._runs.setdefault(key, _Run())
-        run.lead = Seconds(message.sent_at - received_at)
         for entry in message.windows:
             run.merge(entry)
         if message.complete:
+            run.lead = Seconds(message.sent_at - received_at)
             run.complete_until = max(run.complete_until, message.sent_at)
         return True
 
@@ -110,6 +110,27 @@
             if key not in self._runs or self._runs[key].complete_until < until
         ]
 
+    def list_orphans(
+        self, alive: Container[tuple[HostId, Incarnation]]
+    ) -> list[CountsMessage]:
+        """List unreported counts of runs that can't send them again.
+
+        Args:
+            alive: The runs of hosts that are alive.
+        """
+        return [
+            CountsMessage(
+                host=key[0],
+                incarnation=key[1],
+                sent_at=run.complete_until,
+                windows=(WindowCounts(window, counts),),
+                complete=False,
+            )
+            for key, run in self._runs.items()
+            if key not in alive
+            for window, counts in run.windows.items()
+        ]
+
     def compute_own_error(self) -> Seconds:
         """Return how far the receiver's clock is ahead of most hosts'."""
         return compute_clock_error(
--- a/src/ebonystream/usage/_counted.py
+++ b/src/ebonystream/usage/_counted.py
@@ -81,6 +81,10 @@
         """Return the number of requests in windows not reported yet."""
         return sum(counts.total() for counts in self.windows.values())
 
+    def list_all(self) -> tuple[WindowCounts, ...]:
+        """List all counts that are not reported."""
+        return _make_part(self.windows)
+
     def list_untold(self, holder: HostId) -> Untold:
         """List what a host has not been told.
 
@@ -134,8 +138,8 @@
 
 
 def _make_part(
-    windows: Mapping[WindowNumber, dict[WorkspaceName, int]],
+    windows: Mapping[WindowNumber, Mapping[WorkspaceName, int]],
 ) -> tuple[WindowCounts, ...]:
     return tuple(
-        WindowCounts(window, counts) for window, counts in windows.items()
+        WindowCounts(window, dict(counts)) for window, counts in windows.items()
     )
--- a/src/ebonystream/usage/_schedule.py
+++ b/src/ebonystream/usage/_schedule.py
@@ -15,7 +15,7 @@
 LAST_REPORT_SHARE = 0.52
 """Share of it after which the window is reported although a host is missing."""
 
-OVERDUE_SHARE = 0.6
+OVERDUE_SHARE = 0.55
 """Share of it after which other hosts take the holder for lost."""
 
 MAX_SPREAD = Seconds(0.25)
