--- a/src/ebonystream/entryhost/_shutdown.py
+++ b/src/ebonystream/entryhost/_shutdown.py
@@ -86,13 +86,13 @@
     await _wait_for_requests(parts, Monotonic(started_at + times.stop_searches))
     parts.searches.stop()
     await _wait_for_requests(parts, Monotonic(started_at + times.exit))
+    for run_last_task in parts.last_tasks:
+        await run_last_task()
     parts.log_event(
         'stopped',
         took_s=parts.timers.now() - started_at,
         still_serving=parts.caller_connections.active_requests,
     )
-    for run_last_task in parts.last_tasks:
-        await run_last_task()
     all_tasks.cancel()
 
 
--- a/src/ebonystream/usage/_schedule.py
+++ b/src/ebonystream/usage/_schedule.py
@@ -18,8 +18,9 @@
 OVERDUE_SHARE = 0.55
 """Share of it after which other hosts take the holder for lost."""
 
-MAX_SPREAD = Seconds(0.25)
-"""Time over which the hosts spread their messages, in seconds."""
+SPREAD_SHARE = 0.07
+"""Share of it over which the hosts spread their messages, so that the holder
+does not get the messages of 300 hosts at once. It ends before the report."""
 
 
 @attrs.frozen
@@ -88,7 +89,7 @@
             spread: Number from 0 to 1 that differs between hosts.
         """
         length = self.clock.length
-        delay = spread * min(MAX_SPREAD, length / 10)
+        delay = spread * self.late * SPREAD_SHARE
         half = self.late * LATE_SHARE % length
         start = self.clock.get_window(now - delay) * length + delay
         times = (start, start + half, start + length, start + length + half)
--- a/tools/standins/platformstore.py
+++ b/tools/standins/platformstore.py
@@ -20,6 +20,9 @@
 
 OK, UNAVAILABLE, CONDITION_FAILED, NOT_FOUND = 200, 503, 412, 404
 PAGE_HEADER = struct.Struct('>QQ')
+KEYED_PREFIX = 'keyed.'
+"""Start of the names of topics whose records have keys."""
+
 RECORD_LENGTH_BYTES = 4
 """Size of the length field in front of an appended record."""
 
@@ -38,11 +41,13 @@
 
     Attributes:
         newest: Latest content of each key, with its offset.
+        records: All records of a topic without keys.
         end: Offset of the next record.
         changed: Set and replaced when a record is added.
     """
 
     newest: dict[str, tuple[bytes, int]] = attrs.field(factory=dict)
+    records: list[bytes] = attrs.field(factory=list)
     end: int = 0
     changed: trio.Event = attrs.field(factory=trio.Event)
 
@@ -150,7 +155,12 @@
         if topic.end <= int(query['from']):
             with trio.move_on_after(int(query['wait_ms']) / 1000):
                 await topic.changed.wait()
-        return _make_response(OK, PAGE_HEADER.pack(topic.end, 0))
+        header = PAGE_HEADER.pack(topic.end, 0)
+        frames = (
+            len(record).to_bytes(RECORD_LENGTH_BYTES, 'big') + record
+            for record in topic.records[int(query['from']) :]
+        )
+        return _make_response(OK, header + b''.join(frames))
 
     def _append(self, query: Mapping[str, str], body: bytes) -> EncodedResponse:
         topic = self._get_topic(query['topic'])
@@ -158,6 +168,11 @@
             end = json.dumps({'end': topic.end}).encode()
             return _make_response(CONDITION_FAILED, end)
         record = body[RECORD_LENGTH_BYTES:]
+        if not query['topic'].startswith(KEYED_PREFIX):
+            topic.records.append(record)
+            topic.end += 1
+            result = {'offset': topic.end - 1, 'end': topic.end}
+            return _make_response(OK, json.dumps(result).encode())
         key_end = 1 + record[0]
         key = record[1:key_end].decode()
         offset = self._write(query['topic'], key, record[key_end:])
