Repeat a report after errors that do not judge it

Cause: 404 or 408 of the service made the host drop the report of a window. Change: only 400, 413 and 422 count as an answer; other errors are repeated. Tables for odd counts of other hosts and for who is cut off.

--- a/src/ebonystream/platform/_usage_service.py
+++ b/src/ebonystream/platform/_usage_service.py
@@ -17,8 +17,10 @@
 USAGE_TARGET = b'/usage'
 CONFLICT_STATUS = 409
 TOO_MANY_STATUS = 429
-FIRST_CLIENT_ERROR = 400
-FIRST_SERVER_ERROR = 500
+REFUSED_STATUSES = frozenset((400, 413, 422))
+"""Statuses that judge the report itself. After other errors the report is sent
+again."""
+
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
 
@@ -133,7 +135,7 @@
         return CallResult.FENCED
     if status == TOO_MANY_STATUS:
         return CallResult.LIMITED
-    if FIRST_CLIENT_ERROR <= status < FIRST_SERVER_ERROR:
+    if status in REFUSED_STATUSES:
         return CallResult.REFUSED
     return CallResult.UNKNOWN
 
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 from platform_samples import make_probe_result, make_request, make_route
+from test_gossip import make_facts
 
 from ebonystream._address import ServerAddress
 from ebonystream._timers import Timers
@@ -13,7 +14,8 @@
 from ebonystream.duty import Candidate, elect_holder
 from ebonystream.entryhost._internal_handlers import INTERNAL_LIMITS
 from ebonystream.entryhost._usage_counts import count_attempt_usage
-from ebonystream.gossip import encode_counts
+from ebonystream.entryhost._usage_election import is_cut_off
+from ebonystream.gossip import HostFactTable, encode_counts
 from ebonystream.link import ExchangeFailure
 from ebonystream.request import ResponseVerdict
 from ebonystream.usage import (
@@ -250,3 +252,30 @@
         first = schedule.get_first_window_due_after(at)
         assert schedule.get_report(first) > at
         assert schedule.get_report(first - 1) <= at + 1
+
+
+@pytest.mark.parametrize(
+    ('name', 'alive', 'silent', 'leaving', 'cut_off'),
+    [
+        ('a', 'abcde', '', '', False),
+        ('a', 'abc', 'de', '', False),
+        ('a', 'ab', 'cde', '', True),
+        ('a', 'a', 'bcde', '', True),
+        ('a', 'ab', 'cd', '', False),
+        ('c', 'cd', 'ab', '', True),
+        # Hosts that said that they leave are not missed.
+        ('a', 'ab', 'cde', 'cde', False),
+        ('a', 'a', 'bc', '', False),
+    ],
+)
+def test_who_is_cut_off(name, alive, silent, leaving, cut_off):
+    table = HostFactTable(name, 'z')
+    for host in alive + silent:
+        facts = make_facts(host, zone='z', leaving=host in leaving)
+        table.update(facts, 10.0 if host in alive else 5.0)
+    parts = SimpleNamespace(
+        settings=SimpleNamespace(name=name),
+        timers=SimpleNamespace(now=lambda: 10.0),
+        facts=table,
+    )
+    assert is_cut_off(parts) is cut_off
--- a/tests/test_usage_formats.py
+++ b/tests/test_usage_formats.py
@@ -15,8 +15,8 @@
 from ebonystream._timers import Timers
 from ebonystream.duty import CallResult, DutyRecord, SendReport
 from ebonystream.errors import EbonystreamError
-from ebonystream.gossip import DutyFacts
-from ebonystream.http1 import encode_response
+from ebonystream.gossip import DutyFacts, make_counts_handler
+from ebonystream.http1 import Message, encode_response
 from ebonystream.ingress import EncodedResponse
 from ebonystream.platform import (
     UsageService,
@@ -25,6 +25,7 @@
     encode_usage_report,
     find_last_duty_record,
 )
+from ebonystream.usage import CountsMessage, CountsReply, WindowCounts
 from standins.messages import serve_messages
 from standins.platformstore import PlatformStore
 
@@ -133,6 +134,9 @@
         (409, CallResult.FENCED),
         (429, CallResult.LIMITED),
         (400, CallResult.REFUSED),
+        (422, CallResult.REFUSED),
+        (404, CallResult.UNKNOWN),
+        (408, CallResult.UNKNOWN),
         (500, CallResult.UNKNOWN),
         (503, CallResult.UNKNOWN),
         (None, CallResult.UNKNOWN),
@@ -207,6 +211,53 @@
     assert decoded == times
 
 
+GOOD_COUNTS = CountsMessage('e1', '1', 9.0, (WindowCounts(7, {'a': 3}),))
+ODD_COUNTS = [
+    b'',
+    b'\xc1',
+    b'\x91' * 5000,
+    msgspec.msgpack.encode(CountsMessage('', '1', 9.0)),
+    msgspec.msgpack.encode(CountsMessage('e1', '1', float('nan'))),
+    msgspec.msgpack.encode(CountsMessage('e1', '1', 9.0, (WindowCounts(-1, {}),))),
+    msgspec.msgpack.encode(
+        CountsMessage('e1', '1', 9.0, (WindowCounts(7, {'a': -3}),))
+    ),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ('target', 'body', 'status', 'taken'),
+    [
+        (b'/counts', msgspec.msgpack.encode(GOOD_COUNTS), b'200', [GOOD_COUNTS]),
+        (b'/shared', b'', b'404', []),
+        *((b'/counts', body, b'400', []) for body in ODD_COUNTS),
+    ],
+)  # fmt: skip
+async def test_counts_of_other_hosts(target, body, status, taken):
+    received = []
+
+    def take(message):
+        received.append(message)
+        return CountsReply(collecting=True)
+
+    async def respond_otherwise(message, arrived, presence):
+        await trio.lowlevel.checkpoint()
+        return EncodedResponse(encode_response(404, (), b''), False)
+
+    respond = make_counts_handler(take, respond_otherwise)
+    message = Message(
+        target=target,
+        headers=(),
+        body=body,
+        keep_alive=True,
+        method=b'POST',
+        status=0,
+    )
+    response = await respond(message, 0.0, None)
+    assert response.content.split()[1] == status
+    assert received == taken
+
+
 @pytest.mark.parametrize('token', [-1, 2**60])
 def test_odd_facts_are_refused(token):
     facts = DutyFacts(True, False, 'e1', token, 1, 1, 1)
