--- a/src/ebonystream/_ids.py
+++ b/src/ebonystream/_ids.py
@@ -84,3 +84,9 @@
 
 EpochMs = NewType('EpochMs', int)
 """Milliseconds since the Unix epoch, as in the timestamp of a UUIDv7."""
+
+WindowNumber = NewType('WindowNumber', int)
+"""Number of a reporting window since the Unix epoch."""
+
+FencingToken = NewType('FencingToken', int)
+"""Orders the holders of a duty: a later holder has a higher token."""
--- a/src/ebonystream/entryhost/_metrics.py
+++ b/src/ebonystream/entryhost/_metrics.py
@@ -92,6 +92,21 @@
         )
     )
 
+    usage_reports: LabeledCounter = attrs.field(
+        factory=lambda: LabeledCounter(
+            'ebonystream_usage_reports_total',
+            'Usage reports that this host sent, by result.',
+            ('result',),
+        )
+    )
+    usage_sends: LabeledCounter = attrs.field(
+        factory=lambda: LabeledCounter(
+            'ebonystream_usage_sends_total',
+            'Counts sent to the host that reports usage, by result.',
+            ('result',),
+        )
+    )
+
     def count_response(
         self, route: Route | None, response: Response, duration: Seconds
     ) -> None:
@@ -142,6 +157,8 @@
             self.failed_tasks,
             self.admissions,
             self.hedges,
+            self.usage_reports,
+            self.usage_sends,
         )
         return (*without_attempts, self.attempts)
 
--- a/src/ebonystream/entryhost/_observers.py
+++ b/src/ebonystream/entryhost/_observers.py
@@ -14,6 +14,7 @@
     log_notice,
     update_silence,
 )
+from ebonystream.entryhost._usage_counts import count_attempt_usage
 from ebonystream.entryhost._version_moves import record_move_attempt
 from ebonystream.link import ExchangeFailure
 from ebonystream.placement import ProbeResult
@@ -40,6 +41,7 @@
             _update_server,
             record_move_attempt,
             update_suspects_from_attempt,
+            count_attempt_usage,
         )
     ]
     reports = (partial(log_attempt, parts), parts.metrics.count_attempt)
--- a/src/ebonystream/entryhost/_settings.py
+++ b/src/ebonystream/entryhost/_settings.py
@@ -27,6 +27,10 @@
 """Hosts can't confirm a configuration to each other more often."""
 
 MAX_REVOKE_S = 3600
+MIN_WINDOW = Seconds(1)
+MAX_WINDOW = Seconds(3600)
+MIN_LEASE = Seconds(0.5)
+MAX_LEASE = Seconds(60)
 
 
 @attrs.frozen(kw_only=True)
@@ -81,6 +85,30 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class UsageSettings:
+    """Settings of the reporting of usage.
+
+    Attributes:
+        endpoint: Address of the service that takes the reports.
+        lease: Least time between the calls of two hosts, in seconds.
+        window: Length of a window, in seconds.
+        late: How long after the end of a window its report is due, in
+            seconds.
+    """
+
+    endpoint: ServerAddress = attrs.field(validator=validate_endpoint)
+    lease: Seconds = attrs.field(
+        validator=make_range_validator(MIN_LEASE, MAX_LEASE)
+    )
+    window: Seconds = attrs.field(
+        validator=make_range_validator(MIN_WINDOW, MAX_WINDOW)
+    )
+    late: Seconds = attrs.field(
+        validator=make_range_validator(MIN_WINDOW, MAX_WINDOW)
+    )
+
+
 @attrs.frozen(kw_only=True)
 class HostSettings:
     """Settings of one entry host.
@@ -95,6 +123,8 @@
         seeds: Addresses of some hosts, which may be out of date.
         store_endpoint: Address of the platform's store.
         limits: Limits that the platform sets.
+        usage: Settings of the reporting of usage; None if it is not reported.
+            They take effect at the next start.
     """
 
     name: HostId = attrs.field(validator=validate_token)
@@ -105,3 +135,4 @@
     seeds: tuple[ServerAddress, ...]
     store_endpoint: ServerAddress
     limits: HostLimits
+    usage: UsageSettings | None = None
--- a/src/ebonystream/platform/_settings.py
+++ b/src/ebonystream/platform/_settings.py
@@ -13,6 +13,11 @@
 from ebonystream.platform._errors import decode_json, reject_invalid_values
 from ebonystream.platform._process_limits import ProcessLimits
 from ebonystream.platform._servers import parse_address
+from ebonystream.platform._usage_settings import (
+    Cloud,
+    UsageBounds,
+    decode_usage,
+)
 
 SETTINGS_VARIABLE = 'EBONYSTREAM_SETTINGS'
 
@@ -49,9 +54,10 @@
 
 class _Platform(msgspec.Struct):
     platform: _Store
+    cloud: Cloud | None = None
 
 
-class _Bounds(msgspec.Struct):
+class _Bounds(UsageBounds):
     grace: str = '6s'
     retry_budget_ratio: float = 0.2
     retry_budget_slack: float = 20
@@ -101,6 +107,7 @@
         seeds=tuple(parse_address(seed) for seed in settings.network.seeds),
         store_endpoint=parse_address(settings.platform.platform.address),
         limits=_decode_limits(settings.terms.bounds, settings.local.limits),
+        usage=decode_usage(settings.platform.cloud, settings.terms.bounds),
     )
 
 
