Take a topic that the store does not know for an empty one

Cause: a store may answer 404 for the topic duty before its first record; no host would ever have acted. Change: 404 is read as a topic that ends at 0; the conditional append decides. Measured: the two new rows of test_reads_of_the_last_record fail before the change and pass after it.

--- a/src/ebonystream/platform/_store.py
+++ b/src/ebonystream/platform/_store.py
@@ -41,12 +41,14 @@
 OK_STATUS = 200
 GONE_STATUS = 410
 PRECONDITION_FAILED_STATUS = 412
-OUTSIDE_STATUSES = frozenset((400, 404, 416))
+NOT_FOUND_STATUS = 404
+"""A topic may be unknown before its first record; an append at 0 shows it."""
+
+OUTSIDE_STATUSES = frozenset((400, 416))
 """Statuses of a read that may begin after the end of a topic."""
 
 MAX_LAST_READS = 4
 """Reads in search of the last record; other hosts may append meanwhile."""
-
 LAST_READ_KB = 1024
 
 RECORD_LENGTH = struct.Struct('>I')
@@ -162,6 +164,8 @@
             if response.status == GONE_STATUS:
                 start = decode_body(response.body, GoneOffsets).first
                 continue
+            if response.status == NOT_FOUND_STATUS:
+                return TopicEnd(Offset(0), b'')
             if response.status in OUTSIDE_STATUSES and start:
                 start = Offset(0)
                 continue
--- a/tests/test_usage_formats.py
+++ b/tests/test_usage_formats.py
@@ -84,6 +84,9 @@
         (8, [make_read(0)], [8], 0, b''),
         (8, [make_read(3), make_read(3, 0, b'r')], [8, 2], 3, b'r'),
         (8, [make_response(416), make_read(0)], [8, 0], 0, b''),
+        # It knows no such topic before the first record.
+        (0, [make_response(404)], [0], 0, b''),
+        (8, [make_response(404)], [8], 0, b''),
     ],
 )  # fmt: skip
 async def test_reads_of_the_last_record(hint, replies, starts, end, content):
