Simulate two classes that compete for capacity

The simulated loads had one service class. Loads with an urgent and a delay-tolerant class, six or two slots a server, lost servers, and the budget of probes are added.

--- a/tools/experiment/hosts.py
+++ b/tools/experiment/hosts.py
@@ -2,7 +2,6 @@
 
 from functools import partial
 from random import Random
-from types import MappingProxyType
 
 import attrs
 import trio
@@ -25,6 +24,7 @@
 )
 from ebonystream.placement import (
     Candidate,
+    ProbeBudget,
     ProbeResult,
     ProcessingTimes,
     SearchContext,
@@ -38,7 +38,6 @@
     RouteConfiguration,
     index_routes,
 )
-from experiment.loads import DEMANDS
 from experiment.policies import Policy
 from experiment.servers import draw_processing_time
 from experiment.world import World, get_host_zone
@@ -49,10 +48,11 @@
 CROSS_ZONE_DELAY = Seconds(0.0009)
 """One-way network delay between availability zones."""
 
+UNLIMITED_PROBE_RATE = 1_000_000.0
+USED_SHARE = 0.9
+"""Share of the allowed probes that hosts use."""
+
 RETRY_LIMITS = RetryLimits(ratio=0.2, base_retries=62, window=Seconds(10))
-MEAN_PROCESSING_TIMES = MappingProxyType(
-    {demand.route.name: demand.mean_processing_time for demand in DEMANDS}
-)
 
 
 @attrs.frozen(kw_only=True)
@@ -77,6 +77,14 @@
     processing_times: ProcessingTimes = attrs.field(factory=ProcessingTimes)
     has_global_view: bool = False
 
+    def make_probe_budget(self) -> ProbeBudget:
+        """Return this host's share of the probes of all hosts."""
+        load = self.world.load
+        if load.probe_rate is None:
+            return ProbeBudget(lambda: UNLIMITED_PROBE_RATE)
+        rate = load.probe_rate * load.server_count
+        return ProbeBudget(lambda: rate * USED_SHARE / load.host_count)
+
     def list_servers(
         self, service: ServiceName, version_draw: float
     ) -> list[KnownServer]:
@@ -103,7 +111,7 @@
         delay = self._count_message(server, 'send')
         model = self.world.servers[server.entry.id]
         processing_time = draw_processing_time(
-            MEAN_PROCESSING_TIMES[_get_route_name(request)],
+            self.world.load.get_processing_time(_get_route_name(request)),
             self.world.generator,
         )
         try:
@@ -186,6 +194,7 @@
         timers=host.timers,
         random=random,
         background=nursery,
+        budget=host.make_probe_budget(),
     )
     dispatcher = Dispatcher(
         find_server=policy.make_find_server(search_context),
@@ -201,7 +210,9 @@
     )
     configuration = RouteConfiguration(
         version=ConfigurationVersion(1),
-        routes=index_routes([demand.route for demand in DEMANDS]),
+        routes=index_routes(
+            [demand.route for demand in host.world.load.demands]
+        ),
         services={},
         limits=RequestLimits(
             head_bytes=0, body_bytes=0, receive=Seconds(1), idle=Seconds(1)
--- a/tools/experiment/loads.py
+++ b/tools/experiment/loads.py
@@ -54,7 +54,7 @@
     )
 
 
-DEMANDS = (
+DEMANDS: tuple[Demand, ...] = (
     Demand(
         route=_make_route('lookup', CallKind.IDEMPOTENT, 0.6, 1.5, 2),
         requests_per_second=30,
@@ -79,6 +79,25 @@
 )
 
 
+CLASSES: tuple[Demand, ...] = (
+    Demand(
+        route=_make_route('urgent', CallKind.IDEMPOTENT, 0.26, 1.038, 0),
+        requests_per_second=80,
+        mean_processing_time=Seconds(0.089),
+        caller_timeout=Seconds(1.038),
+        worth=10,
+    ),
+    Demand(
+        route=_make_route('patient', CallKind.IDEMPOTENT, 3, 4, 3),
+        requests_per_second=90,
+        mean_processing_time=Seconds(0.56),
+        caller_timeout=Seconds(4),
+        worth=1,
+    ),
+)
+"""An urgent class and a delay-tolerant one that share a service."""
+
+
 @attrs.frozen(kw_only=True)
 class Load:
     """A load, which differs from the calm one during a disturbance.
@@ -93,6 +112,12 @@
         slow_server_share: Share of the servers that are slow during the
             disturbance.
         slowdown: Factor on the processing time of a slow server.
+        servers_left_share: Share of the servers that remain during the
+            disturbance.
+        slots: Number of requests that a server handles concurrently.
+        demands: The requests of each route.
+        probe_rate: Probes per second that a server gets from all hosts; None
+            if they are not limited.
     """
 
     duration: Seconds = Seconds(16)
@@ -102,6 +127,22 @@
     zones_out_count: int = 0
     slow_server_share: float = 0
     slowdown: float = 4
+    servers_left_share: float = 1
+    slots: int = 2
+    demands: tuple[Demand, ...] = DEMANDS
+    probe_rate: float | None = None
+
+    def get_processing_time(self, route: RouteName) -> Seconds:
+        """Return the mean processing time of a route, in seconds.
+
+        Args:
+            route: Name of the route.
+        """
+        return next(
+            demand.mean_processing_time
+            for demand in self.demands
+            if demand.route.name == route
+        )
 
 
 DISTURBANCE_START = Seconds(4)
@@ -116,3 +157,32 @@
         'slow servers': Load(slow_server_share=0.4, burst_factor=1.3),
     }
 )
+
+_CLASS_LOAD = Load(
+    host_count=100,
+    server_count=20,
+    slots=6,
+    demands=CLASSES,
+    probe_rate=60,
+)
+
+CLASS_LOADS: Mapping[str, Load] = MappingProxyType(
+    {
+        'classes, calm': _CLASS_LOAD,
+        'classes, servers lost': attrs.evolve(
+            _CLASS_LOAD, duration=Seconds(18), servers_left_share=0.4
+        ),
+        'classes, burst': attrs.evolve(
+            _CLASS_LOAD, duration=Seconds(18), burst_factor=1.8
+        ),
+        'classes, two slots': attrs.evolve(
+            _CLASS_LOAD,
+            duration=Seconds(18),
+            host_count=48,
+            server_count=60,
+            slots=2,
+            servers_left_share=0.4,
+        ),
+    }
+)
+"""Loads of two classes that compete for too little capacity."""
--- a/tools/experiment/run.py
+++ b/tools/experiment/run.py
@@ -15,7 +15,7 @@
 from ebonystream.placement import WaitQueues
 from ebonystream.request import Request, Response
 from experiment.hosts import Host, make_host_handler
-from experiment.loads import DEMANDS, Demand, Load
+from experiment.loads import Demand, Load
 from experiment.policies import Policy
 from experiment.schedule import seed_task_order
 from experiment.summary import summarize
@@ -78,7 +78,7 @@
             for number in range(world.load.host_count)
         ]
         nursery.start_soon(world.slow_servers_down)
-        for demand in DEMANDS:
+        for demand in world.load.demands:
             caller = _Caller(
                 world=world,
                 host_handlers=host_handlers,
--- a/tools/experiment/servers.py
+++ b/tools/experiment/servers.py
@@ -9,10 +9,12 @@
 from ebonystream.roster import EntryState, LoadReport, ServerEntry
 from experiment.loads import SERVICE
 
-SLOTS = 2
 QUEUE_CAPACITY = 2
 BUSY_SLOWDOWN = 1.55
-"""Factor on the processing time if the other slot is busy at the start."""
+"""Factor on the processing time if most other slots are busy at the start."""
+
+BUSY_SHARE = 0.8
+"""Share of busy slots from which a server slows down."""
 
 PROCESSING_TIME_LOG_SD = 0.35
 """Standard deviation of the logarithm of the processing time."""
@@ -26,6 +28,7 @@
 
     Attributes:
         entry: Its entry in the store.
+        slots: Number of requests that it handles concurrently.
         pace: Current processing time relative to the usual one.
         running: Number of requests being processed.
         arrivals: Number of requests received.
@@ -33,6 +36,7 @@
     """
 
     entry: ServerEntry
+    slots: int = 2
     pace: float = 1
     running: int = 0
     arrivals: int = 0
@@ -44,7 +48,7 @@
         return LoadReport(
             running=self.running,
             waiting=len(self._queue),
-            slots=SLOTS,
+            slots=self.slots,
             pace=self.pace,
         )
 
@@ -58,11 +62,12 @@
             False if the request was rejected because the queue was full.
         """
         self.arrivals += 1
-        if self.running >= SLOTS and len(self._queue) >= QUEUE_CAPACITY:
+        if self.running >= self.slots and len(self._queue) >= QUEUE_CAPACITY:
             self.turned_away += 1
             return False
         await self._acquire_slot()
-        slowdown = BUSY_SLOWDOWN if self.running > 1 else 1
+        is_busy = self.running >= BUSY_SHARE * self.slots
+        slowdown = BUSY_SLOWDOWN if is_busy else 1
         try:
             await trio.sleep(processing_time * self.pace * slowdown)
         finally:
@@ -70,7 +75,7 @@
         return True
 
     async def _acquire_slot(self) -> None:
-        if self.running < SLOTS:
+        if self.running < self.slots:
             self.running += 1
             return
         slot_acquired = trio.Event()
@@ -95,12 +100,15 @@
             self.running -= 1
 
 
-def make_servers(count: int, zones: tuple[str, ...]) -> list[ModelServer]:
+def make_servers(
+    count: int, zones: tuple[str, ...], *, slots: int = 2
+) -> list[ModelServer]:
     """Create servers, spread evenly over zones.
 
     Args:
         count: Number of servers.
         zones: Names of the zones.
+        slots: Number of requests that each handles concurrently.
     """
     return [
         ModelServer(
@@ -110,11 +118,12 @@
                 service=SERVICE,
                 zone=ZoneName(zones[number % len(zones)]),
                 version=VersionName('v1'),
-                slots=SLOTS,
+                slots=slots,
                 state=EntryState.SERVING,
                 cold=Seconds(0),
                 started=None,
-            )
+            ),
+            slots=slots,
         )
         for number in range(count)
     ]
--- a/tools/experiment/world.py
+++ b/tools/experiment/world.py
@@ -70,7 +70,9 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the servers."""
-        servers = make_servers(self.load.server_count, ZONES)
+        servers = make_servers(
+            self.load.server_count, ZONES, slots=self.load.slots
+        )
         self.servers = {server.entry.id: server for server in servers}
 
     def is_disturbed(self) -> bool:
@@ -78,7 +80,7 @@
         return DISTURBANCE_START <= trio.current_time() < DISTURBANCE_END
 
     def filter_available(self, servers: list[KnownServer]) -> list[KnownServer]:
-        """Return the servers in zones that may currently receive requests.
+        """Return the servers that may currently receive requests.
 
         Args:
             servers: All servers known to a host.
@@ -86,8 +88,13 @@
         if not self.is_disturbed():
             return servers
         zones_out = ZONES[: self.load.zones_out_count]
+        left = round(self.load.servers_left_share * len(self.servers))
+        remaining = set(list(self.servers)[:left])
         return [
-            server for server in servers if server.entry.zone not in zones_out
+            server
+            for server in servers
+            if server.entry.zone not in zones_out
+            and server.entry.id in remaining
         ]
 
     async def slow_servers_down(self) -> None:
