Reserve free slots for more urgent requests

Cause: patient requests, which wait for seconds, refilled each freed slot, so that urgent ones, which can wait for a tenth of a second, found all servers full.

A request now takes a free slot only while a fresh sample shows more free slots than the reserve, which follows the demand of more urgent ranks at this host and, by gossip, at the others. A rank that is served much less often than the average waits for less. An urgent request no longer waits behind less urgent ones of its host before it probes. Log lines of attempts and rejections name the reserve.

--- a/src/ebonystream/entryhost/_gossip.py
+++ b/src/ebonystream/entryhost/_gossip.py
@@ -4,6 +4,7 @@
 
 from ebonystream._ids import Monotonic, Seconds
 from ebonystream.entryhost._parts import HostParts
+from ebonystream.entryhost._rank_demands import make_rank_demands
 from ebonystream.entryhost._version_moves import make_move_facts
 from ebonystream.gossip import (
     FailingServer,
@@ -121,6 +122,7 @@
         leaving_servers=_list_leaving_servers(parts),
         probe_demand=round(parts.probe_budget.estimate_demand(now), 1),
         settled=now - parts.started_at >= SETTLING_TIME,
+        rank_demands=make_rank_demands(parts.reservations, now),
     )
 
 
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -9,6 +9,7 @@
 from ebonystream._timers import Timers
 from ebonystream.decisionlog import EventLogger, LineBuffer
 from ebonystream.entryhost._metrics import HostMetrics
+from ebonystream.entryhost._rank_demands import make_reservations
 from ebonystream.entryhost._searches import ActiveSearches
 from ebonystream.entryhost._settings import HostSettings
 from ebonystream.entryhost._unreadable import UnreadableRecords
@@ -19,6 +20,7 @@
 from ebonystream.placement import (
     ProbeBudget,
     ProcessingTimes,
+    Reservations,
     WaitQueues,
     compute_probe_share,
 )
@@ -70,6 +72,7 @@
         caller_connections: Connections from callers.
         leaving: Set once this host is shutting down.
         searches: Searches for a server for the requests of callers.
+        reservations: Free slots that are left to more urgent requests.
     """
 
     settings: HostSettings
@@ -104,6 +107,7 @@
     caller_connections: OpenConnections = attrs.field(factory=OpenConnections)
     leaving: trio.Event = attrs.field(factory=trio.Event)
     searches: ActiveSearches = attrs.field(factory=ActiveSearches)
+    reservations: Reservations = attrs.field(init=False)
 
     def is_ready(self) -> bool:
         """Return whether this host can serve callers."""
@@ -147,6 +151,10 @@
     def _make_probe_budget(self) -> ProbeBudget:
         return ProbeBudget(self.get_probe_rate)
 
+    @reservations.default
+    def _make_reservations(self) -> Reservations:
+        return make_reservations(self.facts, self.log_event)
+
     @started_at.default
     def _read_start(self) -> Monotonic:
         return self.timers.now()
--- a/src/ebonystream/entryhost/_request_log.py
+++ b/src/ebonystream/entryhost/_request_log.py
@@ -2,7 +2,7 @@
 
 from ebonystream.dispatch import Attempt
 from ebonystream.entryhost._parts import HostParts
-from ebonystream.placement import NoCapacity, ProbeResult
+from ebonystream.placement import NoCapacity, ProbeResult, ReserveDecision
 from ebonystream.request import Request
 from ebonystream.roster import KnownServer, LoadReport, ServerNotice
 from ebonystream.route import Route
@@ -34,6 +34,7 @@
         load_after=_describe_load(
             attempt.response.load if attempt.response else None
         ),
+        **_describe_reserve(route, attempt.candidate.reserve),
     )
 
 
@@ -57,6 +58,7 @@
         seen=[
             _describe_probe(result, parts) for result in rejection.probe_results
         ],
+        **_describe_reserve(route, rejection.reserve),
     )
 
 
@@ -110,6 +112,23 @@
     return f'{server.entry.id} {load}{healthy}{cold} {age}'
 
 
+def _describe_reserve(
+    route: Route, decision: ReserveDecision | None
+) -> dict[str, str]:
+    """Describe the reserve that a request was compared with, if any."""
+    if decision is None:
+        return {}
+    reserve = decision.reserve
+    return {
+        'reserve': (
+            f'rank {route.rank} free {decision.free} of {decision.slots}'
+            f' reserved {reserve.share:.3f}'
+            f' for {reserve.urgent_work:.2f} slots of more urgent requests'
+            f' reported {_to_ms(reserve.age)}ms ago'
+        )
+    }
+
+
 def _describe_reported_load(result: ProbeResult) -> str:
     return _describe_load(result.report.load if result.report else None)
 
--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -70,6 +70,7 @@
             background=parts.background,
             budget=parts.probe_budget,
             may_receive=make_cold_gate(parts),
+            reservations=parts.reservations,
         )
     )
     handle_request = make_handle_request(
--- a/src/ebonystream/gossip/__init__.py
+++ b/src/ebonystream/gossip/__init__.py
@@ -5,6 +5,7 @@
     HostFacts,
     LeavingServer,
     MoveFacts,
+    RankDemandFacts,
 )
 from ebonystream.gossip._joining import HostRegistry, Joining, join_hosts
 from ebonystream.gossip._registration import (
@@ -48,4 +49,5 @@
     'make_shared_handler',
     'open_gossip_socket',
     'send_gossip',
+    'RankDemandFacts',
 )
--- a/src/ebonystream/gossip/_facts.py
+++ b/src/ebonystream/gossip/_facts.py
@@ -12,6 +12,7 @@
     Offset,
     Seconds,
     ServerId,
+    ServiceName,
     ZoneName,
 )
 from ebonystream._validation import MAX_DURATION_S, MAX_NAME_LENGTH
@@ -74,6 +75,24 @@
     store_checked: bool = False
 
 
+class RankDemandFacts(msgspec.Struct, frozen=True, array_like=True):
+    """Recent requests of one rank for a service, at the reporting host.
+
+    Attributes:
+        service: Name of the service.
+        rank: Rank of the requests.
+        arrived: Hundredths of a request per second that arrived.
+        started: Hundredths of a request per second that were sent to a server.
+        work: Hundredths of a slot that they would occupy on idle servers.
+    """
+
+    service: Annotated[ServiceName, _NAME]
+    rank: Annotated[int, msgspec.Meta(ge=0, le=MAX_DEMAND)]
+    arrived: Annotated[int, msgspec.Meta(ge=0, le=MAX_DEMAND)]
+    started: Annotated[int, msgspec.Meta(ge=0, le=MAX_DEMAND)]
+    work: Annotated[int, msgspec.Meta(ge=0, le=MAX_DEMAND)]
+
+
 class HostFacts(msgspec.Struct, frozen=True, array_like=True):
     """State of one entry host, as it reports it to its peers.
 
@@ -96,6 +115,7 @@
         probe_demand: Probes per second that the host has wanted lately.
         settled: Whether the host has run long enough to know its peers, and
             to be known by them.
+        rank_demands: Recent requests of the host by service and rank.
     """
 
     host: Annotated[HostId, _NAME]
@@ -112,3 +132,4 @@
     leaving_servers: tuple[LeavingServer, ...] = ()
     probe_demand: Annotated[float, msgspec.Meta(ge=0, le=MAX_DEMAND)] = 0
     settled: bool = False
+    rank_demands: tuple[RankDemandFacts, ...] = ()
--- a/src/ebonystream/gossip/_table.py
+++ b/src/ebonystream/gossip/_table.py
@@ -1,5 +1,6 @@
 """Newest facts of each host, liveness of hosts, and leaders of zones."""
 
+from collections.abc import Mapping
 from random import Random
 
 import attrs
@@ -84,6 +85,20 @@
             if now - entry.received_at <= timeout
         ]
 
+    def list_alive_with_age(
+        self, now: Monotonic
+    ) -> list[tuple[HostFacts, Seconds]]:
+        """List the newest facts of all hosts that are alive, with their age.
+
+        Args:
+            now: Current time.
+        """
+        return [
+            (entry.facts, Seconds(now - entry.received_at))
+            for entry in self._entries.values()
+            if now - entry.received_at <= ALIVE_TIMEOUT
+        ]
+
     def list_peers(self, now: Monotonic) -> list[HostFacts]:
         """List the facts of all known hosts except the local one.
 
@@ -92,7 +107,9 @@
         Args:
             now: Current time.
         """
-        self._evict_silent(now)
+        for host in _list_expired(self._entries, now):
+            if host != self.local_host:
+                self._entries.pop(host)
         return [
             entry.facts
             for entry in self._entries.values()
@@ -186,12 +203,13 @@
             for zone, known in by_zone.items()
         ]
 
-    def _evict_silent(self, now: Monotonic) -> None:
-        expired = [
-            host
-            for host, entry in self._entries.items()
-            if now - entry.received_at > EVICTION_TIMEOUT
-            and host != self.local_host
-        ]
-        for host in expired:
-            self._entries.pop(host)
+
+def _list_expired(
+    entries: Mapping[HostId, _Entry], now: Monotonic
+) -> list[HostId]:
+    """List the hosts whose silence exceeds the eviction timeout."""
+    return [
+        host
+        for host, entry in entries.items()
+        if now - entry.received_at > EVICTION_TIMEOUT
+    ]
--- a/src/ebonystream/placement/_context.py
+++ b/src/ebonystream/placement/_context.py
@@ -1,6 +1,6 @@
 """Dependencies and state of the search for a server."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 
 import attrs
@@ -14,9 +14,15 @@
     ProbeBudget,
     make_unlimited_budget,
 )
+from ebonystream.placement._request import PlacementRequest
+from ebonystream.placement._reservations import Reservations
+from ebonystream.placement._results import Candidate, NoCapacity
 from ebonystream.placement._wait_queue import WaitQueues
 from ebonystream.roster import KnownServer
 
+FindServer = Callable[[PlacementRequest], Awaitable[Candidate | NoCapacity]]
+"""Selects a server for a request, or returns when to retry."""
+
 ListServers = Callable[[ServiceName, float], Sequence[KnownServer]]
 """Lists the servers of a service that may now receive a request, given the
 random number that selects its version."""
@@ -46,6 +52,7 @@
         background: Nursery in which probes run.
         budget: This host's share of the probes of all hosts.
         may_receive: Limits requests to servers, such as to cold ones.
+        reservations: Free slots that are left to more urgent requests.
     """
 
     list_servers: ListServers
@@ -58,3 +65,4 @@
     background: trio.Nursery
     budget: ProbeBudget = attrs.field(factory=make_unlimited_budget)
     may_receive: MayReceive = allow_all
+    reservations: Reservations = attrs.field(factory=Reservations)
--- a/src/ebonystream/placement/_probing.py
+++ b/src/ebonystream/placement/_probing.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from ebonystream.placement._context import SearchContext
-from ebonystream.placement._probe_batch import probe_servers
+from ebonystream.placement._probe_batch import IsSufficient, probe_servers
 from ebonystream.placement._probe_budget import ProbePurpose
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._results import ProbeResult
@@ -50,7 +50,11 @@
 
 
 async def probe_local(
-    context: SearchContext, servers: Sequence[KnownServer], *, repeated: bool
+    context: SearchContext,
+    servers: Sequence[KnownServer],
+    *,
+    repeated: bool,
+    is_sufficient: IsSufficient = is_ideal,
 ) -> list[ProbeResult]:
     """Probe servers of the host's zone, more of them if none is idle.
 
@@ -58,10 +62,13 @@
         context: Dependencies and state of the search.
         servers: Usable servers of the zone.
         repeated: Whether the request is queued.
+        is_sufficient: Returns whether a result ends the first probes.
     """
     first = ProbePurpose.REPEATED if repeated else ProbePurpose.FIRST
     wider = ProbePurpose.REPEATED if repeated else ProbePurpose.WIDER
-    results = await _probe(context, servers[:INITIAL_PROBES], first)
+    results = await _probe(
+        context, servers[:INITIAL_PROBES], first, is_sufficient
+    )
     if any(map(is_ideal, results)):
         return results
     more_servers = servers[INITIAL_PROBES:MAX_LOCAL_PROBES]
@@ -89,12 +96,13 @@
     context: SearchContext,
     servers: Sequence[KnownServer],
     purpose: ProbePurpose,
+    is_sufficient: IsSufficient = is_ideal,
 ) -> list[ProbeResult]:
     """Probe as many of the servers as the budget grants."""
     granted = context.budget.take(len(servers), context.timers.now(), purpose)
     return await probe_servers(
         servers[:granted],
         probe=context.probe,
-        is_sufficient=is_ideal,
+        is_sufficient=is_sufficient,
         background=context.background,
     )
--- a/src/ebonystream/placement/_results.py
+++ b/src/ebonystream/placement/_results.py
@@ -21,6 +21,37 @@
     sent_at: Monotonic
 
 
+@attrs.frozen(kw_only=True)
+class Reserve:
+    """What a request leaves to more urgent ones.
+
+    Attributes:
+        share: Share of the sampled slots that stays free.
+        urgent_work: Slots that more urgent requests would occupy on idle
+            servers.
+        age: Age of the oldest report of their demand, in seconds.
+    """
+
+    share: float
+    urgent_work: float
+    age: Seconds
+
+
+@attrs.frozen(kw_only=True)
+class ReserveDecision:
+    """The comparison of a sample with a reserve.
+
+    Attributes:
+        reserve: What the request leaves to more urgent ones.
+        free: Free slots of the sampled servers.
+        slots: All slots of the sampled servers.
+    """
+
+    reserve: Reserve
+    free: int
+    slots: int
+
+
 @attrs.frozen(kw_only=True)
 class Candidate:
     """A server that may be selected, with its estimated latency.
@@ -32,6 +63,8 @@
         probe_count: Number of servers probed.
         has_free_slot: Whether the server has a free slot and would start at
             once.
+        reserve: The reserve that the request was compared with; None if
+            there is none.
     """
 
     probe_result: ProbeResult
@@ -39,6 +72,7 @@
     slowdown: float
     probe_count: int
     has_free_slot: bool
+    reserve: ReserveDecision | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -49,12 +83,16 @@
         retry_after: Delay until capacity is expected, in seconds.
         probe_count: Number of servers probed.
         reason: One of `none_willing`, `full`, `too_slow` (servers are free,
-            but too slow for this request), `others_wait`, `caller_left` or
+            but too slow for this request), `reserved` (the free slots are
+            left to more urgent requests), `others_wait`, `caller_left` or
             `host_leaves`.
         probe_results: Results of the last probes.
+        reserve: The reserve that the request was compared with; None if
+            there is none.
     """
 
     retry_after: Seconds
     probe_count: int
     reason: str
     probe_results: tuple[ProbeResult, ...] = ()
+    reserve: ReserveDecision | None = None
--- a/src/ebonystream/placement/_search.py
+++ b/src/ebonystream/placement/_search.py
@@ -1,17 +1,22 @@
 """Search for a server with capacity for one request."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 
 import trio
 
 from ebonystream._ids import Monotonic, Seconds
-from ebonystream.placement._context import SearchContext
+from ebonystream.placement._context import FindServer, SearchContext
 from ebonystream.placement._probing import (
     list_usable_servers,
     probe_local,
     probe_remote,
 )
 from ebonystream.placement._request import PlacementRequest
+from ebonystream.placement._reserve_check import (
+    check_reserve,
+    get_reserve,
+    make_counted_search,
+)
 from ebonystream.placement._results import Candidate, NoCapacity, ProbeResult
 from ebonystream.placement._selection import (
     SelectionCriteria,
@@ -41,9 +46,6 @@
 PROBE_INTERVAL = Seconds(0.04)
 """Interval at which the first request of a queue probes servers."""
 
-FindServer = Callable[[PlacementRequest], Awaitable[Candidate | NoCapacity]]
-"""Selects a server for a request, or returns when to retry."""
-
 
 def make_find_server(context: SearchContext) -> FindServer:
     """Return a function that finds a server with capacity.
@@ -62,13 +64,15 @@
         result: Candidate | NoCapacity = NoCapacity(
             retry_after=PROBE_INTERVAL, probe_count=0, reason='others_wait'
         )
-        if context.queues.is_empty(request.service):
+        if not context.queues.has_as_urgent(
+            request.service, request.route.rank
+        ):
             result = await _probe_and_select(context, request)
         if isinstance(result, NoCapacity):
             return await _wait_in_queue(context, request, result)
         return result
 
-    return find_server
+    return make_counted_search(find_server, context)
 
 
 async def _wait_in_queue(
@@ -173,10 +177,17 @@
 ) -> Candidate | NoCapacity:
     """Probe the host's zone; then other zones if no server is on time."""
     local, remote = list_usable_servers(context, request)
-    results = await probe_local(context, local, repeated=repeated)
+    reserve = get_reserve(context, request)
+    results = await probe_local(
+        context,
+        local,
+        repeated=repeated,
+        # One idle server shows nothing about the share of free slots.
+        is_sufficient=_is_never_sufficient if reserve.share else is_ideal,
+    )
     if any(map(is_ideal, results)):
         # If the first server to respond is idle, capacity is plentiful.
-        is_plentiful = len(results) == 1
+        is_plentiful = len(results) == 1 and not reserve.share
         return _select(
             context,
             request,
@@ -221,4 +232,9 @@
     permitted = [
         result for result in results if context.may_receive(result.server)
     ]
-    return select_server(request, permitted, criteria)
+    result = select_server(request, permitted, criteria)
+    return check_reserve(context, request, result, results)
+
+
+def _is_never_sufficient(result: ProbeResult) -> bool:
+    return False
--- a/src/ebonystream/placement/_wait_queue.py
+++ b/src/ebonystream/placement/_wait_queue.py
@@ -61,6 +61,16 @@
         """
         return not self._queues.get(service)
 
+    def has_as_urgent(self, service: ServiceName, rank: int) -> bool:
+        """Return whether a request of a rank would wait behind another.
+
+        Args:
+            service: Name of the service.
+            rank: The rank.
+        """
+        queue = self._queues.get(service, [])
+        return any(waiter.request.route.rank <= rank for waiter in queue)
+
     def has_request_on_time(self, service: ServiceName) -> bool:
         """Return whether a waiting request can still be on time.
 
--- /dev/null
+++ b/tests/test_reservation.py
@@ -0,0 +1,193 @@
+"""The reserve of free slots for urgent requests, by load and over all hosts."""
+
+from functools import partial
+
+import attrs
+import numpy as np
+import pytest
+import trio
+from experiment import run
+from experiment.loads import CLASS_LOADS
+from experiment.policies import POLICIES
+from experiment.world import DISTURBANCE_END, DISTURBANCE_START, World
+from platform_samples import make_probe_result, make_route
+from trio.testing import MockClock
+
+from ebonystream.entryhost._rank_demands import (
+    make_rank_demands,
+    make_reservations,
+)
+from ebonystream.gossip import HostFacts, HostFactTable, RankDemandFacts
+from ebonystream.placement import PlacementRequest, RankDemand, Reservations
+from ebonystream.placement._reservation import (
+    MAX_RESERVE_SHARE,
+    compute_reserve,
+    count_free_slots,
+    may_start,
+)
+
+URGENT = RankDemand(arrived=80, started=80, work=7)
+PATIENT = RankDemand(arrived=90, started=40, work=50)
+STARVED = RankDemand(arrived=90, started=5, work=50)
+
+RESERVES = [
+    # Rank, demand by rank, slots of the service, and bounds on the share.
+    ('no demand', 3, {}, 48, 0, 0),
+    ('one rank', 3, {3: PATIENT}, 48, 0, 0),
+    ('the most urgent', 0, {0: URGENT, 3: PATIENT}, 48, 0, 0),
+    ('less urgent ones only', 0, {3: PATIENT}, 48, 0, 0),
+    ('a shortage', 3, {0: URGENT, 3: PATIENT}, 48, 0.2, 0.45),
+    ('between two ranks', 1, {0: URGENT, 3: PATIENT}, 48, 0.2, 0.45),
+    ('plenty', 3, {0: URGENT, 3: PATIENT}, 4800, 0.01, 0.06),
+    ('own demand only', 3, {0: RankDemand(work=0.07)}, 48, 0.001, 0.05),
+    ('hardly any slots', 3, {0: URGENT, 3: PATIENT}, 0, 0.1, 0.4),
+    ('absurd', 3, {0: RankDemand(work=1e9)}, 48, 0.4, 0.4),
+    # No rank is served less often than a quarter of the average.
+    ('starved', 3, {0: URGENT, 3: STARVED}, 48, 0, 0),
+]
+
+
+@pytest.mark.parametrize(
+    ('rank', 'demands', 'slots', 'least', 'most'),
+    [row[1:] for row in RESERVES],
+    ids=[row[0] for row in RESERVES],
+)
+def test_reserve_by_load(rank, demands, slots, least, most):
+    reserve = compute_reserve(rank, demands, slots=slots)
+    assert least <= reserve.share <= min(most, MAX_RESERVE_SHARE)
+
+
+@pytest.mark.parametrize(
+    ('loads', 'share', 'starts'),
+    [
+        # Each load: running, waiting, slots, pace.
+        ([(6, 0, 6, 1)] * 5, 0, True),
+        ([(4, 0, 6, 1)] * 5, 0.3, True),
+        ([(5, 0, 6, 1)] * 5, 0.3, False),
+        # The reserve is a share of the sample and not of each server.
+        ([(2, 0, 2, 1)] * 4 + [(0, 0, 2, 1)], 0.1, True),
+        ([(1, 0, 2, 1)] + [(2, 0, 2, 1)] * 5, 0.1, False),
+        # Servers that do not answer have no free slots.
+        ([None] * 4 + [(5, 0, 6, 1)], 0.2, False),
+        ([], 0.2, False),
+    ],
+)
+def test_start_on_a_sample(loads, share, starts):
+    results = [
+        make_probe_result(f'i-{number}', load)
+        for number, load in enumerate(loads)
+    ]
+    reserve = attrs.evolve(compute_reserve(0, {}, slots=1), share=share)
+    assert may_start(count_free_slots(results), reserve) is starts
+
+
+def make_request(rank):
+    """Make a request of a rank that has just arrived."""
+    return PlacementRequest(
+        route=make_route(rank=rank),
+        service='records',
+        first_requested_at=0.0,
+        arrived_at=0.0,
+        deadline=4.0,
+        version_draw=0.5,
+    )
+
+
+def make_facts(host, *, demands=(), sequence=1):
+    """Make the facts of a host."""
+    return HostFacts(
+        host=host,
+        incarnation='1',
+        sequence=sequence,
+        zone='a',
+        address='127.0.0.1',
+        leaving=False,
+        store_unreachable=False,
+        orders_end=0,
+        rank_demands=demands,
+    )
+
+
+REPORT = RankDemandFacts('records', 0, 80_00, 80_00, 7_00)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'age', 'counts', 'lines'),
+    [
+        ({}, 0.5, True, 0),
+        # A host that is silent is not counted.
+        ({}, 3, False, 0),
+        ({'rank': 3}, 0.5, False, 0),
+        ({'service': 'other'}, 0.5, False, 0),
+        ({'arrived': 900_000_000}, 0.5, False, 1),
+        ({'work': 900_000_000}, 0.5, False, 1),
+    ],
+)
+def test_reports_of_other_hosts(changes, age, counts, lines):
+    events = []
+    table = HostFactTable('own', 'a')
+    reservations = make_reservations(
+        table, lambda event, **fields: events.append((event, fields))
+    )
+    report = RankDemandFacts(
+        **{
+            name: changes.get(name, getattr(REPORT, name))
+            for name in REPORT.__struct_fields__
+        }
+    )
+    table.update(make_facts('other', demands=(report,)), 0.0)
+    for now in (age, age + 0.3):
+        reserve = reservations.get_reserve(make_request(3), slots=48, now=now)
+    assert bool(reserve.share) is counts
+    if counts:
+        assert reserve.age == pytest.approx(age + 0.3)
+    assert [name for name, _ in events] == ['rank_demand_rejected'] * lines
+
+
+def test_own_requests_are_reported_and_forgotten():
+    reservations = Reservations()
+    for _ in range(10):
+        reservations.counts.record(
+            make_request(0), processing_time=0.1, is_started=True, now=0.0
+        )
+    (report,) = make_rank_demands(reservations, 0.0)
+    assert report == RankDemandFacts('records', 0, 200, 200, 20)
+    assert not make_rank_demands(reservations, 60.0)
+
+
+def play(load, seed):
+    """Play a load and return served and on-time shares in the shortage."""
+    run.seed_task_order(seed)
+    world = World(CLASS_LOADS[load], np.random.default_rng(seed))
+    trio.run(
+        partial(run._run_simulation, world, POLICIES['product'], seed),
+        clock=MockClock(autojump_threshold=0),
+    )
+    shares = {}
+    for demand in world.load.demands:
+        calls = [
+            call
+            for call in world.outcomes
+            if call.demand is demand
+            and DISTURBANCE_START <= call.arrived_at < DISTURBANCE_END
+        ]
+        served = [call.latency for call in calls if call.latency is not None]
+        on_time = [
+            latency for latency in served if latency <= demand.route.objective
+        ]
+        shares[demand.route.name] = (
+            len(served) / len(calls),
+            len(on_time) / len(calls),
+        )
+    return shares
+
+
+@pytest.mark.parametrize(
+    'load', ['classes, servers lost', 'classes, burst', 'classes, two slots']
+)
+def test_urgent_requests_are_on_time_in_a_shortage(load):
+    """Patient requests took all slots: 0.18 to 0.40 of the urgent on time."""
+    shares = play(load, seed=3)
+    assert shares['urgent'][1] >= 0.95
+    assert shares['urgent'][0] >= shares['patient'][0] - 0.05
+    assert shares['patient'][0] >= 0.25
--- a/tools/experiment/hosts.py
+++ b/tools/experiment/hosts.py
@@ -24,9 +24,11 @@
 )
 from ebonystream.placement import (
     Candidate,
+    PeerDemand,
     ProbeBudget,
     ProbeResult,
     ProcessingTimes,
+    Reservations,
     SearchContext,
     WaitQueues,
 )
@@ -48,6 +50,9 @@
 CROSS_ZONE_DELAY = Seconds(0.0009)
 """One-way network delay between availability zones."""
 
+GOSSIP_PERIOD = Seconds(1)
+"""Interval at which a host reports its demand to the others."""
+
 UNLIMITED_PROBE_RATE = 1_000_000.0
 USED_SHARE = 0.9
 """Share of the allowed probes that hosts use."""
@@ -67,6 +72,7 @@
         roster: Backend servers known to the host.
         processing_times: Usual processing time of each route.
         has_global_view: Whether messages to servers arrive without delay.
+        reservations: Free slots that are left to more urgent requests.
     """
 
     world: World
@@ -76,6 +82,11 @@
     roster: Roster = attrs.field(factory=Roster)
     processing_times: ProcessingTimes = attrs.field(factory=ProcessingTimes)
     has_global_view: bool = False
+    reservations: Reservations = attrs.field(init=False)
+
+    @reservations.default
+    def _make_reservations(self) -> Reservations:
+        return Reservations(self._list_peer_demands)
 
     def make_probe_budget(self) -> ProbeBudget:
         """Return this host's share of the probes of all hosts."""
@@ -152,6 +163,32 @@
             ProbeResult(server, self._make_health_report(server), now)
         )
 
+    async def report_demand(self) -> None:
+        """Report this host's demand to the others periodically."""
+        async for now in self.timers.subscribe(period=GOSSIP_PERIOD):
+            if now > self.world.load.duration:
+                return
+            self.world.demands[self.number] = [
+                (now, service, rank, demand)
+                for (service, rank), demand in (
+                    self.reservations.counts.list_current(now).items()
+                )
+            ]
+
+    def _list_peer_demands(self, now: Monotonic) -> list[PeerDemand]:
+        """List the reports of the other hosts, without the newest ones."""
+        return [
+            PeerDemand(
+                service=service,
+                rank=rank,
+                demand=demand,
+                age=Seconds(now - sent_at),
+            )
+            for number, reports in self.world.demands.items()
+            for sent_at, service, rank, demand in reports
+            if number != self.number
+        ]
+
     def _make_health_report(self, server: KnownServer) -> HealthReport:
         model = self.world.servers[server.entry.id]
         return HealthReport(
@@ -185,6 +222,7 @@
     entries = [model.entry for model in host.world.servers.values()]
     host.roster.apply_listing(entries, host.timers.now())
     random = Random(seed)
+    nursery.start_soon(host.report_demand)
     search_context = SearchContext(
         list_servers=host.list_servers,
         probe=host.probe,
@@ -195,6 +233,9 @@
         random=random,
         background=nursery,
         budget=host.make_probe_budget(),
+        reservations=host.reservations
+        if policy.reserves_slots
+        else Reservations(max_share=0),
     )
     dispatcher = Dispatcher(
         find_server=policy.make_find_server(search_context),
--- a/tools/experiment/policies.py
+++ b/tools/experiment/policies.py
@@ -40,11 +40,13 @@
             estimated; otherwise each request counts as a first one.
         has_global_view: Whether messages to servers arrive without delay and
             all hosts share one wait queue.
+        reserves_slots: Whether free slots are left to more urgent requests.
     """
 
     make_find_server: Callable[[SearchContext], FindServer]
     recognizes_retries: bool = True
     has_global_view: bool = False
+    reserves_slots: bool = True
 
     def make_estimator(self) -> FirstRequestEstimator:
         """Return an estimator of when a caller made its first request."""
@@ -171,6 +173,7 @@
 POLICIES: Mapping[str, Policy] = MappingProxyType(
     {
         'product': Policy(make_find_server),
+        'without reserve': Policy(make_find_server, reserves_slots=False),
         'returns unknown': Policy(make_find_server, recognizes_retries=False),
         'two choices': Policy(_make_two_choices),
         'blind': Policy(_make_blind),
--- a/tools/experiment/world.py
+++ b/tools/experiment/world.py
@@ -6,7 +6,8 @@
 import numpy as np
 import trio
 
-from ebonystream._ids import Monotonic, Seconds, ServerId, ZoneName
+from ebonystream._ids import Monotonic, Seconds, ServerId, ServiceName, ZoneName
+from ebonystream.placement import RankDemand
 from ebonystream.roster import KnownServer
 from experiment.loads import (
     DISTURBANCE_END,
@@ -22,6 +23,10 @@
 """Worth of a late response, as a share of the worth of a timely one."""
 
 
+DemandReport = tuple[Monotonic, ServiceName, int, RankDemand]
+"""When a demand was reported, its service and rank, and the demand."""
+
+
 @attrs.frozen(kw_only=True)
 class Outcome:
     """Outcome of one call, including its retry.
@@ -59,6 +64,7 @@
         counts: Counters of probes (`question`), attempts (`send`), probes and
             attempts to other zones (`far question`, `far send`), requests
             without capacity (`no room`) and refusals (`refused`).
+        demands: The last reports of each host, by its number.
         outcomes: Outcome of each call.
     """
 
@@ -66,6 +72,7 @@
     generator: np.random.Generator
     servers: dict[ServerId, ModelServer] = attrs.field(init=False)
     counts: Counter[str] = attrs.field(factory=Counter)
+    demands: dict[int, list[DemandReport]] = attrs.field(factory=dict)
     outcomes: list[Outcome] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
