Let patient requests wait longer, and reject hopeless ones at once

Cause: probes of patient requests that waited used up the host's budget of probes, so that urgent ones found none; patient ones were rejected after 0.3 of their time; late urgent ones left usable servers to patient ones that waited.

Requests that leave slots to more urgent ones keep more of the budget for others, wait while they can still be on time, and are rejected at once, with the expected wait as Retry-After, when the queue before them needs longer. The metrics page counts rejections and waits by rank.

--- a/src/ebonystream/entryhost/_metrics.py
+++ b/src/ebonystream/entryhost/_metrics.py
@@ -9,7 +9,7 @@
 from ebonystream._ids import Seconds
 from ebonystream.counting import LabeledCounter, LabeledHistogram, Labels
 from ebonystream.dispatch import Attempt
-from ebonystream.placement import ProbeResult
+from ebonystream.placement import NoCapacity, ProbeResult
 from ebonystream.request import Request, Response
 from ebonystream.route import Route
 
@@ -70,6 +70,20 @@
             ('call',),
         )
     )
+    rejections: LabeledCounter = attrs.field(
+        factory=lambda: LabeledCounter(
+            'ebonystream_rejections_total',
+            'Requests for which no server had capacity.',
+            ('rank', 'reason'),
+        )
+    )
+    reserve_waits: LabeledCounter = attrs.field(
+        factory=lambda: LabeledCounter(
+            'ebonystream_reserve_waits_total',
+            'Requests that left free slots to more urgent ones.',
+            ('rank', 'end'),
+        )
+    )
     failed_tasks: LabeledCounter = attrs.field(
         factory=lambda: LabeledCounter(
             'ebonystream_failed_tasks_total',
@@ -108,6 +122,19 @@
         service = server.entry.service
         self.attempt_latencies.observe(attempt.duration, service)
         self.attempts.increment(service, attempt.describe())
+        if attempt.candidate.was_held:
+            self.reserve_waits.increment(str(route.rank), 'started')
+
+    def count_rejection(self, route: Route, rejection: NoCapacity) -> None:
+        """Count a request for which no server had capacity.
+
+        Args:
+            route: The route of the request.
+            rejection: Why no server was selected.
+        """
+        self.rejections.increment(str(route.rank), rejection.reason)
+        if rejection.was_held:
+            self.reserve_waits.increment(str(route.rank), 'rejected')
 
     def count_probe(self, result: ProbeResult) -> None:
         """Count a probe of a server.
@@ -126,6 +153,8 @@
             self.probes,
             self.store_calls,
             self.failed_tasks,
+            self.rejections,
+            self.reserve_waits,
         )
         return (*without_attempts, self.attempts)
 
--- a/src/ebonystream/entryhost/_request_log.py
+++ b/src/ebonystream/entryhost/_request_log.py
@@ -41,7 +41,7 @@
 def log_no_capacity(
     parts: HostParts, request: Request, route: Route, rejection: NoCapacity
 ) -> None:
-    """Log a request for which no server had capacity, with the last probes.
+    """Count and log a request for which no server had capacity.
 
     Args:
         parts: The state of the host.
@@ -49,6 +49,7 @@
         route: The route of the request.
         rejection: Why no server was selected.
     """
+    parts.metrics.count_rejection(route, rejection)
     parts.log_event(
         'no_room',
         id=request.attempt_id,
--- a/src/ebonystream/placement/_probe_budget.py
+++ b/src/ebonystream/placement/_probe_budget.py
@@ -44,12 +44,17 @@
     REPEATED = 'repeated'
     """Servers for a request that is queued, which may be offered one."""
 
+    YIELDING = 'yielding'
+    """More servers for a request that leaves free slots to more urgent
+    ones."""
+
 
 RESERVED_TIMES: Mapping[ProbePurpose, Seconds] = MappingProxyType(
     {
         ProbePurpose.FIRST: Seconds(0),
         ProbePurpose.WIDER: Seconds(0.25),
         ProbePurpose.REPEATED: LOW_TIME,
+        ProbePurpose.YIELDING: Seconds(1.5),
     }
 )
 """Time to earn what is left to more valuable purposes, in seconds."""
--- a/src/ebonystream/placement/_probing.py
+++ b/src/ebonystream/placement/_probing.py
@@ -54,6 +54,7 @@
     servers: Sequence[KnownServer],
     *,
     repeated: bool,
+    yields: bool = False,
     is_sufficient: IsSufficient = is_ideal,
 ) -> list[ProbeResult]:
     """Probe servers of the host's zone, more of them if none is idle.
@@ -62,10 +63,10 @@
         context: Dependencies and state of the search.
         servers: Usable servers of the zone.
         repeated: Whether the request is queued.
+        yields: Whether the request leaves free slots to more urgent ones.
         is_sufficient: Returns whether a result ends the first probes.
     """
-    first = ProbePurpose.REPEATED if repeated else ProbePurpose.FIRST
-    wider = ProbePurpose.REPEATED if repeated else ProbePurpose.WIDER
+    first, wider = _get_purposes(repeated=repeated, yields=yields)
     results = await _probe(
         context, servers[:INITIAL_PROBES], first, is_sufficient
     )
@@ -76,7 +77,11 @@
 
 
 async def probe_remote(
-    context: SearchContext, servers: Sequence[KnownServer], *, repeated: bool
+    context: SearchContext,
+    servers: Sequence[KnownServer],
+    *,
+    repeated: bool,
+    yields: bool = False,
 ) -> list[ProbeResult]:
     """Probe servers of other zones.
 
@@ -84,12 +89,22 @@
         context: Dependencies and state of the search.
         servers: Usable servers of other zones.
         repeated: Whether the request is queued.
+        yields: Whether the request leaves free slots to more urgent ones.
     """
+    count = REPEATED_REMOTE_PROBES if repeated else REMOTE_PROBES
+    purpose = _get_purposes(repeated=repeated, yields=yields)[1]
+    return await _probe(context, servers[:count], purpose)
+
+
+def _get_purposes(
+    *, repeated: bool, yields: bool
+) -> tuple[ProbePurpose, ProbePurpose]:
+    """Return the purposes of the first probes of a search and of more."""
     if repeated:
-        return await _probe(
-            context, servers[:REPEATED_REMOTE_PROBES], ProbePurpose.REPEATED
-        )
-    return await _probe(context, servers[:REMOTE_PROBES], ProbePurpose.WIDER)
+        purpose = ProbePurpose.YIELDING if yields else ProbePurpose.REPEATED
+        return purpose, purpose
+    wider = ProbePurpose.YIELDING if yields else ProbePurpose.WIDER
+    return ProbePurpose.FIRST, wider
 
 
 async def _probe(
--- a/src/ebonystream/placement/_reservations.py
+++ b/src/ebonystream/placement/_reservations.py
@@ -53,12 +53,14 @@
 @attrs.define
 class _ServiceDemand:
     by_rank: dict[int, RankDemand] = attrs.field(factory=dict)
+    hosts: dict[int, int] = attrs.field(factory=dict)
     age: Seconds = Seconds(0)
 
     def add(self, rank: int, demand: RankDemand, age: Seconds) -> None:
         """Add the demand of one host."""
         known = self.by_rank.get(rank, RankDemand())
         self.by_rank[rank] = known.add(demand)
+        self.hosts[rank] = self.hosts.get(rank, 0) + 1
         self.age = max(self.age, age)
 
 
@@ -102,6 +104,20 @@
             max_share=self.max_share,
         )
 
+    def get_start_rate(self, service: ServiceName, rank: int) -> float:
+        """Return the requests of a rank that a host starts each second.
+
+        It is the mean of the hosts that have such requests, as one host starts
+        too few of them to count on.
+
+        Args:
+            service: Name of the service.
+            rank: The rank.
+        """
+        known = self._demands.get(service, _ServiceDemand())
+        started = known.by_rank.get(rank, RankDemand()).started
+        return started / max(1, known.hosts.get(rank, 0))
+
     def sample_free_slots(
         self,
         service: ServiceName,
--- a/src/ebonystream/placement/_results.py
+++ b/src/ebonystream/placement/_results.py
@@ -65,6 +65,8 @@
             once.
         reserve: The reserve that the request was compared with; None if
             there is none.
+        was_held: Whether the request waited while slots were free, which were
+            left to more urgent ones.
     """
 
     probe_result: ProbeResult
@@ -73,6 +75,7 @@
     probe_count: int
     has_free_slot: bool
     reserve: ReserveDecision | None = None
+    was_held: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -84,11 +87,14 @@
         probe_count: Number of servers probed.
         reason: One of `none_willing`, `full`, `too_slow` (servers are free,
             but too slow for this request), `reserved` (the free slots are
-            left to more urgent requests), `others_wait`, `caller_left` or
-            `host_leaves`.
+            left to more urgent requests), `queue_full` (the requests that
+            wait need longer than this one can wait), `others_wait`,
+            `caller_left` or `host_leaves`.
         probe_results: Results of the last probes.
         reserve: The reserve that the request was compared with; None if
             there is none.
+        was_held: Whether the request waited while slots were free, which were
+            left to more urgent ones.
     """
 
     retry_after: Seconds
@@ -96,3 +102,4 @@
     reason: str
     probe_results: tuple[ProbeResult, ...] = ()
     reserve: ReserveDecision | None = None
+    was_held: bool = False
--- a/src/ebonystream/placement/_search.py
+++ b/src/ebonystream/placement/_search.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+import attrs
 import trio
 
 from ebonystream._ids import Monotonic, Seconds
@@ -11,6 +12,11 @@
     probe_local,
     probe_remote,
 )
+from ebonystream.placement._queue_time import (
+    get_queue_deadline,
+    reject_hopeless,
+    set_retry,
+)
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._reserve_check import (
     check_reserve,
@@ -30,19 +36,6 @@
 may take. Other zones are probed only beyond it, as traffic between zones is
 expensive."""
 
-QUEUE_OBJECTIVE_SHARE = 0.9
-"""A request stays queued while it can still be started and completed within
-this share of its objective."""
-
-MIN_QUEUE_OBJECTIVE_SHARE = 0.125
-"""Share of its objective for which even a request that will be late is
-queued."""
-
-MAX_QUEUE_TIME_SHARE = 0.3
-"""Largest share of the time from its arrival to its deadline for which a
-request is queued. The retry of a caller has little time left, and may be
-answered late."""
-
 PROBE_INTERVAL = Seconds(0.04)
 """Interval at which the first request of a queue probes servers."""
 
@@ -64,7 +57,7 @@
         result: Candidate | NoCapacity = NoCapacity(
             retry_after=PROBE_INTERVAL, probe_count=0, reason='others_wait'
         )
-        if not context.queues.has_as_urgent(
+        if not context.queues.count_as_urgent(
             request.service, request.route.rank
         ):
             result = await _probe_and_select(context, request)
@@ -78,18 +71,24 @@
 async def _wait_in_queue(
     context: SearchContext,
     request: PlacementRequest,
-    result: Candidate | NoCapacity,
+    first_result: NoCapacity,
 ) -> Candidate | NoCapacity:
+    result: Candidate | NoCapacity = first_result
     processing_time = context.processing_times.get(request.route)
     expected_late = request.is_late_if_started_at(
         context.timers.now(), processing_time
     )
-    queue_deadline = _get_queue_deadline(request, processing_time)
+    queue_deadline = get_queue_deadline(context, request, processing_time)
+    rejection = reject_hopeless(context, request, first_result, queue_deadline)
+    if rejection is not None:
+        return rejection
+    was_held = False
     with context.queues.join(request, expected_late=expected_late) as waiter:
         while (
             isinstance(result, NoCapacity)
             and context.timers.now() < queue_deadline
         ):
+            was_held = was_held or result.reason == 'reserved'
             freed = await _wait_for_freed(waiter, queue_deadline, context)
             if freed is not None:
                 result = _select_freed(context, waiter, freed)
@@ -100,8 +99,10 @@
                     context, request, repeated=True
                 )
     if isinstance(result, NoCapacity):
-        return await _select_late(context, request)
-    return result
+        result = await _select_late(context, request)
+    if isinstance(result, NoCapacity):
+        result = set_retry(context, request, result)
+    return attrs.evolve(result, was_held=was_held)
 
 
 def _select_freed(
@@ -120,30 +121,6 @@
     return result
 
 
-def _get_queue_deadline(
-    request: PlacementRequest, processing_time: Seconds
-) -> Monotonic:
-    """Return until when a request is queued.
-
-    It is queued while it can be on time, but at least for
-    `MIN_QUEUE_OBJECTIVE_SHARE` and at most for `MAX_QUEUE_TIME_SHARE`.
-    """
-    objective = request.route.objective
-    arrived_at = request.arrived_at
-    latest_start = (
-        request.get_target_time()
-        - (1 - QUEUE_OBJECTIVE_SHARE) * objective
-        - processing_time
-    )
-    queue_deadline = max(
-        latest_start, arrived_at + MIN_QUEUE_OBJECTIVE_SHARE * objective
-    )
-    max_deadline = arrived_at + MAX_QUEUE_TIME_SHARE * (
-        request.deadline - arrived_at
-    )
-    return Monotonic(min(queue_deadline, max_deadline))
-
-
 async def _select_late(
     context: SearchContext, request: PlacementRequest
 ) -> Candidate | NoCapacity:
@@ -152,7 +129,9 @@
     While requests that can still be on time are queued, only servers that are
     too slow for new requests are selected.
     """
-    spare_only = context.queues.has_request_on_time(request.service)
+    spare_only = context.queues.has_request_on_time(
+        request.service, request.route.rank
+    )
     return await _probe_and_select(
         context, request, allow_late=True, spare_only=spare_only
     )
@@ -178,16 +157,18 @@
     """Probe the host's zone; then other zones if no server is on time."""
     local, remote = list_usable_servers(context, request)
     reserve = get_reserve(context, request)
+    yields = reserve.share > 0
     results = await probe_local(
         context,
         local,
         repeated=repeated,
+        yields=yields,
         # One idle server shows nothing about the share of free slots.
-        is_sufficient=_is_never_sufficient if reserve.share else is_ideal,
+        is_sufficient=_is_never_sufficient if yields else is_ideal,
     )
     if any(map(is_ideal, results)):
         # If the first server to respond is idle, capacity is plentiful.
-        is_plentiful = len(results) == 1 and not reserve.share
+        is_plentiful = len(results) == 1 and not yields
         return _select(
             context,
             request,
@@ -200,7 +181,9 @@
         context, request, result
     ):
         return result
-    results += await probe_remote(context, remote, repeated=repeated)
+    results += await probe_remote(
+        context, remote, repeated=repeated, yields=yields
+    )
     return _select(
         context, request, results, allow_late=allow_late, spare_only=spare_only
     )
--- a/src/ebonystream/placement/_wait_queue.py
+++ b/src/ebonystream/placement/_wait_queue.py
@@ -61,24 +61,27 @@
         """
         return not self._queues.get(service)
 
-    def has_as_urgent(self, service: ServiceName, rank: int) -> bool:
-        """Return whether a request of a rank would wait behind another.
+    def count_as_urgent(self, service: ServiceName, rank: int) -> int:
+        """Count the waiting requests that are at least as urgent as a rank.
 
         Args:
             service: Name of the service.
             rank: The rank.
         """
         queue = self._queues.get(service, [])
-        return any(waiter.request.route.rank <= rank for waiter in queue)
+        return sum(waiter.request.route.rank <= rank for waiter in queue)
 
-    def has_request_on_time(self, service: ServiceName) -> bool:
-        """Return whether a waiting request can still be on time.
+    def has_request_on_time(self, service: ServiceName, rank: int) -> bool:
+        """Return whether a request that waits can still be on time.
 
         Args:
             service: Name of the service.
+            rank: Rank of a request; less urgent ones do not count.
         """
-        queue = self._queues.get(service, [])
-        return not all(waiter.expected_late for waiter in queue)
+        return any(
+            not waiter.expected_late and waiter.request.route.rank <= rank
+            for waiter in self._queues.get(service, [])
+        )
 
     def count(self) -> int:
         """Return the number of waiting requests of all services."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -194,7 +194,7 @@
             for arrived, late in waiting
         ]
         any_on_time = not all(late for _, late in waiting)
-        assert queues.has_request_on_time('records') is any_on_time
+        assert queues.has_request_on_time('records', ROUTE.rank) is any_on_time
         queues.offer_server(make_probe_result('i-1', (0, 0, 2, 1)))
         assert [waiter.freed is not None for waiter in waiters].index(True) == (
             first
--- a/tests/test_probe_budget.py
+++ b/tests/test_probe_budget.py
@@ -16,7 +16,7 @@
 
 RATE = 100.0
 MAX_QUEUE_TIME = 0.5
-FIRST, WIDER, REPEATED = ProbePurpose
+FIRST, WIDER, REPEATED, YIELDING = ProbePurpose
 
 
 @pytest.mark.parametrize(
@@ -29,6 +29,7 @@
         ([(7, 900, WIDER), (7, 9, REPEATED), (7, 9, FIRST)], [575, 0, 3]),
         ([(7, 0, WIDER), (99, 9000, FIRST), (99.5, 99, FIRST)], [0, 3000, 50]),
         ([(7, 900, WIDER), (7.25, 99, REPEATED)], [575, 0]),
+        ([(7, 900, YIELDING), (7, 900, REPEATED)], [450, 100]),
         ([(7, 0, FIRST)], [0]),
     ],
 )
--- a/tests/test_reservation.py
+++ b/tests/test_reservation.py
@@ -1,5 +1,6 @@
 """The reserve of free slots for urgent requests, by load and over all hosts."""
 
+from contextlib import ExitStack
 from functools import partial
 
 import attrs
@@ -11,6 +12,7 @@
 from experiment.policies import POLICIES
 from experiment.world import DISTURBANCE_END, DISTURBANCE_START, World
 from platform_samples import make_probe_result, make_route
+from test_placement import make_context
 from trio.testing import MockClock
 
 from ebonystream.entryhost._rank_demands import (
@@ -18,7 +20,14 @@
     make_reservations,
 )
 from ebonystream.gossip import HostFacts, HostFactTable, RankDemandFacts
-from ebonystream.placement import PlacementRequest, RankDemand, Reservations
+from ebonystream.placement import (
+    NoCapacity,
+    PlacementRequest,
+    RankDemand,
+    Reservations,
+    WaitQueues,
+    make_find_server,
+)
 from ebonystream.placement._reservation import (
     MAX_RESERVE_SHARE,
     compute_reserve,
@@ -191,3 +200,60 @@
     assert shares['urgent'][1] >= 0.95
     assert shares['urgent'][0] >= shares['patient'][0] - 0.05
     assert shares['patient'][0] >= 0.25
+
+
+@pytest.mark.parametrize(
+    ('waiting', 'rank', 'work', 'outcome'),
+    [
+        # One slot of twelve is free, which is left to more urgent requests.
+        (0, 3, 700, 'waits'),
+        # A request behind more than start in its time is rejected at once.
+        (3, 3, 700, 'queue_full'),
+        # Without more urgent demand, and for the most urgent, nothing changes.
+        (0, 3, 0, 'starts'),
+        (0, 0, 700, 'starts'),
+        (3, 3, 0, 'waits'),
+        (3, 0, 700, 'waits'),
+    ],
+)
+async def test_request_in_a_shortage(
+    autojump_clock, waiting, rank, work, outcome
+):
+    """Patient requests must not take the last slot, nor wait for nothing."""
+    table = HostFactTable('own', 'a')
+    reports = (
+        RankDemandFacts('records', 0, work, work, work),
+        RankDemandFacts('records', 3, 300, 100, 200),
+    )
+    started_at = trio.current_time()
+    table.update(make_facts('other', demands=reports), started_at)
+    request = attrs.evolve(
+        make_request(rank),
+        route=make_route(rank=rank, objective=3, timeout=4),
+        first_requested_at=started_at,
+        arrived_at=started_at,
+        deadline=started_at + 4,
+    )
+    result = None
+    async with trio.open_nursery() as nursery:
+        queues = WaitQueues()
+        context = make_context(
+            nursery,
+            lambda now: {'i-1': (5, 0, 6, 1), 'i-2': (6, 0, 6, 1)},
+            queues=queues,
+            probed=[],
+        )
+        context = attrs.evolve(
+            context,
+            reservations=make_reservations(table, lambda *_, **fields: None),
+        )
+        with ExitStack() as stack, trio.move_on_after(0.5):
+            for _ in range(waiting):
+                stack.enter_context(queues.join(request))
+            result = await make_find_server(context)(request)
+    if isinstance(result, NoCapacity):
+        assert result.reason == outcome
+        # Three wait, and a host starts one in a second.
+        assert 3 <= result.retry_after <= 4.5
+    else:
+        assert outcome == ('starts' if result else 'waits')
--- a/tools/experiment/hosts.py
+++ b/tools/experiment/hosts.py
@@ -186,9 +186,14 @@
             )
             for number, reports in self.world.demands.items()
             for sent_at, service, rank, demand in reports
-            if number != self.number
+            if number != self.number and self._is_visible(number)
         ]
 
+    def _is_visible(self, number: int) -> bool:
+        """Return whether another host's reports reach this host."""
+        parts = self.world.load.gossip_parts
+        return number % parts == self.number % parts
+
     def _make_health_report(self, server: KnownServer) -> HealthReport:
         model = self.world.servers[server.entry.id]
         return HealthReport(
--- a/tools/experiment/loads.py
+++ b/tools/experiment/loads.py
@@ -118,6 +118,7 @@
         demands: The requests of each route.
         probe_rate: Probes per second that a server gets from all hosts; None
             if they are not limited.
+        gossip_parts: Number of parts of the hosts that cannot see each other.
     """
 
     duration: Seconds = Seconds(16)
@@ -131,6 +132,7 @@
     slots: int = 2
     demands: tuple[Demand, ...] = DEMANDS
     probe_rate: float | None = None
+    gossip_parts: int = 1
 
     def get_processing_time(self, route: RouteName) -> Seconds:
         """Return the mean processing time of a route, in seconds.
@@ -183,6 +185,18 @@
             slots=2,
             servers_left_share=0.4,
         ),
+        'classes, two halves': attrs.evolve(
+            _CLASS_LOAD,
+            duration=Seconds(18),
+            servers_left_share=0.4,
+            gossip_parts=2,
+        ),
+        'classes, no gossip': attrs.evolve(
+            _CLASS_LOAD,
+            duration=Seconds(18),
+            servers_left_share=0.4,
+            gossip_parts=100,
+        ),
     }
 )
 """Loads of two classes that compete for too little capacity."""
