Rely less on servers that refuse requests while they look idle

Cause: a server that refuses everybody reports free slots. A host reported its refusals only from the second one, their slots counted as free for the reserve, and they were probed like any other.

A refusal by a server with a free slot now counts as much as a failure, so that each is reported. Servers with two or more weighted failures, of all hosts, are probed last, and their slots count for no reserve.

--- a/src/ebonystream/entryhost/_observers.py
+++ b/src/ebonystream/entryhost/_observers.py
@@ -1,6 +1,8 @@
 """Observers of attempts: state updates, log lines and metrics."""
 
+from collections.abc import Mapping
 from functools import partial
+from types import MappingProxyType
 
 from ebonystream.dispatch import Attempt, ObserveAttempt
 from ebonystream.entryhost._crashes import update_suspects_from_attempt
@@ -18,6 +20,17 @@
 INTERRUPTED_WEIGHT = 1
 FAILED_WEIGHT = 0.7
 NOT_RUN_WEIGHT = 0.3
+REFUSED_WEIGHT = 0.7
+"""Weight of a refusal by a server with a free slot, which other hosts are told
+of at once: a server that refuses everybody looks idle."""
+
+_WEIGHTS: Mapping[ResponseVerdict, float] = MappingProxyType(
+    {
+        ResponseVerdict.SERVED: 0,
+        ResponseVerdict.MISDIRECTED: 0,
+        ResponseVerdict.NOT_RUN: NOT_RUN_WEIGHT,
+    }
+)
 
 
 def make_attempt_observers(parts: HostParts) -> tuple[ObserveAttempt, ...]:
@@ -44,8 +57,8 @@
     server = attempt.candidate.probe_result.server
     now = parts.timers.now()
     response = attempt.response
+    server.record_failure(now, get_failure_weight(attempt))
     if response is None:
-        server.record_failure(now, _get_failure_weight(attempt))
         return
     if server.update_from_notice(response.notice, now):
         log_notice(parts, server, response.notice)
@@ -55,10 +68,6 @@
             parts.processing_times.record(route, attempt.duration, slowdown)
     elif response.verdict is ResponseVerdict.MISDIRECTED:
         server.leaving = True
-    elif response.verdict is ResponseVerdict.NOT_RUN:
-        server.record_failure(now, NOT_RUN_WEIGHT)
-    else:
-        server.record_failure(now, FAILED_WEIGHT)
 
 
 def _offer_freed_server(
@@ -82,8 +91,17 @@
         )
 
 
-def _get_failure_weight(attempt: Attempt) -> float:
-    """Return the failure weight of an attempt without a response."""
+def get_failure_weight(attempt: Attempt) -> float:
+    """Return the weight of an attempt among the failures of its server.
+
+    Args:
+        attempt: The attempt, after its end.
+    """
+    if attempt.response is not None:
+        is_refused = attempt.response.verdict is ResponseVerdict.NOT_RUN
+        if is_refused and attempt.candidate.has_free_slot:
+            return REFUSED_WEIGHT
+        return _WEIGHTS.get(attempt.response.verdict, FAILED_WEIGHT)
     if attempt.failure is ExchangeFailure.UNREACHABLE:
         return UNREACHABLE_WEIGHT
     if attempt.failure is not None or attempt.is_overdue():
--- a/src/ebonystream/placement/_probing.py
+++ b/src/ebonystream/placement/_probing.py
@@ -8,7 +8,7 @@
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._results import ProbeResult
 from ebonystream.placement._selection import is_ideal
-from ebonystream.roster import KnownServer
+from ebonystream.roster import KnownServer, is_unreliable
 
 INITIAL_PROBES = 5
 """Number of servers in the host's zone that are probed first."""
@@ -26,7 +26,9 @@
 def list_usable_servers(
     context: SearchContext, request: PlacementRequest
 ) -> tuple[list[KnownServer], list[KnownServer]]:
-    """List usable servers in random order: in the host's zone, in others.
+    """List usable servers: in the host's zone, and in others.
+
+    They are in random order, with unreliable ones last.
 
     Args:
         context: Dependencies and state of the search.
@@ -46,6 +48,8 @@
         (local if is_local else remote).append(server)
     context.random.shuffle(local)
     context.random.shuffle(remote)
+    local.sort(key=lambda known: is_unreliable(known, now))
+    remote.sort(key=lambda known: is_unreliable(known, now))
     return local, remote
 
 
--- a/src/ebonystream/placement/_reservation.py
+++ b/src/ebonystream/placement/_reservation.py
@@ -15,6 +15,7 @@
 from ebonystream.placement._estimate import get_load
 from ebonystream.placement._results import ProbeResult, Reserve
 from ebonystream.placement._selection import is_available
+from ebonystream.roster import is_unreliable
 
 RESERVE_FACTOR = 6.0
 """Reserved slots of a sample for the square root of those that more urgent
@@ -117,12 +118,16 @@
 def count_free_slots(results: Iterable[ProbeResult]) -> FreeSample:
     """Count the slots of sampled servers, without those that take no request.
 
+    A server that refuses requests looks idle, but has no free slot.
+
     Args:
         results: Results of the probes.
     """
     free = 0
     slots = 0
     for result in filter(is_available, results):
+        if is_unreliable(result.server, result.sent_at):
+            continue
         load = get_load(result)
         sent_since = result.server.last_request_at >= result.sent_at
         busy = load.running + load.waiting + sent_since
--- a/src/ebonystream/placement/_reserve_check.py
+++ b/src/ebonystream/placement/_reserve_check.py
@@ -15,6 +15,7 @@
     Reserve,
     ReserveDecision,
 )
+from ebonystream.roster import is_unreliable
 
 NO_RESERVE = Reserve(share=0, urgent_work=0, age=Seconds(0))
 
@@ -31,7 +32,9 @@
     now = context.timers.now()
     servers = context.list_servers(request.service, request.version_draw)
     slots = sum(
-        server.entry.slots for server in servers if server.is_usable(now)
+        server.entry.slots
+        for server in servers
+        if server.is_usable(now) and not is_unreliable(server, now)
     )
     return context.reservations.get_reserve(request, slots=slots, now=now)
 
--- a/src/ebonystream/roster/__init__.py
+++ b/src/ebonystream/roster/__init__.py
@@ -1,6 +1,7 @@
 """The roster of known backend servers, with their state and load."""
 
 from ebonystream.roster._entry import EntriesListing, EntryState, ServerEntry
+from ebonystream.roster._reliability import is_unreliable
 from ebonystream.roster._report import HealthReport, LoadReport, ServerNotice
 from ebonystream.roster._roster import Roster, RosterChange
 from ebonystream.roster._server import KnownServer
@@ -15,4 +16,5 @@
     'RosterChange',
     'ServerEntry',
     'ServerNotice',
+    'is_unreliable',
 )
--- a/src/ebonystream/roster/_server.py
+++ b/src/ebonystream/roster/_server.py
@@ -56,6 +56,8 @@
         failures_updated_at: When `failures` was last updated.
         reported_failures: Weighted number of failures that other hosts
             report, and when, by host.
+        unreliable: Whether its free slots were not relied on at the last check.
+        reliability_checked_at: When that was last checked.
     """
 
     entry: ServerEntry
@@ -77,6 +79,8 @@
     reported_failures: dict[HostId, tuple[float, Monotonic]] = attrs.field(
         factory=dict
     )
+    unreliable: bool = False
+    reliability_checked_at: Monotonic = NEVER
 
     def is_usable(self, now: Monotonic) -> bool:
         """Return whether requests may be sent to it.
--- a/tests/test_reservation.py
+++ b/tests/test_reservation.py
@@ -257,3 +257,10 @@
         assert 3 <= result.retry_after <= 4.5
     else:
         assert outcome == ('starts' if result else 'waits')
+
+
+def test_free_slots_of_an_unreliable_server_do_not_count():
+    """A server that refuses everybody looks idle to each host."""
+    results = [make_probe_result('i-1', (0, 0, 6, 1)) for _ in range(2)]
+    results[0].server.record_reported_failures('other', 3, 0.0)
+    assert count_free_slots(results).free == 6
--- a/tools/experiment/hosts.py
+++ b/tools/experiment/hosts.py
@@ -8,6 +8,7 @@
 
 from ebonystream._ids import (
     ConfigurationVersion,
+    HostId,
     Monotonic,
     RouteName,
     Seconds,
@@ -22,6 +23,8 @@
     RetryLimits,
     make_handle_request,
 )
+from ebonystream.entryhost._gossip import MIN_REPORTED_FAILURES
+from ebonystream.entryhost._observers import get_failure_weight
 from ebonystream.placement import (
     Candidate,
     PeerDemand,
@@ -152,19 +155,20 @@
         self, request: Request, route: Route, attempt: Attempt
     ) -> None:
         """Record an attempt and offer its server to waiting requests."""
+        server = attempt.candidate.probe_result.server
+        now = self.timers.now()
         if not attempt.is_served():
+            server.record_failure(now, get_failure_weight(attempt))
             return
         if attempt.candidate.has_free_slot:
             slowdown = attempt.candidate.slowdown
             self.processing_times.record(route, attempt.duration, slowdown)
-        server = attempt.candidate.probe_result.server
-        now = self.timers.now()
         self.wait_queues.offer_server(
             ProbeResult(server, self._make_health_report(server), now)
         )
 
-    async def report_demand(self) -> None:
-        """Report this host's demand to the others periodically."""
+    async def gossip(self) -> None:
+        """Report demand and failing servers to the others periodically."""
         async for now in self.timers.subscribe(period=GOSSIP_PERIOD):
             if now > self.world.load.duration:
                 return
@@ -174,6 +178,26 @@
                     self.reservations.counts.list_current(now).items()
                 )
             ]
+            self._exchange_failures(now)
+
+    def _exchange_failures(self, now: Monotonic) -> None:
+        """Report failing servers and read the reports of the other hosts."""
+        own = {
+            name: server.get_own_failures(now)
+            for name, server in self.roster.servers.items()
+        }
+        self.world.failures[self.number] = {
+            name: failures
+            for name, failures in own.items()
+            if failures >= MIN_REPORTED_FAILURES
+        }
+        for number, failing in self.world.failures.items():
+            if number == self.number or not self._is_visible(number):
+                continue
+            for name, failures in failing.items():
+                self.roster.servers[name].record_reported_failures(
+                    HostId(str(number)), failures, now
+                )
 
     def _list_peer_demands(self, now: Monotonic) -> list[PeerDemand]:
         """List the reports of the other hosts, without the newest ones."""
@@ -227,7 +251,7 @@
     entries = [model.entry for model in host.world.servers.values()]
     host.roster.apply_listing(entries, host.timers.now())
     random = Random(seed)
-    nursery.start_soon(host.report_demand)
+    nursery.start_soon(host.gossip)
     search_context = SearchContext(
         list_servers=host.list_servers,
         probe=host.probe,
--- a/tools/experiment/loads.py
+++ b/tools/experiment/loads.py
@@ -118,6 +118,8 @@
         demands: The requests of each route.
         probe_rate: Probes per second that a server gets from all hosts; None
             if they are not limited.
+        refusing_share: Share of the servers that refuse all requests during
+            the disturbance, while they report that they are idle.
         gossip_parts: Number of parts of the hosts that cannot see each other.
     """
 
@@ -133,6 +135,7 @@
     demands: tuple[Demand, ...] = DEMANDS
     probe_rate: float | None = None
     gossip_parts: int = 1
+    refusing_share: float = 0
 
     def get_processing_time(self, route: RouteName) -> Seconds:
         """Return the mean processing time of a route, in seconds.
@@ -191,6 +194,9 @@
             servers_left_share=0.4,
             gossip_parts=2,
         ),
+        'classes, servers refuse': attrs.evolve(
+            _CLASS_LOAD, duration=Seconds(18), refusing_share=0.8
+        ),
         'classes, no gossip': attrs.evolve(
             _CLASS_LOAD,
             duration=Seconds(18),
--- a/tools/experiment/run.py
+++ b/tools/experiment/run.py
@@ -77,7 +77,7 @@
             )
             for number in range(world.load.host_count)
         ]
-        nursery.start_soon(world.slow_servers_down)
+        nursery.start_soon(world.disturb_servers)
         for demand in world.load.demands:
             caller = _Caller(
                 world=world,
--- a/tools/experiment/servers.py
+++ b/tools/experiment/servers.py
@@ -30,6 +30,7 @@
         entry: Its entry in the store.
         slots: Number of requests that it handles concurrently.
         pace: Current processing time relative to the usual one.
+        refuses: Whether it rejects all requests.
         running: Number of requests being processed.
         arrivals: Number of requests received.
         turned_away: Number of requests rejected because the queue was full.
@@ -38,6 +39,7 @@
     entry: ServerEntry
     slots: int = 2
     pace: float = 1
+    refuses: bool = False
     running: int = 0
     arrivals: int = 0
     turned_away: int = 0
@@ -59,10 +61,13 @@
             processing_time: Time that it takes on an idle server, in seconds.
 
         Returns:
-            False if the request was rejected because the queue was full.
+            False if the request was rejected.
         """
         self.arrivals += 1
-        if self.running >= self.slots and len(self._queue) >= QUEUE_CAPACITY:
+        is_full = (
+            self.running >= self.slots and len(self._queue) >= QUEUE_CAPACITY
+        )
+        if is_full or self.refuses:
             self.turned_away += 1
             return False
         await self._acquire_slot()
--- a/tools/experiment/world.py
+++ b/tools/experiment/world.py
@@ -65,6 +65,7 @@
             attempts to other zones (`far question`, `far send`), requests
             without capacity (`no room`) and refusals (`refused`).
         demands: The last reports of each host, by its number.
+        failures: The failing servers that each host reported last.
         outcomes: Outcome of each call.
     """
 
@@ -73,6 +74,7 @@
     servers: dict[ServerId, ModelServer] = attrs.field(init=False)
     counts: Counter[str] = attrs.field(factory=Counter)
     demands: dict[int, list[DemandReport]] = attrs.field(factory=dict)
+    failures: dict[int, dict[ServerId, float]] = attrs.field(factory=dict)
     outcomes: list[Outcome] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
@@ -104,18 +106,23 @@
             and server.entry.id in remaining
         ]
 
-    async def slow_servers_down(self) -> None:
-        """Slow some servers down for the length of the disturbance."""
-        slow_servers = list(self.servers.values())
-        slow_servers = slow_servers[
-            : round(self.load.slow_server_share * len(slow_servers))
+    async def disturb_servers(self) -> None:
+        """Let servers be slow, or refuse, for the length of the disturbance."""
+        servers = list(self.servers.values())
+        slow_servers = servers[
+            : round(self.load.slow_server_share * len(servers))
         ]
+        refusing = servers[: round(self.load.refusing_share * len(servers))]
         await trio.sleep_until(DISTURBANCE_START)
         for server in slow_servers:
             server.pace = self.load.slowdown
+        for server in refusing:
+            server.refuses = True
         await trio.sleep_until(DISTURBANCE_END)
         for server in slow_servers:
             server.pace = 1
+        for server in refusing:
+            server.refuses = False
 
 
 def get_host_zone(host_number: int) -> ZoneName:
