--- a/src/ebonystream/entryhost/_rank_demands.py
+++ b/src/ebonystream/entryhost/_rank_demands.py
@@ -28,12 +28,19 @@
 ) -> tuple[RankDemandFacts, ...]:
     """Make the report of this host's demand.
 
+    Services whose requests all have one rank are left out.
+
     Args:
         reservations: The demand known to this host.
         now: Current time on the monotonic clock, in seconds.
     """
     current = reservations.counts.list_current(now).items()
-    largest = sorted(current, key=lambda entry: -entry[1].arrived)
+    shared = [
+        entry
+        for entry in current
+        if reservations.has_several_ranks(entry[0][0], now)
+    ]
+    largest = sorted(shared, key=lambda entry: -entry[1].arrived)
     return tuple(
         RankDemandFacts(
             service=service,
--- a/src/ebonystream/placement/_reservations.py
+++ b/src/ebonystream/placement/_reservations.py
@@ -93,8 +93,7 @@
             slots: Slots of all usable servers of its service.
             now: Current time on the monotonic clock, in seconds.
         """
-        if now - self._summed_at >= REFRESH_PERIOD:
-            self._sum_demands(now)
+        self._refresh_demands(now)
         known = self._demands.get(request.service, _ServiceDemand())
         return compute_reserve(
             request.route.rank,
@@ -104,6 +103,17 @@
             max_share=self.max_share,
         )
 
+    def has_several_ranks(self, service: ServiceName, now: Monotonic) -> bool:
+        """Return whether requests of several ranks use a service.
+
+        Args:
+            service: Name of the service.
+            now: Current time on the monotonic clock, in seconds.
+        """
+        self._refresh_demands(now)
+        known = self._demands.get(service, _ServiceDemand())
+        return len(known.by_rank) > 1
+
     def get_start_rate(self, service: ServiceName, rank: int) -> float:
         """Return the requests of a rank that a host starts each second.
 
@@ -140,7 +150,10 @@
         self._samples[service] = recent
         return count_free_slots(recent.values())
 
-    def _sum_demands(self, now: Monotonic) -> None:
+    def _refresh_demands(self, now: Monotonic) -> None:
+        """Add up the demands of all hosts unless that was done lately."""
+        if now - self._summed_at < REFRESH_PERIOD:
+            return
         self._summed_at = now
         self._demands = {}
         for (service, rank), demand in self.counts.list_current(now).items():
--- a/tests/test_reservation.py
+++ b/tests/test_reservation.py
@@ -159,8 +159,14 @@
         reservations.counts.record(
             make_request(0), processing_time=0.1, is_started=True, now=0.0
         )
-    (report,) = make_rank_demands(reservations, 0.0)
-    assert report == RankDemandFacts('records', 0, 200, 200, 20)
+    # Nothing is told of a service whose requests all have one rank.
+    assert not make_rank_demands(reservations, 0.0)
+    reservations.counts.record(
+        make_request(3), processing_time=1, is_started=False, now=1.0
+    )
+    urgent, patient = make_rank_demands(reservations, 1.0)
+    assert urgent == RankDemandFacts('records', 0, 164, 164, 16)
+    assert patient == RankDemandFacts('records', 3, 20, 0, 20)
     assert not make_rank_demands(reservations, 60.0)
 
 
