--- a/src/ebonystream/placement/_reservation.py
+++ b/src/ebonystream/placement/_reservation.py
@@ -17,14 +17,14 @@
 from ebonystream.placement._selection import is_available
 from ebonystream.roster import is_unreliable
 
-RESERVE_FACTOR = 6.0
+RESERVE_FACTOR = 5.0
 """Reserved slots of a sample for the square root of those that more urgent
 requests occupy in it; their number varies by about that root."""
 
 SAMPLE_SLOTS = 30
 """Slots of the first five servers that are probed, if each has six."""
 
-MAX_RESERVE_SHARE = 0.4
+MAX_RESERVE_SHARE = 0.3
 """Largest share of the sampled slots that is reserved."""
 
 MIN_SERVED_SHARE = 0.25
--- a/tools/experiment/loads.py
+++ b/tools/experiment/loads.py
@@ -188,6 +188,12 @@
             slots=2,
             servers_left_share=0.4,
         ),
+        'classes, hardly any servers': attrs.evolve(
+            _CLASS_LOAD,
+            duration=Seconds(18),
+            servers_left_share=0.25,
+            burst_factor=2,
+        ),
         'classes, two halves': attrs.evolve(
             _CLASS_LOAD,
             duration=Seconds(18),
