--- a/src/ebonystream/entryhost/_gossip.py
+++ b/src/ebonystream/entryhost/_gossip.py
@@ -4,6 +4,7 @@
 
 from ebonystream._ids import Monotonic, Seconds
 from ebonystream.entryhost._parts import HostParts
+from ebonystream.entryhost._rank_demands import make_rank_demands
 from ebonystream.entryhost._version_moves import make_move_facts
 from ebonystream.gossip import (
     DutyFacts,
@@ -124,6 +125,7 @@
         probe_demand=round(parts.probe_budget.estimate_demand(now), 1),
         settled=now - parts.started_at >= SETTLING_TIME,
         duty=_make_duty_facts(parts),
+        rank_demands=make_rank_demands(parts.reservations, now),
     )
 
 
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -1,6 +1,5 @@
 """State and dependencies that the tasks of an entry host share."""
 
-from collections.abc import Awaitable, Callable
 from random import Random
 
 import attrs
@@ -10,10 +9,15 @@
 from ebonystream._timers import Timers
 from ebonystream.decisionlog import EventLogger, LineBuffer
 from ebonystream.entryhost._metrics import HostMetrics
+from ebonystream.entryhost._rank_demands import make_reservations
 from ebonystream.entryhost._searches import ActiveSearches
 from ebonystream.entryhost._settings import HostSettings
 from ebonystream.entryhost._unreadable import UnreadableRecords
-from ebonystream.entryhost._usage import UsageReporting, make_usage_reporting
+from ebonystream.entryhost._usage import (
+    LastTask,
+    UsageReporting,
+    make_usage_reporting,
+)
 from ebonystream.gossip import HostFacts, HostFactTable
 from ebonystream.ingress import OpenConnections
 from ebonystream.link import ConnectionPool, ResponseBuffers
@@ -21,6 +25,7 @@
 from ebonystream.placement import (
     ProbeBudget,
     ProcessingTimes,
+    Reservations,
     WaitQueues,
     compute_probe_share,
 )
@@ -32,9 +37,6 @@
 )
 from ebonystream.versionmove import VersionMoves
 
-LastTask = Callable[[], Awaitable[None]]
-"""Sends what would be lost with this host; ends in bounded time."""
-
 
 @attrs.define(kw_only=True)
 class HostParts:
@@ -79,6 +81,7 @@
             the store took, in seconds.
         usage: State of usage reporting; None if it is not asked for.
         last_tasks: Run one after another at the end of a shutdown.
+        reservations: Free slots that are left to more urgent requests.
     """
 
     settings: HostSettings
@@ -116,6 +119,7 @@
     store_latency: Seconds = Seconds(0)
     usage: UsageReporting | None = attrs.field(init=False)
     last_tasks: list[LastTask] = attrs.field(factory=list)
+    reservations: Reservations = attrs.field(init=False)
 
     def is_ready(self) -> bool:
         """Return whether this host can serve callers."""
@@ -159,6 +163,10 @@
     def _make_probe_budget(self) -> ProbeBudget:
         return ProbeBudget(self.get_probe_rate)
 
+    @reservations.default
+    def _make_reservations(self) -> Reservations:
+        return make_reservations(self.facts, self.log_event)
+
     @started_at.default
     def _read_start(self) -> Monotonic:
         return self.timers.now()
--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -65,6 +65,7 @@
         background=parts.background,
         budget=parts.probe_budget,
         may_receive=make_cold_gate(parts),
+        reservations=parts.reservations,
     )
     gate = Gate(parts)
     find_server = make_find_server(search_context)
--- a/src/ebonystream/entryhost/_usage.py
+++ b/src/ebonystream/entryhost/_usage.py
@@ -1,5 +1,7 @@
 """State of usage reporting on one host, and what gossip tells of it."""
 
+from collections.abc import Awaitable, Callable
+
 import attrs
 
 from ebonystream._ids import (
@@ -32,6 +34,9 @@
 """How far ahead of the own clock a reported window may be, in seconds. One that
 is further ahead would make all hosts drop their counts."""
 
+LastTask = Callable[[], Awaitable[None]]
+"""Sends what would be lost with this host; ends in bounded time."""
+
 
 @attrs.frozen
 class Relay:
--- a/src/ebonystream/gossip/__init__.py
+++ b/src/ebonystream/gossip/__init__.py
@@ -12,6 +12,7 @@
     HostFacts,
     LeavingServer,
     MoveFacts,
+    RankDemandFacts,
 )
 from ebonystream.gossip._joining import HostRegistry, Joining, join_hosts
 from ebonystream.gossip._registration import (
@@ -60,4 +61,5 @@
     'make_shared_handler',
     'open_gossip_socket',
     'send_gossip',
+    'RankDemandFacts',
 )
--- a/src/ebonystream/gossip/_facts.py
+++ b/src/ebonystream/gossip/_facts.py
@@ -13,6 +13,7 @@
     Offset,
     Seconds,
     ServerId,
+    ServiceName,
     WindowNumber,
     ZoneName,
 )
@@ -98,6 +99,24 @@
     reported: Annotated[WindowNumber, msgspec.Meta(ge=-1, le=MAX_SEQUENCE)]
 
 
+class RankDemandFacts(msgspec.Struct, frozen=True, array_like=True):
+    """Recent requests of one rank for a service, at the reporting host.
+
+    Attributes:
+        service: Name of the service.
+        rank: Rank of the requests.
+        arrived: Hundredths of a request per second that arrived.
+        started: Hundredths of a request per second that were sent to a server.
+        work: Hundredths of a slot that they would occupy on idle servers.
+    """
+
+    service: Annotated[ServiceName, _NAME]
+    rank: Annotated[int, msgspec.Meta(ge=0, le=MAX_DEMAND)]
+    arrived: Annotated[int, msgspec.Meta(ge=0, le=MAX_DEMAND)]
+    started: Annotated[int, msgspec.Meta(ge=0, le=MAX_DEMAND)]
+    work: Annotated[int, msgspec.Meta(ge=0, le=MAX_DEMAND)]
+
+
 class HostFacts(msgspec.Struct, frozen=True, array_like=True):
     """State of one entry host, as it reports it to its peers.
 
@@ -122,6 +141,7 @@
             to be known by them.
         duty: What the host knows about the duty of reporting usage; None if
             this deployment does not report it.
+        rank_demands: Recent requests of the host by service and rank.
     """
 
     host: Annotated[HostId, _NAME]
@@ -139,3 +159,4 @@
     probe_demand: Annotated[float, msgspec.Meta(ge=0, le=MAX_DEMAND)] = 0
     settled: bool = False
     duty: DutyFacts | None = None
+    rank_demands: tuple[RankDemandFacts, ...] = ()
--- a/src/ebonystream/placement/_idle.py
+++ b/src/ebonystream/placement/_idle.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 
-from ebonystream._ids import Monotonic, Seconds
+from ebonystream._ids import Monotonic, Seconds, ServiceName
 from ebonystream.placement._context import SearchContext
 from ebonystream.placement._probe_batch import probe_servers
 from ebonystream.placement._probe_budget import ProbePurpose
@@ -41,9 +41,7 @@
 
     async def find_idle_server(request: PlacementRequest) -> Candidate | None:
         now = context.timers.now()
-        if context.queues.had_request_since(
-            request.service, Monotonic(now - SHORTAGE_TIME)
-        ):
+        if _is_short(context, request.service, now):
             return None
         local, remote = list_usable_servers(context, request)
         targets = [
@@ -62,6 +60,15 @@
     return find_idle_server
 
 
+def _is_short(
+    context: SearchContext, service: ServiceName, now: Monotonic
+) -> bool:
+    """Return whether requests wait for a service or have done so lately."""
+    is_waiting = not context.queues.is_empty(service)
+    since = Monotonic(now - SHORTAGE_TIME)
+    return is_waiting or context.waits.has_since(service, since)
+
+
 def _make_candidate(
     context: SearchContext,
     request: PlacementRequest,
--- a/src/ebonystream/placement/_probing.py
+++ b/src/ebonystream/placement/_probing.py
@@ -3,12 +3,12 @@
 from collections.abc import Sequence
 
 from ebonystream.placement._context import SearchContext
-from ebonystream.placement._probe_batch import probe_servers
+from ebonystream.placement._probe_batch import IsSufficient, probe_servers
 from ebonystream.placement._probe_budget import ProbePurpose
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._results import ProbeResult
 from ebonystream.placement._selection import is_ideal
-from ebonystream.roster import KnownServer
+from ebonystream.roster import KnownServer, is_unreliable
 
 INITIAL_PROBES = 5
 """Number of servers in the host's zone that are probed first."""
@@ -26,7 +26,9 @@
 def list_usable_servers(
     context: SearchContext, request: PlacementRequest
 ) -> tuple[list[KnownServer], list[KnownServer]]:
-    """List usable servers in random order: in the host's zone, in others.
+    """List usable servers: in the host's zone, and in others.
+
+    They are in random order, with unreliable ones last.
 
     Args:
         context: Dependencies and state of the search.
@@ -46,11 +48,18 @@
         (local if is_local else remote).append(server)
     context.random.shuffle(local)
     context.random.shuffle(remote)
+    local.sort(key=lambda known: is_unreliable(known, now))
+    remote.sort(key=lambda known: is_unreliable(known, now))
     return local, remote
 
 
 async def probe_local(
-    context: SearchContext, servers: Sequence[KnownServer], *, repeated: bool
+    context: SearchContext,
+    servers: Sequence[KnownServer],
+    *,
+    repeated: bool,
+    yields: bool = False,
+    is_sufficient: IsSufficient = is_ideal,
 ) -> list[ProbeResult]:
     """Probe servers of the host's zone, more of them if none is idle.
 
@@ -58,10 +67,13 @@
         context: Dependencies and state of the search.
         servers: Usable servers of the zone.
         repeated: Whether the request is queued.
+        yields: Whether the request leaves free slots to more urgent ones.
+        is_sufficient: Returns whether a result ends the first probes.
     """
-    first = ProbePurpose.REPEATED if repeated else ProbePurpose.FIRST
-    wider = ProbePurpose.REPEATED if repeated else ProbePurpose.WIDER
-    results = await _probe(context, servers[:INITIAL_PROBES], first)
+    first, wider = _get_purposes(repeated=repeated, yields=yields)
+    results = await _probe(
+        context, servers[:INITIAL_PROBES], first, is_sufficient
+    )
     if any(map(is_ideal, results)):
         return results
     more_servers = servers[INITIAL_PROBES:MAX_LOCAL_PROBES]
@@ -69,7 +81,11 @@
 
 
 async def probe_remote(
-    context: SearchContext, servers: Sequence[KnownServer], *, repeated: bool
+    context: SearchContext,
+    servers: Sequence[KnownServer],
+    *,
+    repeated: bool,
+    yields: bool = False,
 ) -> list[ProbeResult]:
     """Probe servers of other zones.
 
@@ -77,24 +93,35 @@
         context: Dependencies and state of the search.
         servers: Usable servers of other zones.
         repeated: Whether the request is queued.
+        yields: Whether the request leaves free slots to more urgent ones.
     """
+    count = REPEATED_REMOTE_PROBES if repeated else REMOTE_PROBES
+    purpose = _get_purposes(repeated=repeated, yields=yields)[1]
+    return await _probe(context, servers[:count], purpose)
+
+
+def _get_purposes(
+    *, repeated: bool, yields: bool
+) -> tuple[ProbePurpose, ProbePurpose]:
+    """Return the purposes of the first probes of a search and of more."""
     if repeated:
-        return await _probe(
-            context, servers[:REPEATED_REMOTE_PROBES], ProbePurpose.REPEATED
-        )
-    return await _probe(context, servers[:REMOTE_PROBES], ProbePurpose.WIDER)
+        purpose = ProbePurpose.YIELDING if yields else ProbePurpose.REPEATED
+        return purpose, purpose
+    wider = ProbePurpose.YIELDING if yields else ProbePurpose.WIDER
+    return ProbePurpose.FIRST, wider
 
 
 async def _probe(
     context: SearchContext,
     servers: Sequence[KnownServer],
     purpose: ProbePurpose,
+    is_sufficient: IsSufficient = is_ideal,
 ) -> list[ProbeResult]:
     """Probe as many of the servers as the budget grants."""
     granted = context.budget.take(len(servers), context.timers.now(), purpose)
     return await probe_servers(
         servers[:granted],
         probe=context.probe,
-        is_sufficient=is_ideal,
+        is_sufficient=is_sufficient,
         background=context.background,
     )
--- a/src/ebonystream/placement/_wait_queue.py
+++ b/src/ebonystream/placement/_wait_queue.py
@@ -54,7 +54,6 @@
     _queues: dict[ServiceName, list[Waiter]] = attrs.field(factory=dict)
     _turns: dict[ServiceName, Turns] = attrs.field(factory=dict)
     _last_probes: dict[ServiceName, Monotonic] = attrs.field(factory=dict)
-    _last_waits: dict[ServiceName, Monotonic] = attrs.field(factory=dict)
 
     def is_empty(self, service: ServiceName) -> bool:
         """Return whether no request waits for a service.
@@ -64,33 +63,27 @@
         """
         return not self._queues.get(service)
 
-    def has_request_on_time(self, service: ServiceName) -> bool:
-        """Return whether a waiting request can still be on time.
+    def count_as_urgent(self, service: ServiceName, rank: int) -> int:
+        """Count the waiting requests that are at least as urgent as a rank.
 
         Args:
             service: Name of the service.
+            rank: The rank.
         """
         queue = self._queues.get(service, [])
-        return not all(waiter.expected_late for waiter in queue)
+        return sum(waiter.request.get_rank() <= rank for waiter in queue)
 
-    def had_request_since(self, service: ServiceName, since: Monotonic) -> bool:
-        """Return whether a request waits for a service or has done so.
+    def has_request_on_time(self, service: ServiceName, rank: int) -> bool:
+        """Return whether a request that waits can still be on time.
 
         Args:
             service: Name of the service.
-            since: Requests that had stopped waiting by then do not count.
+            rank: Rank of a request; less urgent ones do not count.
         """
-        last_wait = self._last_waits.get(service, NEVER)
-        return not self.is_empty(service) or last_wait > since
-
-    def record_wait(self, service: ServiceName, now: Monotonic) -> None:
-        """Record that a request waits or has waited for a service.
-
-        Args:
-            service: Name of the service.
-            now: The current time.
-        """
-        self._last_waits[service] = now
+        return any(
+            not waiter.expected_late and waiter.request.get_rank() <= rank
+            for waiter in self._queues.get(service, [])
+        )
 
     def count(self) -> int:
         """Return the number of waiting requests of all services."""
--- a/tests/test_hedge_servers.py
+++ b/tests/test_hedge_servers.py
@@ -17,6 +17,7 @@
     WaitQueues,
     make_find_idle_server,
 )
+from ebonystream.placement._wait_history import WaitHistory
 from ebonystream.roster import HealthReport, LoadReport
 
 IDLE = LoadReport(running=0, waiting=0, slots=2, pace=1)
@@ -56,7 +57,7 @@
         load = loads[servers.index(server)]
         return ProbeResult(server, make_report(load), 0.0)
 
-    queues = WaitQueues()
+    queues, waits = WaitQueues(), WaitHistory()
     request = attrs.evolve(REQUEST, excluded_servers=frozenset(excluded))
     async with trio.open_nursery() as nursery:
         find = make_find_idle_server(
@@ -70,10 +71,11 @@
                 random=Random(0),
                 background=nursery,
                 may_receive=lambda server: allowed,
+                waits=waits,
             )
         )
         if waited and waited != 'now':
-            queues.record_wait('records', waited)
+            waits.record('records', waited)
         with queues.join(REQUEST) if waited == 'now' else nullcontext():
             candidate = await find(request)
     assert (candidate and candidate.probe_result.server.entry.id) == found
