--- a/tests/test_reservation.py
+++ b/tests/test_reservation.py
@@ -200,7 +200,7 @@
     'load', ['classes, servers lost', 'classes, burst', 'classes, two slots']
 )
 def test_urgent_requests_are_on_time_in_a_shortage(load):
-    """Patient requests took all slots: 0.18 to 0.40 of the urgent on time."""
+    """Patient requests took all slots: 0.18 to 0.43 of the urgent on time."""
     shares = play(load, seed=3)
     assert shares['urgent'][1] >= 0.95
     assert shares['urgent'][0] >= shares['patient'][0] - 0.05
