--- a/tests/host_mutations.py
+++ b/tests/host_mutations.py
@@ -24,13 +24,14 @@
     ),
     'late requests are queued first': Mutation(
         'placement/_wait_queue.py',
-        'return waiter.expected_late, request.route.rank, request.get_target_time()',
-        'return False, request.route.rank, request.get_target_time()',
+        'is_late=waiter.expected_late,',
+        'is_late=False,',
         PLACEMENT,
     ),
     'late requests take servers from requests on time': Mutation(
         'placement/_search.py',
-        'spare_only = context.queues.has_request_on_time(request.service)',
+        'spare_only = context.queues.has_request_on_time(\n'
+        '        request.service, request.get_rank()\n    )',
         'spare_only = False',
         PLACEMENT,
     ),
@@ -66,7 +67,7 @@
     ),
     'received bytes are kept until a garbage collection': Mutation(
         'http1/_collector.py',
-        '        self._body = []\n\n    def build_message',
+        '        self.body.clear()\n\n    def build_message',
         '\n    def build_message',
         'tests/test_endless_responses.py',
     ),
