--- a/tools/experiment/hosts.py
+++ b/tools/experiment/hosts.py
@@ -8,7 +8,6 @@
 
 from ebonystream._ids import (
     ConfigurationVersion,
-    HostId,
     Monotonic,
     RouteName,
     Seconds,
@@ -23,11 +22,9 @@
     RetryLimits,
     make_handle_request,
 )
-from ebonystream.entryhost._gossip import MIN_REPORTED_FAILURES
 from ebonystream.entryhost._observers import get_failure_weight
 from ebonystream.placement import (
     Candidate,
-    PeerDemand,
     ProbeBudget,
     ProbeResult,
     ProcessingTimes,
@@ -43,6 +40,7 @@
     RouteConfiguration,
     index_routes,
 )
+from experiment.gossip import exchange_reports, list_peer_demands
 from experiment.policies import Policy
 from experiment.servers import draw_processing_time
 from experiment.world import World, get_host_zone
@@ -53,13 +51,6 @@
 CROSS_ZONE_DELAY = Seconds(0.0009)
 """One-way network delay between availability zones."""
 
-GOSSIP_PERIOD = Seconds(1)
-"""Interval at which a host reports its demand to the others."""
-
-UNLIMITED_PROBE_RATE = 1_000_000.0
-USED_SHARE = 0.9
-"""Share of the allowed probes that hosts use."""
-
 RETRY_LIMITS = RetryLimits(ratio=0.2, base_retries=62, window=Seconds(10))
 
 
@@ -89,15 +80,7 @@
 
     @reservations.default
     def _make_reservations(self) -> Reservations:
-        return Reservations(self._list_peer_demands)
-
-    def make_probe_budget(self) -> ProbeBudget:
-        """Return this host's share of the probes of all hosts."""
-        load = self.world.load
-        if load.probe_rate is None:
-            return ProbeBudget(lambda: UNLIMITED_PROBE_RATE)
-        rate = load.probe_rate * load.server_count
-        return ProbeBudget(lambda: rate * USED_SHARE / load.host_count)
+        return Reservations(partial(list_peer_demands, self.world, self.number))
 
     def list_servers(
         self, service: ServiceName, version_draw: float
@@ -167,57 +150,6 @@
             ProbeResult(server, self._make_health_report(server), now)
         )
 
-    async def gossip(self) -> None:
-        """Report demand and failing servers to the others periodically."""
-        async for now in self.timers.subscribe(period=GOSSIP_PERIOD):
-            if now > self.world.load.duration:
-                return
-            self.world.demands[self.number] = [
-                (now, service, rank, demand)
-                for (service, rank), demand in (
-                    self.reservations.counts.list_current(now).items()
-                )
-            ]
-            self._exchange_failures(now)
-
-    def _exchange_failures(self, now: Monotonic) -> None:
-        """Report failing servers and read the reports of the other hosts."""
-        own = {
-            name: server.get_own_failures(now)
-            for name, server in self.roster.servers.items()
-        }
-        self.world.failures[self.number] = {
-            name: failures
-            for name, failures in own.items()
-            if failures >= MIN_REPORTED_FAILURES
-        }
-        for number, failing in self.world.failures.items():
-            if number == self.number or not self._is_visible(number):
-                continue
-            for name, failures in failing.items():
-                self.roster.servers[name].record_reported_failures(
-                    HostId(str(number)), failures, now
-                )
-
-    def _list_peer_demands(self, now: Monotonic) -> list[PeerDemand]:
-        """List the reports of the other hosts, without the newest ones."""
-        return [
-            PeerDemand(
-                service=service,
-                rank=rank,
-                demand=demand,
-                age=Seconds(now - sent_at),
-            )
-            for number, reports in self.world.demands.items()
-            for sent_at, service, rank, demand in reports
-            if number != self.number and self._is_visible(number)
-        ]
-
-    def _is_visible(self, number: int) -> bool:
-        """Return whether another host's reports reach this host."""
-        parts = self.world.load.gossip_parts
-        return number % parts == self.number % parts
-
     def _make_health_report(self, server: KnownServer) -> HealthReport:
         model = self.world.servers[server.entry.id]
         return HealthReport(
@@ -251,7 +183,16 @@
     entries = [model.entry for model in host.world.servers.values()]
     host.roster.apply_listing(entries, host.timers.now())
     random = Random(seed)
-    nursery.start_soon(host.gossip)
+    nursery.start_soon(
+        partial(
+            exchange_reports,
+            host.world,
+            host.number,
+            roster=host.roster,
+            reservations=host.reservations,
+            timers=host.timers,
+        )
+    )
     search_context = SearchContext(
         list_servers=host.list_servers,
         probe=host.probe,
@@ -261,7 +202,7 @@
         timers=host.timers,
         random=random,
         background=nursery,
-        budget=host.make_probe_budget(),
+        budget=ProbeBudget(host.world.load.get_host_probe_rate),
         reservations=host.reservations
         if policy.reserves_slots
         else Reservations(max_share=0),
--- a/tools/experiment/loads.py
+++ b/tools/experiment/loads.py
@@ -16,6 +16,11 @@
 ZONES = ('a', 'b', 'c')
 
 
+UNLIMITED_PROBE_RATE = 1_000_000.0
+USED_PROBE_SHARE = 0.9
+"""Share of the allowed probes that hosts use."""
+
+
 @attrs.frozen(kw_only=True)
 class Demand:
     """The requests made on one route.
@@ -137,6 +142,13 @@
     gossip_parts: int = 1
     refusing_share: float = 0
 
+    def get_host_probe_rate(self) -> float:
+        """Return the probes per second that one host may send."""
+        if self.probe_rate is None:
+            return UNLIMITED_PROBE_RATE
+        allowed = self.probe_rate * self.server_count
+        return allowed * USED_PROBE_SHARE / self.host_count
+
     def get_processing_time(self, route: RouteName) -> Seconds:
         """Return the mean processing time of a route, in seconds.
 
