Let only requests with time to spare leave slots to urgent ones

Cause: the reserve took effect wherever a service has several ranks. Change: a request leaves slots only if its objective is at least four times the shortest objective of a more urgent route of its service, by the configuration. Measured: tests/test_reservation.py.

--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -22,6 +22,7 @@
     observe_probe,
 )
 from ebonystream.entryhost._parts import HostParts
+from ebonystream.entryhost._patience import PatientRoutes
 from ebonystream.entryhost._request_log import log_no_capacity
 from ebonystream.entryhost._retry_budget import make_retry_budget
 from ebonystream.entryhost._searches import make_stoppable_search
@@ -66,6 +67,7 @@
         budget=parts.probe_budget,
         may_receive=make_cold_gate(parts),
         reservations=parts.reservations,
+        is_patient=PatientRoutes(parts.orders).is_patient,
     )
     gate = Gate(parts)
     find_server = make_find_server(search_context)
--- a/src/ebonystream/placement/_context.py
+++ b/src/ebonystream/placement/_context.py
@@ -33,6 +33,16 @@
 """Returns whether this host may now send a request to a server."""
 
 
+IsPatient = Callable[[PlacementRequest], bool]
+"""Returns whether a request has time to spare, compared with more urgent
+requests of its service."""
+
+
+def treat_as_patient(request: PlacementRequest) -> bool:
+    """Treat each request as one that has time to spare."""
+    return True
+
+
 def allow_all(server: KnownServer) -> bool:
     """Allow each server to receive requests."""
     return True
@@ -55,6 +65,7 @@
         may_receive: Limits requests to servers, such as to cold ones.
         reservations: Free slots that are left to more urgent requests.
         waits: When requests last waited for each service.
+        is_patient: Tells which requests leave free slots to more urgent ones.
     """
 
     list_servers: ListServers
@@ -69,3 +80,4 @@
     may_receive: MayReceive = allow_all
     reservations: Reservations = attrs.field(factory=Reservations)
     waits: WaitHistory = attrs.field(factory=WaitHistory)
+    is_patient: IsPatient = treat_as_patient
--- a/src/ebonystream/placement/_reserve_check.py
+++ b/src/ebonystream/placement/_reserve_check.py
@@ -23,11 +23,13 @@
 def get_reserve(context: SearchContext, request: PlacementRequest) -> Reserve:
     """Return what a request leaves to more urgent ones of its service.
 
+    Only a request with time to spare leaves anything.
+
     Args:
         context: Dependencies and state of the search.
         request: The request to place.
     """
-    if not request.get_rank():
+    if not (request.get_rank() and context.is_patient(request)):
         return NO_RESERVE
     now = context.timers.now()
     servers = context.list_servers(request.service, request.version_draw)
--- a/src/ebonystream/route/__init__.py
+++ b/src/ebonystream/route/__init__.py
@@ -7,6 +7,7 @@
     index_routes,
     match_route,
 )
+from ebonystream.route._patience import has_time_to_spare
 from ebonystream.route._route import Route, Share, select_service
 
 __all__ = (
@@ -15,6 +16,7 @@
     'RouteConfiguration',
     'ServiceSettings',
     'Share',
+    'has_time_to_spare',
     'index_routes',
     'match_route',
     'select_service',
--- a/tests/test_reservation.py
+++ b/tests/test_reservation.py
@@ -12,6 +12,7 @@
 from experiment.policies import POLICIES
 from experiment.world import DISTURBANCE_END, DISTURBANCE_START, World
 from platform_samples import make_probe_result, make_route
+from test_gossip import make_listing
 from test_placement import make_context
 from trio.testing import MockClock
 
@@ -34,6 +35,7 @@
     count_free_slots,
     may_start,
 )
+from ebonystream.route import Share, has_time_to_spare, index_routes
 
 URGENT = RankDemand(arrived=80, started=80, work=7)
 PATIENT = RankDemand(arrived=90, started=40, work=50)
@@ -279,3 +281,37 @@
     results = [make_probe_result('i-1', (0, 0, 6, 1)) for _ in range(2)]
     results[0].server.record_reported_failures('other', 3, 0.0)
     assert count_free_slots(results).free == 6
+
+
+@pytest.mark.parametrize(
+    ('objective', 'rank', 'others', 'expected'),
+    [
+        # Requests that cannot wait were held back for more urgent ones, and
+        # missed their own objective.
+        (3.0, 3, [(0.26, 0, 'records')], True),
+        (0.6, 2, [(0.4, 0, 'records'), (0.8, 1, 'records')], False),
+        (1.04, 3, [(0.26, 0, 'records')], True),
+        (1.03, 3, [(0.26, 0, 'records')], False),
+        # Less urgent routes, routes of the same rank and of other services.
+        (3.0, 0, [(0.26, 1, 'records')], False),
+        (3.0, 1, [(0.26, 1, 'records')], False),
+        (3.0, 3, [(0.26, 0, 'desk')], False),
+        (3.0, 3, [], False),
+    ],
+)
+def test_time_to_spare(objective, rank, others, expected):
+    route = make_route(name='own', objective=objective, rank=rank)
+    routes = [
+        make_route(
+            name=f'r{number}',
+            prefix=f'/r{number}/',
+            objective=other_objective,
+            rank=other_rank,
+            shares=(Share(service, 1),),
+        )
+        for number, (other_objective, other_rank, service) in enumerate(others)
+    ]
+    configuration = attrs.evolve(
+        make_listing().configuration, routes=index_routes([route, *routes])
+    )
+    assert has_time_to_spare(configuration, route, 'records') is expected
