Explain where a request would go, without sending it

Cause: operators could not tell beforehand where a host would send a request, or why it would refuse it.

Change: GET /explain on the metrics listener of the entry host and the command `ebonystream explain`. The decisions of requests run on a copy of the state that they change: servers, demands, facts of hosts, the retry budget and the shares of cold servers. Nothing is sent, drawn, logged or counted. The retry budget, cold shares and hedging rules of dispatch are kept in `HostParts.dispatch_state`, so that they can be read.

The comparison with the dispatcher showed that an expired request gets `no_backend`; the explanation follows that.

--- a/src/ebonystream/cli/_app.py
+++ b/src/ebonystream/cli/_app.py
@@ -8,6 +8,7 @@
 
 from ebonystream.cli._client import AdminClient
 from ebonystream.cli._exit import ExitCode
+from ebonystream.cli._explaining import explain
 from ebonystream.cli._formatting import (
     format_backends,
     format_hosts,
@@ -118,6 +119,9 @@
 )
 
 
+app.command()(explain)
+
+
 def _read_settings_or_exit(path: SettingsPath) -> Settings:
     try:
         return read_settings(path)
--- a/src/ebonystream/dispatch/__init__.py
+++ b/src/ebonystream/dispatch/__init__.py
@@ -16,7 +16,9 @@
 from ebonystream.dispatch._progress import (
     Dispatcher,
     ObserveAttempt,
+    RequestProgress,
     SendRefusal,
+    get_deadline,
 )
 
 __all__ = (
@@ -31,6 +33,8 @@
     'RetryLimits',
     'SendAttempt',
     'SendRefusal',
+    'RequestProgress',
+    'get_deadline',
     'HandleRequest',
     'make_send_attempt',
     'make_handle_request',
--- a/src/ebonystream/dispatch/_budget.py
+++ b/src/ebonystream/dispatch/_budget.py
@@ -82,6 +82,20 @@
         window.retries.append(now)
         return True
 
+    def copy(self, count_hosts: CountHosts) -> 'RetryBudget':
+        """Return a copy; retries taken from it leave this budget as it is.
+
+        Args:
+            count_hosts: Returns the number of hosts for the copy.
+        """
+        windows = {
+            service: _Window(deque(window.firsts), deque(window.retries))
+            for service, window in self._windows.items()
+        }
+        return RetryBudget(
+            limits=self.limits, count_hosts=count_hosts, windows=windows
+        )
+
     def _get_window(self, service: ServiceName, now: Monotonic) -> _Window:
         window = self._windows.setdefault(service, _Window())
         window.evict(now - self.limits.window)
--- a/src/ebonystream/entryhost/_cold_servers.py
+++ b/src/ebonystream/entryhost/_cold_servers.py
@@ -18,7 +18,9 @@
 """Period in which the hosts that share are determined anew, in seconds."""
 
 
-def make_cold_gate(parts: HostParts) -> MayReceive:
+def make_cold_gate(
+    parts: HostParts, shares: ColdShares | None = None
+) -> MayReceive:
     """Return the predicate that limits requests to cold servers.
 
     Each server's requests are shared among the hosts of its zone, or among all
@@ -26,8 +28,10 @@
 
     Args:
         parts: The state of the host.
+        shares: Shares of cold servers; new ones if left out.
     """
-    shares = ColdShares(parts.settings.name)
+    if shares is None:
+        shares = ColdShares(parts.settings.name)
 
     def may_receive(server: KnownServer) -> bool:
         now = parts.timers.now()
--- a/src/ebonystream/entryhost/_internal_handlers.py
+++ b/src/ebonystream/entryhost/_internal_handlers.py
@@ -10,6 +10,10 @@
     compute_connection_shares,
 )
 from ebonystream.entryhost._connections import serve_logged
+from ebonystream.entryhost._explain_page import (
+    is_explain_request,
+    respond_explanation,
+)
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._usage_tasks import accept_counts
 from ebonystream.errors import EbonystreamError
@@ -66,6 +70,8 @@
 def make_metrics_handler(parts: HostParts) -> HandleConnection:
     """Return the handler of requests for the metrics page.
 
+    It also explains where a request would go.
+
     Args:
         parts: The state of the host.
     """
@@ -73,6 +79,9 @@
     async def respond(
         message: Message, arrived_at: Monotonic, presence: CallerPresence
     ) -> EncodedResponse:
+        if is_explain_request(message):
+            await trio.lowlevel.checkpoint()
+            return respond_explanation(parts, message)
         # Imported in a thread, as its libraries take time to load, and only
         # on request, as they take memory.
         page_module = await trio.to_thread.run_sync(
--- a/src/ebonystream/entryhost/_parts.py
+++ b/src/ebonystream/entryhost/_parts.py
@@ -10,7 +10,7 @@
 from ebonystream.decisionlog import EventLogger, LineBuffer
 from ebonystream.entryhost._metrics import HostMetrics
 from ebonystream.entryhost._rank_demands import make_reservations
-from ebonystream.entryhost._searches import ActiveSearches
+from ebonystream.entryhost._searches import ActiveSearches, DispatchState
 from ebonystream.entryhost._settings import HostSettings
 from ebonystream.entryhost._unreadable import UnreadableRecords
 from ebonystream.entryhost._usage import (
@@ -82,6 +82,7 @@
         usage: State of usage reporting; None if it is not asked for.
         last_tasks: Run one after another at the end of a shutdown.
         reservations: Free slots that are left to more urgent requests.
+        dispatch_state: What limits attempts; None before requests are handled.
     """
 
     settings: HostSettings
@@ -120,6 +121,7 @@
     usage: UsageReporting | None = attrs.field(init=False)
     last_tasks: list[LastTask] = attrs.field(factory=list)
     reservations: Reservations = attrs.field(init=False)
+    dispatch_state: DispatchState | None = None
 
     def is_ready(self) -> bool:
         """Return whether this host can serve callers."""
--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -24,11 +24,12 @@
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._request_log import log_no_capacity
 from ebonystream.entryhost._retry_budget import make_retry_budget
-from ebonystream.entryhost._searches import make_stoppable_search
+from ebonystream.entryhost._searches import DispatchState, make_stoppable_search
 from ebonystream.entryhost._supervision import supervise_probe
 from ebonystream.ingress import CallerPresence, HandleConnection
 from ebonystream.link import make_exchange
 from ebonystream.placement import (
+    ColdShares,
     SearchContext,
     make_find_server,
     make_probe,
@@ -54,6 +55,7 @@
         timers=parts.timers,
         observe=partial(observe_probe, parts),
     )
+    cold_shares = ColdShares(parts.settings.name)
     search_context = SearchContext(
         list_servers=partial(list_servers, parts),
         probe=supervise_probe(parts, probe),
@@ -64,10 +66,15 @@
         random=parts.random,
         background=parts.background,
         budget=parts.probe_budget,
-        may_receive=make_cold_gate(parts),
+        may_receive=make_cold_gate(parts, cold_shares),
         reservations=parts.reservations,
     )
     gate = Gate(parts)
+    parts.dispatch_state = DispatchState(
+        retry_budget=make_retry_budget(parts),
+        cold_shares=cold_shares,
+        hedging=make_hedge_rules(parts, search_context),
+    )
     find_server = make_find_server(search_context)
     handle_request = make_handle_request(
         Dispatcher(
@@ -78,13 +85,13 @@
                 timers=parts.timers,
                 may_send=lambda request: gate.check_send(request) is None,
             ),
-            retry_budget=make_retry_budget(parts),
+            retry_budget=parts.dispatch_state.retry_budget,
             attempt_observers=make_attempt_observers(parts),
             observe_no_capacity=partial(log_no_capacity, parts),
             observe_response=partial(count_response, parts),
             timers=parts.timers,
             check_send=gate.check_send,
-            hedging=make_hedge_rules(parts, search_context),
+            hedging=parts.dispatch_state.hedging,
         ),
         get_configuration=lambda: parts.orders.configuration,
         random=parts.random,
--- a/src/ebonystream/entryhost/_searches.py
+++ b/src/ebonystream/entryhost/_searches.py
@@ -1,11 +1,13 @@
-"""Searches for a server, which end during a shutdown."""
+"""Searches for a server, and what limits the attempts that follow."""
 
 import attrs
 import trio
 
 from ebonystream._ids import Seconds
+from ebonystream.dispatch import HedgeRules, RetryBudget
 from ebonystream.placement import (
     Candidate,
+    ColdShares,
     FindServer,
     NoCapacity,
     PlacementRequest,
@@ -31,6 +33,21 @@
             scope.cancel()
 
 
+@attrs.frozen(kw_only=True)
+class DispatchState:
+    """What limits the attempts of this host.
+
+    Attributes:
+        retry_budget: Limits retries.
+        cold_shares: This host's shares of cold servers.
+        hedging: Rules of hedging; None where it is switched off.
+    """
+
+    retry_budget: RetryBudget
+    cold_shares: ColdShares
+    hedging: HedgeRules | None
+
+
 def make_stoppable_search(
     find_server: FindServer, searches: ActiveSearches
 ) -> FindServer:
--- a/src/ebonystream/gossip/__init__.py
+++ b/src/ebonystream/gossip/__init__.py
@@ -32,7 +32,7 @@
     SharedResponse,
 )
 from ebonystream.gossip._socket import GossipSocket, open_gossip_socket
-from ebonystream.gossip._table import HostFactTable
+from ebonystream.gossip._table import HostFactTable, copy_fact_table
 
 __all__ = (
     'SendCounts',
@@ -43,6 +43,7 @@
     'FetchShared',
     'GossipSocket',
     'HostFactTable',
+    'copy_fact_table',
     'HostFacts',
     'RegisteredHost',
     'select_contacts',
--- a/src/ebonystream/gossip/_table.py
+++ b/src/ebonystream/gossip/_table.py
@@ -204,6 +204,15 @@
         ]
 
 
+def copy_fact_table(table: HostFactTable) -> HostFactTable:
+    """Return a copy, from which hosts may be evicted separately.
+
+    Args:
+        table: The table.
+    """
+    return attrs.evolve(table, entries=dict(table._entries))
+
+
 def _list_expired(
     entries: Mapping[HostId, _Entry], now: Monotonic
 ) -> list[HostId]:
--- a/src/ebonystream/placement/__init__.py
+++ b/src/ebonystream/placement/__init__.py
@@ -12,9 +12,11 @@
 from ebonystream.placement._probe import Probe, make_probe
 from ebonystream.placement._probe_budget import ProbeBudget, ProbePurpose
 from ebonystream.placement._probe_share import compute_probe_share
+from ebonystream.placement._probing import list_usable_servers
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._reservation import RankDemand
 from ebonystream.placement._reservations import PeerDemand, Reservations
+from ebonystream.placement._reserve_check import get_reserve
 from ebonystream.placement._results import (
     Candidate,
     NoCapacity,
@@ -56,4 +58,6 @@
     'make_find_server',
     'FindIdleServer',
     'make_find_idle_server',
+    'get_reserve',
+    'list_usable_servers',
 )
--- a/src/ebonystream/route/__init__.py
+++ b/src/ebonystream/route/__init__.py
@@ -7,7 +7,7 @@
     index_routes,
     match_route,
 )
-from ebonystream.route._route import Route, Share, select_service
+from ebonystream.route._route import Route, Share, list_odds, select_service
 
 __all__ = (
     'RequestLimits',
@@ -16,6 +16,7 @@
     'ServiceSettings',
     'Share',
     'index_routes',
+    'list_odds',
     'match_route',
     'select_service',
 )
--- a/src/ebonystream/route/_route.py
+++ b/src/ebonystream/route/_route.py
@@ -76,6 +76,20 @@
             raise ValueError(f'no service of route {quote(self.name)}')
 
 
+def list_odds(route: Route) -> dict[ServiceName, float]:
+    """Return the share of a route's requests that each service receives.
+
+    Args:
+        route: Route that the request matched.
+    """
+    total = sum(share.weight for share in route.shares)
+    odds: dict[ServiceName, float] = {}
+    for share in route.shares:
+        known = odds.get(share.service, 0)
+        odds[share.service] = known + share.weight / total
+    return odds
+
+
 def select_service(route: Route, random: Random) -> ServiceName:
     """Select a service for a request at random by the route's weights.
 
