--- a/src/ebonystream/route/__init__.py
+++ b/src/ebonystream/route/__init__.py
@@ -8,7 +8,7 @@
     match_route,
 )
 from ebonystream.route._patience import has_time_to_spare
-from ebonystream.route._route import Route, Share, select_service
+from ebonystream.route._route import Route, Share, list_odds, select_service
 
 __all__ = (
     'RequestLimits',
@@ -18,6 +18,7 @@
     'Share',
     'has_time_to_spare',
     'index_routes',
+    'list_odds',
     'match_route',
     'select_service',
 )
