Start nothing behind a pipelined request that was refused

Cause: a pipelined request that did not fit in the memory budget was taken from the reader and dropped, but the requests behind it could still be started. The response to one of them was then sent in the place of the response to the refused request.

Change: nothing more is started on the connection after such a refusal; the error response follows the responses to the earlier requests and closes the connection.

Result: tests/test_pipelined_connections.py fails before the change (the response to the request behind comes in the place of the 503) and passes after it.

--- a/src/ebonystream/ingress/_serving.py
+++ b/src/ebonystream/ingress/_serving.py
@@ -57,6 +57,8 @@
     while received and pipeline.accepts(received[0]):
         message = _take_request(session)
         if message is None:
+            # Its error response comes before all that follows it.
+            pipeline.closing = True
             return
         session.first_byte_at = session.timers.now()
         _start_request(session, pipeline, nursery, message)
--- /dev/null
+++ b/tests/test_pipelined_connections.py
@@ -0,0 +1,74 @@
+"""Pipelined requests: refused, answered early, and left by their caller."""
+
+from contextlib import suppress
+
+import trio
+import trio.testing
+
+from ebonystream._timers import Timers
+from ebonystream.http1 import ReaderLimits, encode_response
+from ebonystream.ingress import (
+    ConnectionLimits,
+    EncodedResponse,
+    MemoryBudget,
+    OpenConnections,
+    serve_connection,
+)
+from ebonystream.ingress._account import CONNECTION_BYTES
+
+KIB, MIB = 1024, 1_048_576
+LIMITS = ConnectionLimits(
+    message=ReaderLimits(head_bytes=999, body_bytes=MIB),
+    receive_timeout=20,
+    idle_timeout=60,
+    may_overlap=lambda message: True,
+)
+
+
+def make_request(path, size=0, announced=None):
+    head = b'POST /%s HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n'
+    return head % (path.encode(), announced or size) + bytes(size)
+
+
+def make_serve(connections, respond):
+    async def serve(stream):
+        await serve_connection(
+            stream,
+            respond=respond,
+            encode_error=lambda error: encode_response(
+                error.answer.status, (), error.kind.value.encode()
+            ),
+            limits=LIMITS,
+            timers=Timers(epoch_offset=0),
+            connections=connections,
+        )
+
+    return serve
+
+
+async def test_nothing_runs_behind_a_refused_request(autojump_clock):
+    # The request behind a refused one was started, and its response was sent
+    # as the response to the refused one.
+    connections = OpenConnections(budget=MemoryBudget(MIB))
+    other = connections.budget.book.open(lambda: None)
+    connections.budget.add_serving(other, MIB - 2 * CONNECTION_BYTES - 9 * KIB)
+    client, server = trio.testing.memory_stream_pair()
+    received = bytearray()
+
+    async def respond(message, arrived_at, presence):
+        await trio.sleep(int(message.target[2:]))
+        content = encode_response(200, (), message.target)
+        return EncodedResponse(content, close=False)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(make_serve(connections, respond), server)
+        await client.send_all(b''.join(map(make_request, ('a1', 'b2', 'c3'))))
+        await trio.testing.wait_all_tasks_blocked()
+        # What is malformed keeps the requests before it from being counted.
+        refused = make_request('d1', 20 * KIB) + make_request('e1', 20 * KIB)
+        await client.send_all(refused + b'no request\r\n\r\n')
+        with suppress(trio.BrokenResourceError):
+            async for part in client:
+                received.extend(part)
+    bodies = [part.split(b'\r\n')[-1] for part in received.split(b'HTTP/1.1')]
+    assert bodies[1:] == [b'/a1', b'/b2', b'/c3', b'memory_short']
