Free a large request once its response is known

Cause: the memory budget counts a request until its response is known, but the pipeline, and the task of the connection, referred to it until the response had been sent. A client that did not take its responses, or pipelined large bodies behind a slow request, made the process hold bodies that nothing counted: up to eight of the largest size for each connection.

Change: only the pipeline refers to a request, and drops the content of a large one when its response is known. Whether a pending request may overlap with others is asked once, as its route can't be matched afterwards.

Result: tests/test_pipelined_connections.py fails before the change (the request of 50 KiB is still alive, both alone and behind a slow one) and passes after it.

--- a/src/ebonystream/ingress/_connection.py
+++ b/src/ebonystream/ingress/_connection.py
@@ -14,6 +14,7 @@
     open_meter,
 )
 from ebonystream.ingress._open_connections import OpenConnections
+from ebonystream.ingress._pipeline import Pipeline
 from ebonystream.ingress._response import EncodeError, Respond
 from ebonystream.ingress._serving import DISCONNECT_ERRORS, serve_pipeline
 from ebonystream.ingress._session import ConnectionLimits, Session
@@ -79,11 +80,23 @@
 
 
 async def _serve_next(session: Session) -> bool:
-    """Receive and serve a request, which is freed before the next."""
+    """Receive and serve a request, and those that follow at once."""
+    pipeline = Pipeline(session.limits.may_overlap)
+    if not await _receive_first(session, pipeline):
+        return False
+    return await serve_pipeline(session, pipeline)
+
+
+async def _receive_first(session: Session, pipeline: Pipeline) -> bool:
+    """Receive a request; return False if the caller disconnected.
+
+    Only the pipeline refers to the request afterwards, and can free it.
+    """
     message = await _receive(session)
     if message is None:
         return False
-    return await serve_pipeline(session, message)
+    pipeline.add(message, session.first_byte_at)
+    return True
 
 
 async def _wait_for_request(session: Session) -> bool:
--- a/src/ebonystream/ingress/_pipeline.py
+++ b/src/ebonystream/ingress/_pipeline.py
@@ -7,6 +7,7 @@
 
 from ebonystream._ids import Monotonic
 from ebonystream.http1 import Message
+from ebonystream.ingress._account import SMALL_MESSAGE_BYTES
 from ebonystream.ingress._presence import CallerPresence
 from ebonystream.ingress._response import EncodedResponse, MayOverlap
 
@@ -19,9 +20,10 @@
     """A request whose response has not been sent yet.
 
     Attributes:
-        message: The request.
+        message: The request; without its content once a large one is answered.
         arrived_at: When its first byte arrived.
         presence: Whether the caller still waits for the response.
+        overlaps: Whether it may overlap with others; None until it is asked.
         response: The response; None until it is known.
         answered: Set when `response` is known.
         sent: Set when the response has been sent.
@@ -30,6 +32,7 @@
     message: Message
     arrived_at: Monotonic
     presence: CallerPresence = attrs.field(factory=CallerPresence)
+    overlaps: bool | None = None
     response: EncodedResponse | None = None
     answered: trio.Event = attrs.field(factory=trio.Event)
     sent: trio.Event = attrs.field(factory=trio.Event)
@@ -73,10 +76,11 @@
         """
         if self.closing or len(self.pending) >= MAX_PIPELINED_REQUESTS:
             return False
-        messages = [earlier.message for earlier in self.pending]
-        if not all(earlier.keep_alive for earlier in messages):
+        if not all(earlier.message.keep_alive for earlier in self.pending):
             return False
-        return not messages or all(map(self.may_overlap, (*messages, message)))
+        if not all(map(self._overlaps, self.pending)):
+            return False
+        return not self.pending or self.may_overlap(message)
 
     def add(self, message: Message, arrived_at: Monotonic) -> PendingRequest:
         """Add a request behind the pending ones.
@@ -101,9 +105,27 @@
             response: Its response.
         """
         self.closing = self.closing or response.close
+        if request.message.count_bytes() > SMALL_MESSAGE_BYTES:
+            self._free_content(request)
         request.answer(response)
 
     def mark_disconnected(self) -> None:
         """Record that the caller waits for no response any more."""
         for request in self.pending:
             request.presence.mark_disconnected()
+
+    def _overlaps(self, request: PendingRequest) -> bool:
+        if request.overlaps is None:
+            request.overlaps = self.may_overlap(request.message)
+        return request.overlaps
+
+    def _free_content(self, request: PendingRequest) -> None:
+        """Free the content of a request whose response is known.
+
+        The memory budget does not count it any more, and its response may have
+        to wait for earlier ones and for the client.
+        """
+        self._overlaps(request)
+        request.message = attrs.evolve(
+            request.message, target=b'', headers=(), body=b'', head_bytes=0
+        )
--- a/src/ebonystream/ingress/_serving.py
+++ b/src/ebonystream/ingress/_serving.py
@@ -15,20 +15,20 @@
 """Errors that show that the peer has closed the connection."""
 
 
-async def serve_pipeline(session: Session, first: Message) -> bool:
+async def serve_pipeline(session: Session, pipeline: Pipeline) -> bool:
     """Serve a request and those that arrive before its response is sent.
 
     Args:
         session: The connection.
-        first: The request.
+        pipeline: Holds the request.
 
     Returns:
         Whether another request may follow.
     """
-    pipeline = Pipeline(session.limits.may_overlap)
     is_open = True
     async with trio.open_nursery() as nursery:
-        _start_request(session, pipeline, nursery, first)
+        first = pipeline.pending[0]
+        nursery.start_soon(_serve_request, session, pipeline, first)
         nursery.start_soon(_watch_caller, session, pipeline, nursery)
         while pipeline.pending and is_open:
             _start_received(session, pipeline, nursery)
--- a/tests/test_pipelined_connections.py
+++ b/tests/test_pipelined_connections.py
@@ -1,7 +1,9 @@
 """Pipelined requests: refused, answered early, and left by their caller."""
 
+import weakref
 from contextlib import suppress
 
+import pytest
 import trio
 import trio.testing
 
@@ -72,3 +74,25 @@
                 received.extend(part)
     bodies = [part.split(b'\r\n')[-1] for part in received.split(b'HTTP/1.1')]
     assert bodies[1:] == [b'/a1', b'/b2', b'/c3', b'memory_short']
+
+
+@pytest.mark.parametrize('before', [b'', make_request('slow')])
+async def test_an_answered_request_is_not_held(before):
+    # Guards against bodies that are neither counted nor freed while their
+    # clients do not take the responses, or wait for earlier ones.
+    held = []
+
+    async def respond(message, arrived_at, presence):
+        if message.target == b'/slow':
+            await trio.sleep_forever()
+        held.append(weakref.ref(message))
+        await trio.lowlevel.checkpoint()
+        return EncodedResponse(encode_response(200, (), b''), close=False)
+
+    client, server = trio.testing.lockstep_stream_pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(make_serve(OpenConnections(), respond), server)
+        await client.send_all(before + make_request('a', 50 * KIB))
+        await trio.testing.wait_all_tasks_blocked()
+        assert [reference() for reference in held] == [None]
+        nursery.cancel_scope.cancel()
