Notice a disconnect behind bytes that are not read

Cause: the task that watches a caller stopped for good at an incomplete body, at eight unserved requests and at invalid input. A caller that then left was not noticed: its requests ran on until their responses or deadlines. A request that was started after a noticed disconnect also did not know of it.

The pipeline keeps the disconnect for the requests that are started later.

--- a/src/ebonystream/ingress/_pipeline.py
+++ b/src/ebonystream/ingress/_pipeline.py
@@ -62,11 +62,13 @@
         pending: Requests whose responses have not been sent, oldest first.
         closing: Whether no further request is accepted, since a response closes
             the connection or all responses have been sent.
+        is_disconnected: Whether the caller has disconnected.
     """
 
     may_overlap: MayOverlap
     pending: deque[PendingRequest] = attrs.field(factory=deque)
     closing: bool = False
+    is_disconnected: bool = False
 
     def accepts(self, message: Message) -> bool:
         """Return whether a request may be served now.
@@ -92,6 +94,7 @@
         for earlier in self.pending:
             earlier.presence.has_followers = True
         request = PendingRequest(message, arrived_at)
+        request.presence.disconnected = self.is_disconnected
         self.pending.append(request)
         return request
 
@@ -111,6 +114,7 @@
 
     def mark_disconnected(self) -> None:
         """Record that the caller waits for no response any more."""
+        self.is_disconnected = True
         for request in self.pending:
             request.presence.mark_disconnected()
 
--- a/src/ebonystream/ingress/_serving.py
+++ b/src/ebonystream/ingress/_serving.py
@@ -4,6 +4,7 @@
 
 from ebonystream.errors import EbonystreamError
 from ebonystream.http1 import RECEIVE_BYTES, Message
+from ebonystream.ingress._disconnects import wait_for_disconnect
 from ebonystream.ingress._pipeline import (
     MAX_PIPELINED_REQUESTS,
     PendingRequest,
@@ -105,10 +106,19 @@
 async def _watch_caller(
     session: Session, pipeline: Pipeline, nursery: trio.Nursery
 ) -> None:
-    """Start the requests that arrive, and report the caller's disconnect.
+    """Start the requests that arrive, and report the caller's disconnect."""
+    if not await _read_ahead(session, pipeline, nursery):
+        await wait_for_disconnect(session.stream.inner, session.timers)
+    pipeline.mark_disconnected()
 
-    Reading stops at a body that is incomplete, which `_receive` limits, and at
-    the maximum number of requests.
+
+async def _read_ahead(
+    session: Session, pipeline: Pipeline, nursery: trio.Nursery
+) -> bool:
+    """Start the requests that arrive; return whether the caller disconnected.
+
+    Reading stops at a body that is incomplete, which `_receive` limits, at the
+    maximum number of requests, and at invalid input.
     """
     reader = session.reader
     while len(reader.collector.completed.messages) < MAX_PIPELINED_REQUESTS:
@@ -117,13 +127,13 @@
         except trio.BrokenResourceError:
             data = b''
         if not data:
-            pipeline.mark_disconnected()
-            return
+            return True
         try:
             reader.feed(bytes(data))
         except EbonystreamError:
             # The reader keeps the error and raises it in `_wait_for_request`.
-            return
+            return False
         _start_received(session, pipeline, nursery)
         if reader.collector.in_message and reader.collector.in_body:
-            return
+            return False
+    return False
--- a/tests/test_pipelined_connections.py
+++ b/tests/test_pipelined_connections.py
@@ -96,3 +96,36 @@
         await trio.testing.wait_all_tasks_blocked()
         assert [reference() for reference in held] == [None]
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    'behind',
+    [make_request('b', 9, announced=99), make_request('b') * 20, b'?\r\n\r\n'],
+    ids=['part of a body', 'more than are served at once', 'malformed'],
+)
+async def test_disconnect_behind_unread_bytes(behind):
+    # Guards against requests that run on for a caller that has left, since
+    # what follows them is not read.
+    cancelled = trio.Event()
+
+    async def respond(message, arrived_at, presence):
+        with presence.cancel_on_disconnect():
+            await trio.sleep_forever()
+        cancelled.set()
+        return EncodedResponse(encode_response(200, (), b''), close=False)
+
+    serve = make_serve(OpenConnections(), respond)
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        client = await trio.open_tcp_stream('127.0.0.1', port)
+        await client.send_all(make_request('a'))
+        await trio.sleep(0.1)
+        await client.send_all(behind)
+        await trio.sleep(0.1)
+        assert not cancelled.is_set()
+        await client.aclose()
+        with trio.fail_after(3):
+            await cancelled.wait()
+        nursery.cancel_scope.cancel()
