Drop the count of unread bytes when it is no longer taken

Cause: the bytes that the kernel holds unread are counted while at least eight requests are handled, and once more when fewer are. That last count stayed in the accounts although the bytes were read afterwards, until the host was as busy again or the connections ended: up to the receive buffers of seven connections.

Change: the accounts forget their unread bytes when fewer requests are handled.

--- a/src/ebonystream/ingress/_memory_budget.py
+++ b/src/ebonystream/ingress/_memory_budget.py
@@ -124,6 +124,12 @@
             self.closings.close(most, CloseReason.UNREAD_INPUT)
             self.book.update(most)
 
+    def forget_unread(self) -> None:
+        """Count nothing as unread, as it is read without being counted."""
+        for account in self.book.accounts:
+            account.unread_bytes = 0
+            self.book.update(account)
+
     def close_slowest(self, now: Monotonic) -> bool:
         """Close the slowest connection; return whether one was slow.
 
--- a/src/ebonystream/ingress/_unread.py
+++ b/src/ebonystream/ingress/_unread.py
@@ -22,6 +22,8 @@
     was_busy = False
     async for _ in timers.subscribe(period=COUNT_PERIOD):
         is_busy = connections.active_requests >= MIN_ACTIVE_REQUESTS
-        if is_busy or was_busy:
+        if is_busy:
             connections.budget.count_unread()
+        elif was_busy:
+            connections.budget.forget_unread()
         was_busy = is_busy
--- a/tests/test_pipelined_connections.py
+++ b/tests/test_pipelined_connections.py
@@ -14,6 +14,7 @@
     EncodedResponse,
     MemoryBudget,
     OpenConnections,
+    bound_unread_bytes,
     serve_connection,
 )
 from ebonystream.ingress._account import CONNECTION_BYTES
@@ -129,3 +130,24 @@
         with trio.fail_after(3):
             await cancelled.wait()
         nursery.cancel_scope.cancel()
+
+
+async def test_unread_bytes_do_not_stay_counted(autojump_clock):
+    # Guards against a count that is kept after the bytes were read, until
+    # enough requests are handled again.
+    connections = OpenConnections()
+    unread = MIB
+    connections.budget.book.open(lambda: None, count_unread=lambda: unread)
+    connections.active_requests = 8
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            bound_unread_bytes, connections, Timers(epoch_offset=0)
+        )
+        await trio.sleep(0.7)
+        assert connections.budget.book.used_bytes == CONNECTION_BYTES + MIB
+        connections.active_requests = 7
+        await trio.sleep(1)
+        unread, connections.active_requests = 0, 0
+        await trio.sleep(1)
+        assert connections.budget.book.used_bytes == CONNECTION_BYTES
+        nursery.cancel_scope.cancel()
