Count a request once as a first attempt

Cause: an attempt whose server could not be reached does not count, so that the next one was recorded as another first attempt of the same request. Each unreachable server thus raised the limit on retries and hedges, just when servers were failing.

Change: a first attempt is recorded once for each request.

Result: with four unreachable servers for each of ten requests, the new test in tests/test_dispatch.py fails before the change and passes after it: a ratio of 0.5 allows 4 retries (ten first attempts, safety factor 0.8).

--- a/src/ebonystream/dispatch/_handler.py
+++ b/src/ebonystream/dispatch/_handler.py
@@ -157,11 +157,15 @@
 
 
 def _acquire_attempt(dispatcher: Dispatcher, progress: RequestProgress) -> bool:
-    """Record a first attempt, or take a retry from the budget."""
+    """Record a first attempt, or take a retry from the budget.
+
+    An attempt after those that were not sent is neither of the two.
+    """
     now = dispatcher.timers.now()
     if progress.attempt_count:
         return dispatcher.retry_budget.try_acquire_retry(progress.service, now)
-    dispatcher.retry_budget.record_first_attempt(progress.service, now)
+    if progress.last_attempt is None:
+        dispatcher.retry_budget.record_first_attempt(progress.service, now)
     return True
 
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -271,6 +271,19 @@
     assert later <= allowed
 
 
+async def test_a_request_is_one_first_attempt(autojump_clock):
+    # Each server that could not be reached raised the limit on retries.
+    ends = [(end, 0.01) for end in [UNREACHABLE] * 4 + [SERVED]] * 10
+    limits = RetryLimits(ratio=0.5, base_retries=0, window=Seconds(10))
+    dispatcher = make_dispatcher(ends, limits=limits, capacity=99)
+    handle = make_test_handler(dispatcher, IDEMPOTENT, random=FixedRandom())
+    for _ in range(10):
+        await handle(make_request(), CallerPresence())
+    budget = dispatcher.retry_budget
+    now = dispatcher.timers.now()
+    assert sum(budget.try_acquire_retry('records', now) for _ in range(50)) == 4
+
+
 class FixedRandom:
     """A random generator that always returns the same number."""
 
