Keep the error about a head or trailer that does not end

Cause: the reader raised this error without keeping it. If it was found while an earlier request of the connection was handled, it was lost, and the client got 408 after the whole receive timeout.

Change: the reader keeps it like other errors.

Result: tests/test_pipelined_connections.py fails before the change (408) and passes after it (431 directly behind the first response).

--- a/src/ebonystream/http1/_reader.py
+++ b/src/ebonystream/http1/_reader.py
@@ -143,9 +143,10 @@
         self.unfinished_bytes += size
         limit = collector.limits.head_bytes
         if self.unfinished_bytes > limit + RECEIVE_BYTES:
-            raise EbonystreamError(
+            collector.error = EbonystreamError(
                 ErrorKind.HEAD_TOO_LARGE, f'more than {limit} bytes'
             )
+            raise collector.error
 
 
 def count_held_bytes(reader: MessageReader) -> int:
--- a/tests/test_pipelined_connections.py
+++ b/tests/test_pipelined_connections.py
@@ -151,3 +151,26 @@
         await trio.sleep(1)
         assert connections.budget.book.used_bytes == CONNECTION_BYTES
         nursery.cancel_scope.cancel()
+
+
+async def test_an_endless_field_behind_a_request_is_refused(autojump_clock):
+    # The error was lost when it was found while a request was handled; the
+    # client got 408 after the whole receive timeout.
+    connections = OpenConnections()
+    received = bytearray()
+
+    async def respond(message, arrived_at, presence):
+        await trio.sleep(1)
+        return EncodedResponse(encode_response(200, (), b''), close=False)
+
+    client, server = trio.testing.memory_stream_pair()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(make_serve(connections, respond), server)
+        await client.send_all(make_request('a'))
+        await trio.testing.wait_all_tasks_blocked()
+        await client.send_all(b'GET / HTTP/1.1\r\na: ' + bytes(b'a' * 80_000))
+        while len(received.split(b'HTTP/1.1')) < 3:
+            received.extend(await client.receive_some())
+        nursery.cancel_scope.cancel()
+    assert received.endswith(b'head_too_large')
+    assert trio.current_time() < 3
