Let clients that do not take a small response make room

Cause: responses of up to 4096 bytes are not counted, and only a client with counted bytes was judged as slow. Clients that sent small requests and did not read their responses kept their connections for ever, and once they held all of them, each new connection was closed.

Change: the progress of every response is judged while it is being sent, so that such a connection is closed for a new one like that of another slow client.

Result: the new test in tests/test_pipelined_connections.py fails before the change (the second client is not served) and passes after it; make lint types is clean.

--- a/src/ebonystream/ingress/_account.py
+++ b/src/ebonystream/ingress/_account.py
@@ -98,6 +98,7 @@
         unread_bytes: Bytes that the kernel held unread when it was asked last.
         reading: Progress of the request that is being received.
         sending: Progress of the responses.
+        is_sending: Whether bytes are being sent, of whatever size.
         is_shed: Whether the request that is being received gave way.
         counted_bytes: Bytes that the book of accounts has counted.
     """
@@ -111,6 +112,7 @@
     unread_bytes: int = 0
     reading: Progress = attrs.field(factory=Progress)
     sending: Progress = attrs.field(factory=Progress)
+    is_sending: bool = False
     is_shed: bool = False
     counted_bytes: int = 0
 
@@ -133,7 +135,8 @@
         Args:
             now: Current time on the monotonic clock, in seconds.
         """
-        return self.sending_bytes > 0 and self.sending.is_slow(now)
+        has_response = self.is_sending or self.sending_bytes > 0
+        return has_response and self.sending.is_slow(now)
 
 
 @attrs.define
--- a/src/ebonystream/ingress/_metering.py
+++ b/src/ebonystream/ingress/_metering.py
@@ -107,6 +107,12 @@
         if size > SMALL_MESSAGE_BYTES:
             self.budget.add_sending(self.account, size, self.timers.now())
 
+    def start_sending(self) -> None:
+        """Judge the progress of what is sent, also if it is not counted."""
+        if self.account.sending_bytes == 0:
+            self.account.sending.start(self.timers.now())
+        self.account.is_sending = True
+
     def record_sent(self, size: int) -> None:
         """Record that bytes of a response were sent.
 
@@ -152,15 +158,11 @@
         Args:
             data: The bytes.
         """
-        if len(data) <= SEND_SLICE_BYTES:
-            await self.inner.send_all(data)
-            self.meter.record_sent(len(data))
-            return
-        with memoryview(data) as view:
-            for start in range(0, len(view), SEND_SLICE_BYTES):
-                part = view[start : start + SEND_SLICE_BYTES]
-                await self.inner.send_all(part)
-                self.meter.record_sent(len(part))
+        self.meter.start_sending()
+        try:
+            await self._send_parts(data)
+        finally:
+            self.meter.account.is_sending = False
 
     async def send_eof(self) -> None:
         """Close the sending side of a network connection."""
@@ -175,6 +177,17 @@
         """Close the connection."""
         await self.inner.aclose()
 
+    async def _send_parts(self, data: bytes | bytearray | memoryview) -> None:
+        if len(data) <= SEND_SLICE_BYTES:
+            await self.inner.send_all(data)
+            self.meter.record_sent(len(data))
+            return
+        with memoryview(data) as view:
+            for start in range(0, len(view), SEND_SLICE_BYTES):
+                part = view[start : start + SEND_SLICE_BYTES]
+                await self.inner.send_all(part)
+                self.meter.record_sent(len(part))
+
 
 def meter_respond(meter: ConnectionMeter, respond: Respond) -> Respond:
     """Account for requests while they are handled, and for responses.
--- a/tests/test_pipelined_connections.py
+++ b/tests/test_pipelined_connections.py
@@ -174,3 +174,26 @@
         nursery.cancel_scope.cancel()
     assert received.endswith(b'head_too_large')
     assert trio.current_time() < 3
+
+
+async def test_a_small_response_that_is_not_taken_makes_room(autojump_clock):
+    # Guards against clients that occupy all connections for ever with small
+    # responses that they do not read.
+    connections = OpenConnections(limit=1)
+    served = []
+
+    async def respond(message, arrived_at, presence):
+        await trio.lowlevel.checkpoint()
+        served.append(message.target)
+        return EncodedResponse(encode_response(200, (), b''), close=False)
+
+    serve = make_serve(connections, respond)
+    async with trio.open_nursery() as nursery:
+        for name in ('first', 'second'):
+            client, server = trio.testing.lockstep_stream_pair()
+            nursery.start_soon(serve, server)
+            with suppress(trio.BrokenResourceError):
+                await client.send_all(make_request(name))
+            await trio.sleep(2)
+        nursery.cancel_scope.cancel()
+    assert served == [b'/first', b'/second']
