Count the slots of a service only where a reserve may apply

Cause: each search of a request that is not of the most urgent rank passed over all servers of its service twice to count their slots, also where no more urgent request uses the service and the reserve is zero in any case.

Change: the demand of more urgent ranks is looked up first.

The new test in tests/test_reservation.py fails before the change and passes after it.

--- a/src/ebonystream/placement/_reservations.py
+++ b/src/ebonystream/placement/_reservations.py
@@ -114,6 +114,20 @@
         known = self._demands.get(service, _ServiceDemand())
         return len(known.by_rank) > 1
 
+    def has_more_urgent(
+        self, service: ServiceName, rank: int, now: Monotonic
+    ) -> bool:
+        """Return whether requests that are more urgent use a service.
+
+        Args:
+            service: Name of the service.
+            rank: The rank that others are compared with.
+            now: Current time on the monotonic clock, in seconds.
+        """
+        self._refresh_demands(now)
+        known = self._demands.get(service)
+        return known is not None and min(known.by_rank, default=rank) < rank
+
     def get_start_rate(self, service: ServiceName, rank: int) -> float:
         """Return the requests of a rank that a host starts each second.
 
--- a/src/ebonystream/placement/_reserve_check.py
+++ b/src/ebonystream/placement/_reserve_check.py
@@ -27,16 +27,21 @@
         context: Dependencies and state of the search.
         request: The request to place.
     """
-    if not request.get_rank():
+    rank = request.get_rank()
+    if not rank:
         return NO_RESERVE
     now = context.timers.now()
+    reservations = context.reservations
+    # Counting the slots of all servers takes long in comparison.
+    if not reservations.has_more_urgent(request.service, rank, now):
+        return NO_RESERVE
     servers = context.list_servers(request.service, request.version_draw)
     slots = sum(
         server.entry.slots
         for server in servers
         if server.is_usable(now) and not is_unreliable(server, now)
     )
-    return context.reservations.get_reserve(request, slots=slots, now=now)
+    return reservations.get_reserve(request, slots=slots, now=now)
 
 
 def check_reserve(
--- a/tests/test_reservation.py
+++ b/tests/test_reservation.py
@@ -34,6 +34,7 @@
     count_free_slots,
     may_start,
 )
+from ebonystream.placement._reserve_check import get_reserve
 
 URGENT = RankDemand(arrived=80, started=80, work=7)
 PATIENT = RankDemand(arrived=90, started=40, work=50)
@@ -279,3 +280,19 @@
     results = [make_probe_result('i-1', (0, 0, 6, 1)) for _ in range(2)]
     results[0].server.record_reported_failures('other', 3, 0.0)
     assert count_free_slots(results).free == 6
+
+
+@pytest.mark.parametrize(('rank', 'counts'), [(0, 0), (1, 0), (2, 1)])
+async def test_slots_are_counted_for_a_reserve_only(rank, counts):
+    """Without more urgent demand, a request must not cost a pass over servers."""
+    table = HostFactTable('own', 'a')
+    demands = (RankDemandFacts('records', 1, 80, 80, 700),)
+    table.update(make_facts('other', demands=demands), trio.current_time())
+    listed = []
+    context = attrs.evolve(
+        make_context(None, lambda now: {}, queues=WaitQueues(), probed=[]),
+        list_servers=lambda service, draw: listed.append(service) or (),
+        reservations=make_reservations(table, lambda *_, **fields: None),
+    )
+    get_reserve(context, make_request(rank))
+    assert len(listed) == counts
