--- a/src/ebonystream/ingress/_serving.py
+++ b/src/ebonystream/ingress/_serving.py
@@ -4,6 +4,7 @@
 
 from ebonystream.errors import EbonystreamError
 from ebonystream.http1 import RECEIVE_BYTES, Message
+from ebonystream.ingress._disconnects import wait_for_disconnect
 from ebonystream.ingress._pipeline import (
     MAX_PIPELINED_REQUESTS,
     PendingRequest,
@@ -15,20 +16,20 @@
 """Errors that show that the peer has closed the connection."""
 
 
-async def serve_pipeline(session: Session, first: Message) -> bool:
+async def serve_pipeline(session: Session, pipeline: Pipeline) -> bool:
     """Serve a request and those that arrive before its response is sent.
 
     Args:
         session: The connection.
-        first: The request.
+        pipeline: Holds the request.
 
     Returns:
         Whether another request may follow.
     """
-    pipeline = Pipeline(session.limits.may_overlap)
     is_open = True
     async with trio.open_nursery() as nursery:
-        _start_request(session, pipeline, nursery, first)
+        first = pipeline.pending[0]
+        nursery.start_soon(_serve_request, session, pipeline, first)
         nursery.start_soon(_watch_caller, session, pipeline, nursery)
         while pipeline.pending and is_open:
             _start_received(session, pipeline, nursery)
@@ -57,6 +58,8 @@
     while received and pipeline.accepts(received[0]):
         message = _take_request(session)
         if message is None:
+            # Its error response comes before all that follows it.
+            pipeline.closing = True
             return
         session.first_byte_at = session.timers.now()
         _start_request(session, pipeline, nursery, message)
@@ -103,10 +106,19 @@
 async def _watch_caller(
     session: Session, pipeline: Pipeline, nursery: trio.Nursery
 ) -> None:
-    """Start the requests that arrive, and report the caller's disconnect.
+    """Start the requests that arrive, and report the caller's disconnect."""
+    if not await _read_ahead(session, pipeline, nursery):
+        await wait_for_disconnect(session.stream.inner, session.timers)
+    pipeline.mark_disconnected()
 
-    Reading stops at a body that is incomplete, which `_receive` limits, and at
-    the maximum number of requests.
+
+async def _read_ahead(
+    session: Session, pipeline: Pipeline, nursery: trio.Nursery
+) -> bool:
+    """Start the requests that arrive; return whether the caller disconnected.
+
+    Reading stops at a body that is incomplete, which `_receive` limits, at the
+    maximum number of requests, and at invalid input.
     """
     reader = session.reader
     while len(reader.collector.completed.messages) < MAX_PIPELINED_REQUESTS:
@@ -115,13 +127,13 @@
         except trio.BrokenResourceError:
             data = b''
         if not data:
-            pipeline.mark_disconnected()
-            return
+            return True
         try:
             reader.feed(bytes(data))
         except EbonystreamError:
             # The reader keeps the error and raises it in `_wait_for_request`.
-            return
+            return False
         _start_received(session, pipeline, nursery)
         if reader.collector.in_message and reader.collector.in_body:
-            return
+            return False
+    return False
--- a/tests/test_reservation.py
+++ b/tests/test_reservation.py
@@ -35,6 +35,7 @@
     count_free_slots,
     may_start,
 )
+from ebonystream.placement._reserve_check import get_reserve
 from ebonystream.route import Share, has_time_to_spare, index_routes
 
 URGENT = RankDemand(arrived=80, started=80, work=7)
@@ -315,3 +316,19 @@
         make_listing().configuration, routes=index_routes([route, *routes])
     )
     assert has_time_to_spare(configuration, route, 'records') is expected
+
+
+@pytest.mark.parametrize(('rank', 'counts'), [(0, 0), (1, 0), (2, 1)])
+async def test_slots_are_counted_for_a_reserve_only(rank, counts):
+    """Without more urgent demand, a request must not cost a pass over servers."""
+    table = HostFactTable('own', 'a')
+    demands = (RankDemandFacts('records', 1, 80, 80, 700),)
+    table.update(make_facts('other', demands=demands), trio.current_time())
+    listed = []
+    context = attrs.evolve(
+        make_context(None, lambda now: {}, queues=WaitQueues(), probed=[]),
+        list_servers=lambda service, draw: listed.append(service) or (),
+        reservations=make_reservations(table, lambda *_, **fields: None),
+    )
+    get_reserve(context, make_request(rank))
+    assert len(listed) == counts
