Refuse a request whose key changed its workspace before the send

Cause: the check before a send asked only whether the key belongs to any workspace. A request that waited while its key moved to another workspace ran under the name of the earlier one. A request that arrived before the first workspaces came into force was not checked at all: the server received its key, and whatever workspace name the client had sent.

Change: review_admission compares the workspace of the key at the send with that on arrival, and lets nothing through that was admitted before there were workspaces. Both get 503 with Retry-After and are admitted anew.

Measured: three of the four new cases of test_freshness.py failed before with status 200; test_freshness.py and test_workspaces.py pass, 106 cases.

--- a/src/ebonystream/entryhost/_admission.py
+++ b/src/ebonystream/entryhost/_admission.py
@@ -20,6 +20,7 @@
     Workspace,
     WorkspaceIndex,
     decide_admission,
+    review_admission,
 )
 
 STALE_RETRY_AFTER = Seconds(0.5)
@@ -36,8 +37,11 @@
     {
         Verdict.REFUSED: ErrorKind.UNAUTHORIZED,
         Verdict.STALE: ErrorKind.CONFIGURATION_STALE,
+        Verdict.CHANGED: ErrorKind.CONFIGURATION_STALE,
     }
 )
+RETRIED_VERDICTS = frozenset((Verdict.STALE, Verdict.CHANGED))
+"""Verdicts that may differ when the caller tries again."""
 
 
 @attrs.define
@@ -83,18 +87,23 @@
     def check_send(self, request: Request) -> SendRefusal | None:
         """Return why a request must not be sent to a server now, if so.
 
-        Its key may have been withdrawn, or the configuration become too old,
-        since the request arrived.
+        Since the request arrived, its key may have been withdrawn or moved to
+        another workspace, or the configuration become too old. A request that
+        arrived before there were workspaces still has its key.
 
         Args:
             request: A request that was admitted on arrival.
         """
         configuration = self.parts.orders.configuration
-        if request.access is not Access.KEY or configuration is None:
+        if request.access is Access.EXEMPT or configuration is None:
             return None
         if not configuration.workspaces:
             return None
-        admission = self._decide(configuration, request, None)
+        admission = review_admission(
+            self._decide(configuration, request, None),
+            request.access,
+            request.workspace,
+        )
         error = ERROR_BY_VERDICT.get(admission.verdict)
         if error is None:
             return None
@@ -182,4 +191,4 @@
 
 
 def _get_retry_after(verdict: Verdict) -> Seconds | None:
-    return STALE_RETRY_AFTER if verdict is Verdict.STALE else None
+    return STALE_RETRY_AFTER if verdict in RETRIED_VERDICTS else None
--- a/src/ebonystream/workspace/__init__.py
+++ b/src/ebonystream/workspace/__init__.py
@@ -4,6 +4,7 @@
     Admission,
     Verdict,
     decide_admission,
+    review_admission,
 )
 from ebonystream.workspace._credential import (
     MALFORMED_CREDENTIAL,
@@ -32,4 +33,5 @@
     'compute_key_digest',
     'decide_admission',
     'find_shared_key',
+    'review_admission',
 )
--- a/src/ebonystream/workspace/_admission.py
+++ b/src/ebonystream/workspace/_admission.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from ebonystream.workspace._credential import Credential
+from ebonystream._ids import WorkspaceName
+from ebonystream.workspace._credential import Access, Credential
 from ebonystream.workspace._index import WorkspaceIndex
 from ebonystream.workspace._workspace import Workspace
 
@@ -24,6 +25,9 @@
     STALE = 'stale'
     """The configuration is too old to judge the key."""
 
+    CHANGED = 'changed'
+    """It was admitted by an earlier configuration on other grounds."""
+
 
 @attrs.frozen
 class Admission:
@@ -67,3 +71,26 @@
     if workspace is None:
         return Admission(Verdict.REFUSED)
     return Admission(Verdict.ADMITTED, workspace)
+
+
+def review_admission(
+    admission: Admission, access: Access, workspace: WorkspaceName | None
+) -> Admission:
+    """Review an admission that was decided again directly before a send.
+
+    The load that this addresses is that of requests which wait while a key
+    moves to another workspace, or while the first workspaces come into force.
+    They would run under the name of a workspace that no longer has their key,
+    or with the key and the name that the client sent.
+
+    Args:
+        admission: The decision by the configuration in force.
+        access: On what grounds the request was admitted on arrival.
+        workspace: Workspace that its key belonged to; None without one.
+    """
+    owner = admission.workspace
+    if access is Access.OPEN:
+        return Admission(Verdict.CHANGED, owner)
+    if owner is None or owner.name == workspace:
+        return admission
+    return Admission(Verdict.CHANGED, owner)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -88,6 +88,16 @@
     host.orders.update(attrs.evolve(listing, configuration=configuration), 0.0)
 
 
+def apply_owner(host, name, *, end):
+    """Put a configuration into force in which one workspace owns the key."""
+    apply_keys(host, (DIGEST,), end=end)
+    digests = frozenset((DIGEST,))
+    host.orders.configuration = attrs.evolve(
+        host.orders.configuration,
+        workspaces=(Workspace(name=name, digests=digests),) if name else (),
+    )
+
+
 def make_handler(host, dispatcher):
     """Make a handler that admits requests as the entry host does."""
     gate = Gate(host)
@@ -215,6 +225,40 @@
     assert (response.status, len(sent)) == (expected, sends)
 
 
+SEND_CHANGES = [
+    # Owner of the key on arrival and at the send, the key; status.
+    ('kaje80', 'kaje80', PRESENT, 200),
+    # It would run under the name of a workspace without this key.
+    ('kaje80', 'vuso31', PRESENT, 503),
+    # The server would receive the key, and any name that the client sent.
+    (None, 'kaje80', PRESENT, 503),
+    # Its route may be exempt from now on, so that 401 would be wrong.
+    (None, 'kaje80', Credential(CredentialState.MISSING), 503),
+]
+
+
+@pytest.mark.parametrize(('before', 'after', 'key', 'status'), SEND_CHANGES)
+async def test_a_key_that_changes_its_workspace_before_a_send(
+    autojump_clock, before, after, key, status
+):
+    host = make_host()
+    apply_owner(host, before, end=5)
+    sent = []
+    dispatcher = make_dispatcher([(SERVED, 0.01)], sent=sent)
+
+    async def find_server(request):
+        apply_owner(host, after, end=6)
+        host.orders.confirm_newest(6, host.timers.boot_now())
+        return await dispatcher.find_server(request)
+
+    handle = make_handler(
+        host, attrs.evolve(dispatcher, find_server=find_server)
+    )
+    response = await handle(make_request(credential=key), CallerPresence())
+    assert (response.status, len(sent)) == (status, int(status == 200))
+    assert (response.retry_after is not None) is (status == 503)
+
+
 async def test_nothing_is_written_once_a_send_is_not_permitted():
     # Guards against a process that is frozen while a connection is opened.
     received = []
