Make room for new windows in a long outage of the usage service

Cause: the holder keeps the counts of up to 300 windows of each host while no report is accepted, and ignored those of later windows. After an outage of more than 25 minutes it would have reported too few requests for the windows that followed. The counts also took much memory: each had its own copy of the name of its workspace.

Change: windows that are too old to be reported any more are dropped, and equal names share one string.

Measured: the new test failed before; test_usage_counts.py and test_usage_reports.py pass.

--- a/src/ebonystream/entryhost/_duty.py
+++ b/src/ebonystream/entryhost/_duty.py
@@ -25,7 +25,7 @@
     TopicTail,
 )
 from ebonystream.entryhost._parts import HostParts
-from ebonystream.entryhost._usage import UsageReporting
+from ebonystream.entryhost._usage import MAX_CATCH_UP, UsageReporting
 from ebonystream.entryhost._usage_election import update_role
 from ebonystream.errors import EbonystreamError
 
@@ -36,9 +36,6 @@
 """How long a new holder waits for the counts of the other hosts, in seconds:
 they have to hear of it."""
 
-MAX_CATCH_UP = 120
-"""Number of windows that are reported late; older ones are left out."""
-
 MAX_STEPS = 20
 """Steps in one check, after which the role is updated again."""
 
--- a/src/ebonystream/entryhost/_usage.py
+++ b/src/ebonystream/entryhost/_usage.py
@@ -34,6 +34,9 @@
 """How far ahead of the own clock a reported window may be, in seconds. One that
 is further ahead would make all hosts drop their counts."""
 
+MAX_CATCH_UP = 120
+"""Number of windows that are reported late; older ones are left out."""
+
 LastTask = Callable[[], Awaitable[None]]
 """Sends what would be lost with this host; ends in bounded time."""
 
@@ -125,7 +128,7 @@
         self.collected.merge(message, message.sent_at)
 
     def drop_reported(self, now: BootTime) -> None:
-        """Drop the counts of windows that are reported.
+        """Drop the counts of windows that are reported, or never will be.
 
         Args:
             now: The current time.
@@ -135,9 +138,12 @@
         self.relayed = {
             relay for relay in self.relayed if relay.window > reported
         }
-        schedule = self.schedule
-        oldest = schedule.clock.read(now) - schedule.late
-        self.collected.drop_reported(reported, oldest)
+        time_of_day = self.schedule.clock.read(now)
+        window = self.schedule.clock.get_window(time_of_day)
+        # The counts of all hosts over a long outage would fill the memory, and
+        # leave no room for those that are still to be reported.
+        passed = WindowNumber(max(reported, window - MAX_CATCH_UP - 1))
+        self.collected.drop_reported(passed, time_of_day - self.schedule.late)
 
     def make_facts(self, now: BootTime) -> DutyFacts:
         """Make the facts that this host tells the others.
--- a/src/ebonystream/usage/_collected.py
+++ b/src/ebonystream/usage/_collected.py
@@ -1,5 +1,6 @@
 """What the holder of the duty has collected from all hosts."""
 
+import sys
 from collections import Counter
 from collections.abc import Container, Iterable
 
@@ -50,7 +51,9 @@
         known = self.windows[entry.window]
         for workspace, count in entry.counts.items():
             if workspace in known or len(known) < MAX_RUN_WORKSPACES:
-                known[workspace] = max(known.get(workspace, 0), count)
+                # One string for all runs and windows: there are 10,000s.
+                name = WorkspaceName(sys.intern(workspace))
+                known[name] = max(known.get(name, 0), count)
 
 
 @attrs.define
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -11,8 +11,15 @@
 from ebonystream._address import ServerAddress
 from ebonystream._timers import Timers
 from ebonystream.dispatch import Attempt
-from ebonystream.duty import Candidate, elect_holder
+from ebonystream.duty import (
+    Candidate,
+    DutyHolder,
+    Lease,
+    LeaseTimes,
+    elect_holder,
+)
 from ebonystream.entryhost._internal_handlers import INTERNAL_LIMITS
+from ebonystream.entryhost._usage import UsageReporting
 from ebonystream.entryhost._usage_counts import count_attempt_usage
 from ebonystream.entryhost._usage_election import is_cut_off
 from ebonystream.gossip import HostFactTable, encode_counts
@@ -150,6 +157,20 @@
     assert counts.dropped == 760
 
 
+def test_an_outage_of_the_service_leaves_room_for_new_windows():
+    """The holder ignored all counts after the first 300 windows."""
+    usage = UsageReporting(
+        duty=DutyHolder(name='e2', incarnation='1', lease=Lease(LeaseTimes(3))),
+        schedule=UsageSchedule(WindowClock(5, 0.0), 10),
+    )
+    for window in range(400):
+        counts = (WindowCounts(window, {'a': 3}),)
+        usage.drop_reported(window * 5.0)
+        usage.collected.merge(CountsMessage('e1', '1', 1.0, counts), 1.0)
+    sums = [usage.collected.sum_window(window)['a'] for window in range(400)]
+    assert sums == [0] * 279 + [3] * 121
+
+
 @pytest.mark.parametrize(
     ('messages', 'total'),
     [
