Correct a clock once for all parts of a message

Cause: only the last part of a message with counts updates how far the clock of its sender is known to be ahead. The replies to the other parts named the same error again, and the sender corrected its clock again for each. Until the last part it was wrong by as much as before, and stayed so if a later part was lost.

Change: the reply to a part that does not complete a message names no error.

Measured: the cases of two and three parts failed before; test_usage_counts.py passes.

--- a/src/ebonystream/usage/_collected.py
+++ b/src/ebonystream/usage/_collected.py
@@ -147,7 +147,9 @@
             message: A message that was merged.
         """
         run = self._runs[message.host, message.incarnation]
-        if len(self._runs) < MIN_CLOCKS - 1:
+        # An incomplete message does not update the lead of its sender, which
+        # may have corrected its clock since that was measured.
+        if not message.complete or len(self._runs) < MIN_CLOCKS - 1:
             return Seconds(0)
         return Seconds(run.lead + self.compute_own_error())
 
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -204,6 +204,23 @@
     assert compute_clock_error(leads) == error
 
 
+@pytest.mark.parametrize('parts', [1, 2, 3])
+def test_a_clock_is_corrected_once_for_all_parts_of_a_message(parts):
+    # Later parts repeated the correction, so that the clock was wrong again.
+    collected = CollectedCounts()
+    for host in ('e1', 'e2', 'e3', 'e4'):
+        collected.merge(CountsMessage(host, '1', 100.0), 100.0)
+    lead, seen = 9.0, set()
+    for part in range(1, 3 * parts + 1):
+        message = CountsMessage(
+            'e5', '1', 200.0 + lead, complete=part % parts == 0
+        )
+        collected.merge(message, 200.0)
+        seen.add(lead)
+        lead -= collected.compute_sender_error(message)
+    assert seen == {9.0, 0.0}
+
+
 def make_candidate(host, **changes):
     fields = {
         'leads_zone': True,
