Pace the reads of a store that has lost orders

Cause: where revocation is strict, a host whose proof of freshness grows old reads the store itself. A store that has lost orders responds, but its end of the orders is not that of any host, so that no response is a proof. Every host then polled it ten times a second until it had as many orders again.

Change: a read that brings no proof while the lease ends is followed by the same pause as one that fails.

--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -10,9 +10,9 @@
 import attrs
 import trio
 
-from ebonystream._ids import Monotonic, Offset, Seconds
+from ebonystream._ids import BootTime, Monotonic, Offset, Seconds
 from ebonystream.entryhost._dependency import Dependency
-from ebonystream.entryhost._lease import get_orders_poll
+from ebonystream.entryhost._lease import get_orders_poll, is_lease_ending
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_turns import (
     StoreCopy,
@@ -68,6 +68,7 @@
     while True:
         if not await wait_for_turn(parts, StoreCopy.ORDERS):
             continue
+        proven_at = parts.orders.freshness.asked_at
         try:
             await _read_orders(parts, reader, can_wait=store.lost_at is None)
         except EbonystreamError as error:
@@ -75,6 +76,7 @@
             await wait_to_retry(parts)
         else:
             store.record_success()
+            await _pace_after_read(parts, proven_at)
 
 
 async def sync_servers(parts: HostParts, reader: StoreReader) -> None:
@@ -165,6 +167,23 @@
     parts.orders.confirm_newest(listing.end, asked_at)
 
 
+async def _pace_after_read(
+    parts: HostParts, proven_at: BootTime | None
+) -> None:
+    """Wait if the store responded, but the lease still ends.
+
+    A store that has lost orders proves nothing about newer ones, so that all
+    hosts would read it again at once.
+
+    Args:
+        parts: The state of the host.
+        proven_at: Time of the proof of freshness before the read.
+    """
+    is_proven = parts.orders.freshness.asked_at != proven_at
+    if not is_proven and is_lease_ending(parts):
+        await wait_to_retry(parts)
+
+
 async def _wait_for_new_orders(parts: HostParts, reader: StoreReader) -> bool:
     """Wait for new orders; return whether to read the orders now.
 
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -5,16 +5,21 @@
 
 import pytest
 import trio
-from test_gossip import make_facts
+from test_gossip import make_facts, make_listing
 
 from ebonystream._timers import Timers
 from ebonystream.entryhost._store_pacing import (
     compute_retry_delay,
     is_store_failing,
 )
-from ebonystream.entryhost._store_sync import StoreReader, sync_servers
+from ebonystream.entryhost._store_sync import (
+    StoreReader,
+    sync_orders,
+    sync_servers,
+)
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.gossip import HostFactTable
+from ebonystream.orders import Orders
 from ebonystream.roster import EntriesListing, Roster
 
 OUTAGE_S = 8
@@ -131,3 +136,33 @@
         nursery.cancel_scope.cancel()
     listed = [host.roster.last_listed_at for host in hosts]
     assert max(listed) >= back_at
+
+
+@pytest.mark.parametrize('count', [5, 30])
+async def test_reads_of_a_store_that_lost_orders(autojump_clock, count):
+    # With strict revocation each host asked ten times a second, for ever.
+    reads = []
+
+    async def wait_for_orders(known_end, wait):
+        reads.append(trio.current_time())
+        await trio.sleep(wait)
+        return known_end - 1
+
+    reader = StoreReader(
+        list_orders=None, wait_for_orders=wait_for_orders, list_entries=None
+    )
+    hosts = [make_host(f'e{number:03}') for number in range(count)]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(exchange_facts, hosts)
+        await trio.sleep(0.01)
+        for host in hosts:
+            host.orders = Orders()
+            host.orders.update(make_listing(end=4), 0.0)
+            host.orders.confirm_newest(4, host.timers.boot_now())
+            host.settings = SimpleNamespace(limits=SimpleNamespace(revoke=5.0))
+            host.store_latency = 0.0
+            nursery.start_soon(sync_orders, host, reader)
+        await trio.sleep(OUTAGE_S)
+        first_reads = count + FIRST_READS
+        assert len(reads) <= OUTAGE_S * READS_PER_S + first_reads
+        nursery.cancel_scope.cancel()
