Count only clocks that were heard in the median of clocks

Cause: the counts of a lost host that others pass on open a run whose lead is 0. It counted as a host whose clock equals that of the receiver, so that a new holder with a wrong clock corrected it too little, or not at all.

Change: runs from which no complete message came are left out.

Measured: the new test failed before; test_usage_counts.py and test_usage_reports.py pass.

--- a/src/ebonystream/usage/_collected.py
+++ b/src/ebonystream/usage/_collected.py
@@ -135,9 +135,14 @@
         ]
 
     def compute_own_error(self) -> Seconds:
-        """Return how far the receiver's clock is ahead of most hosts'."""
+        """Return how far the receiver's clock is ahead of most hosts'.
+
+        Runs of which others passed on the counts say nothing about clocks.
+        """
         return compute_clock_error(
-            Seconds(-run.lead) for run in self._runs.values()
+            Seconds(-run.lead)
+            for run in self._runs.values()
+            if run.complete_until
         )
 
     def compute_sender_error(self, message: CountsMessage) -> Seconds:
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -221,6 +221,16 @@
     assert seen == {9.0, 0.0}
 
 
+def test_counts_that_were_passed_on_say_nothing_about_clocks():
+    # The clocks of lost hosts counted as equal to that of the holder.
+    collected = CollectedCounts()
+    for number in range(4):
+        collected.merge(CountsMessage(f'e{number}', '1', 90.0), 100.0)
+        lost = CountsMessage(f'l{number}', '1', 90.0, complete=False)
+        collected.merge(lost, 100.0)
+    assert collected.compute_own_error() == 10
+
+
 def make_candidate(host, **changes):
     fields = {
         'leads_zone': True,
