Pass on the counts of lost hosts in messages that hosts accept

Cause: the counts of one window of a lost host were passed on in one message.

Change: they are divided as those of a live host are.

Measured: the new test (100 workspaces with names of 250 characters) failed before; test_usage_counts.py and test_usage_reports.py pass.

--- a/src/ebonystream/entryhost/_usage.py
+++ b/src/ebonystream/entryhost/_usage.py
@@ -11,6 +11,7 @@
     Incarnation,
     Seconds,
     WindowNumber,
+    WorkspaceName,
 )
 from ebonystream._timers import MS_PER_SECOND, Timers
 from ebonystream.duty import DutyHolder, KnownRecord, Lease, LeaseTimes, Role
@@ -50,12 +51,14 @@
         host: Host that had counted.
         incarnation: Its run.
         window: Their window.
+        first: First workspace of the part of the counts.
     """
 
     target: HostId
     host: HostId
     incarnation: Incarnation
     window: WindowNumber
+    first: WorkspaceName
 
 
 @attrs.define(kw_only=True)
--- a/src/ebonystream/entryhost/_usage_counts.py
+++ b/src/ebonystream/entryhost/_usage_counts.py
@@ -173,11 +173,13 @@
     excluded = {(facts.host, facts.incarnation) for facts in heard}
     excluded.add((usage.duty.name, usage.duty.incarnation))
     for message in usage.collected.list_orphans(excluded):
+        part = message.windows[0]
         relay = Relay(
             target,
             message.host,
             message.incarnation,
-            message.windows[0].window,
+            part.window,
+            next(iter(part.counts)),
         )
         if relay in usage.relayed:
             continue
--- a/src/ebonystream/usage/_collected.py
+++ b/src/ebonystream/usage/_collected.py
@@ -2,7 +2,7 @@
 
 import sys
 from collections import Counter
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Iterator
 
 import attrs
 
@@ -14,6 +14,7 @@
     WorkspaceName,
 )
 from ebonystream.usage._clock import MIN_CLOCKS, compute_clock_error
+from ebonystream.usage._counted import divide_counts
 from ebonystream.usage._messages import CountsMessage, WindowCounts
 
 MAX_RUNS = 2_000
@@ -122,16 +123,10 @@
             alive: The runs of hosts that are alive.
         """
         return [
-            CountsMessage(
-                host=key[0],
-                incarnation=key[1],
-                sent_at=run.complete_until,
-                windows=(WindowCounts(window, counts),),
-                complete=False,
-            )
+            message
             for key, run in self._runs.items()
             if key not in alive
-            for window, counts in run.windows.items()
+            for message in _divide_run(key, run)
         ]
 
     def compute_own_error(self) -> Seconds:
@@ -183,3 +178,21 @@
             }
             if not run.windows and run.complete_until < before:
                 self._runs.pop(key)
+
+
+def _divide_run(
+    key: tuple[HostId, Incarnation], run: _Run
+) -> Iterator[CountsMessage]:
+    """Divide the counts of a run into messages of one window or a part of it.
+
+    Hosts refuse larger messages.
+    """
+    for window, counts in run.windows.items():
+        for part in divide_counts({window: counts}):
+            yield CountsMessage(
+                host=key[0],
+                incarnation=key[1],
+                sent_at=run.complete_until,
+                windows=part,
+                complete=False,
+            )
--- a/src/ebonystream/usage/_counted.py
+++ b/src/ebonystream/usage/_counted.py
@@ -100,7 +100,7 @@
             for window, counts in sorted(self.windows.items())
             if counts.total() > self._told.get(window, 0)
         }
-        parts = tuple(_divide(changed))
+        parts = tuple(divide_counts(changed))
         totals = {window: counts.total() for window, counts in changed.items()}
         return Untold(parts or ((),), totals)
 
@@ -119,10 +119,14 @@
         self._told.pop(window, None)
 
 
-def _divide(
-    windows: Mapping[WindowNumber, Counter[WorkspaceName]],
+def divide_counts(
+    windows: Mapping[WindowNumber, Mapping[WorkspaceName, int]],
 ) -> Iterator[tuple[WindowCounts, ...]]:
-    """Divide counts into parts of bounded size."""
+    """Divide counts into parts that fit into one message each.
+
+    Args:
+        windows: The counts by window.
+    """
     part: dict[WindowNumber, dict[WorkspaceName, int]] = {}
     size = 0
     for window, counts in windows.items():
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -231,6 +231,20 @@
     assert collected.compute_own_error() == 10
 
 
+def test_counts_that_are_passed_on_fit_into_messages():
+    # A message that was too large blocked the counts of all other lost hosts.
+    collected = CollectedCounts()
+    counts = {f'{number:0250}': 1 for number in range(100)}
+    message = CountsMessage('e1', '1', 9.0, (WindowCounts(7, counts),))
+    collected.merge(message, 9.0)
+    copy = CollectedCounts()
+    for orphan in collected.list_orphans(()):
+        body = msgspec.msgpack.encode(orphan)
+        assert len(body) <= INTERNAL_LIMITS.message.body_bytes
+        copy.merge(orphan, 9.0)
+    assert copy.sum_window(7) == counts
+
+
 def make_candidate(host, **changes):
     fields = {
         'leads_zone': True,
