--- a/src/ebonystream/usage/_collected.py
+++ b/src/ebonystream/usage/_collected.py
@@ -1,7 +1,8 @@
 """What the holder of the duty has collected from all hosts."""
 
+import sys
 from collections import Counter
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Iterator
 
 import attrs
 
@@ -13,6 +14,7 @@
     WorkspaceName,
 )
 from ebonystream.usage._clock import MIN_CLOCKS, compute_clock_error
+from ebonystream.usage._counted import divide_counts
 from ebonystream.usage._messages import CountsMessage, WindowCounts
 
 MAX_RUNS = 2_000
@@ -50,7 +52,9 @@
         known = self.windows[entry.window]
         for workspace, count in entry.counts.items():
             if workspace in known or len(known) < MAX_RUN_WORKSPACES:
-                known[workspace] = max(known.get(workspace, 0), count)
+                # One string for all runs and windows: there are 10,000s.
+                name = WorkspaceName(sys.intern(workspace))
+                known[name] = max(known.get(name, 0), count)
 
 
 @attrs.define
@@ -119,22 +123,21 @@
             alive: The runs of hosts that are alive.
         """
         return [
-            CountsMessage(
-                host=key[0],
-                incarnation=key[1],
-                sent_at=run.complete_until,
-                windows=(WindowCounts(window, counts),),
-                complete=False,
-            )
+            message
             for key, run in self._runs.items()
             if key not in alive
-            for window, counts in run.windows.items()
+            for message in _divide_run(key, run)
         ]
 
     def compute_own_error(self) -> Seconds:
-        """Return how far the receiver's clock is ahead of most hosts'."""
+        """Return how far the receiver's clock is ahead of most hosts'.
+
+        Runs of which others passed on the counts say nothing about clocks.
+        """
         return compute_clock_error(
-            Seconds(-run.lead) for run in self._runs.values()
+            Seconds(-run.lead)
+            for run in self._runs.values()
+            if run.complete_until
         )
 
     def compute_sender_error(self, message: CountsMessage) -> Seconds:
@@ -144,7 +147,9 @@
             message: A message that was merged.
         """
         run = self._runs[message.host, message.incarnation]
-        if len(self._runs) < MIN_CLOCKS - 1:
+        # An incomplete message does not update the lead of its sender, which
+        # may have corrected its clock since that was measured.
+        if not message.complete or len(self._runs) < MIN_CLOCKS - 1:
             return Seconds(0)
         return Seconds(run.lead + self.compute_own_error())
 
@@ -173,3 +178,21 @@
             }
             if not run.windows and run.complete_until < before:
                 self._runs.pop(key)
+
+
+def _divide_run(
+    key: tuple[HostId, Incarnation], run: _Run
+) -> Iterator[CountsMessage]:
+    """Divide the counts of a run into messages of one window or a part of it.
+
+    Hosts refuse larger messages.
+    """
+    for window, counts in run.windows.items():
+        for part in divide_counts({window: counts}):
+            yield CountsMessage(
+                host=key[0],
+                incarnation=key[1],
+                sent_at=run.complete_until,
+                windows=part,
+                complete=False,
+            )
--- a/tests/test_usage_counts.py
+++ b/tests/test_usage_counts.py
@@ -11,8 +11,15 @@
 from ebonystream._address import ServerAddress
 from ebonystream._timers import Timers
 from ebonystream.dispatch import Attempt
-from ebonystream.duty import Candidate, elect_holder
+from ebonystream.duty import (
+    Candidate,
+    DutyHolder,
+    Lease,
+    LeaseTimes,
+    elect_holder,
+)
 from ebonystream.entryhost._internal_handlers import INTERNAL_LIMITS
+from ebonystream.entryhost._usage import UsageReporting
 from ebonystream.entryhost._usage_counts import count_attempt_usage
 from ebonystream.entryhost._usage_election import is_cut_off
 from ebonystream.gossip import HostFactTable, encode_counts
@@ -150,6 +157,20 @@
     assert counts.dropped == 760
 
 
+def test_an_outage_of_the_service_leaves_room_for_new_windows():
+    """The holder ignored all counts after the first 300 windows."""
+    usage = UsageReporting(
+        duty=DutyHolder(name='e2', incarnation='1', lease=Lease(LeaseTimes(3))),
+        schedule=UsageSchedule(WindowClock(5, 0.0), 10),
+    )
+    for window in range(400):
+        counts = (WindowCounts(window, {'a': 3}),)
+        usage.drop_reported(window * 5.0)
+        usage.collected.merge(CountsMessage('e1', '1', 1.0, counts), 1.0)
+    sums = [usage.collected.sum_window(window)['a'] for window in range(400)]
+    assert sums == [0] * 279 + [3] * 121
+
+
 @pytest.mark.parametrize(
     ('messages', 'total'),
     [
@@ -183,6 +204,47 @@
     assert compute_clock_error(leads) == error
 
 
+@pytest.mark.parametrize('parts', [1, 2, 3])
+def test_a_clock_is_corrected_once_for_all_parts_of_a_message(parts):
+    # Later parts repeated the correction, so that the clock was wrong again.
+    collected = CollectedCounts()
+    for host in ('e1', 'e2', 'e3', 'e4'):
+        collected.merge(CountsMessage(host, '1', 100.0), 100.0)
+    lead, seen = 9.0, set()
+    for part in range(1, 3 * parts + 1):
+        message = CountsMessage(
+            'e5', '1', 200.0 + lead, complete=part % parts == 0
+        )
+        collected.merge(message, 200.0)
+        seen.add(lead)
+        lead -= collected.compute_sender_error(message)
+    assert seen == {9.0, 0.0}
+
+
+def test_counts_that_were_passed_on_say_nothing_about_clocks():
+    # The clocks of lost hosts counted as equal to that of the holder.
+    collected = CollectedCounts()
+    for number in range(4):
+        collected.merge(CountsMessage(f'e{number}', '1', 90.0), 100.0)
+        lost = CountsMessage(f'l{number}', '1', 90.0, complete=False)
+        collected.merge(lost, 100.0)
+    assert collected.compute_own_error() == 10
+
+
+def test_counts_that_are_passed_on_fit_into_messages():
+    # A message that was too large blocked the counts of all other lost hosts.
+    collected = CollectedCounts()
+    counts = {f'{number:0250}': 1 for number in range(100)}
+    message = CountsMessage('e1', '1', 9.0, (WindowCounts(7, counts),))
+    collected.merge(message, 9.0)
+    copy = CollectedCounts()
+    for orphan in collected.list_orphans(()):
+        body = msgspec.msgpack.encode(orphan)
+        assert len(body) <= INTERNAL_LIMITS.message.body_bytes
+        copy.merge(orphan, 9.0)
+    assert copy.sum_window(7) == counts
+
+
 def make_candidate(host, **changes):
     fields = {
         'leads_zone': True,
