Probe servers that refuse requests like others again

Cause: servers with two or more weighted failures were probed last, and a refusal counted 0.7 instead of 0.3. Ruled out: the reserve, which holds back patient requests alone.

--- a/src/ebonystream/entryhost/_observers.py
+++ b/src/ebonystream/entryhost/_observers.py
@@ -29,9 +29,6 @@
 INTERRUPTED_WEIGHT = 1
 FAILED_WEIGHT = 0.7
 NOT_RUN_WEIGHT = 0.3
-REFUSED_WEIGHT = 0.7
-"""Weight of a refusal by a server with a free slot, which other hosts are told
-of at once: a server that refuses everybody looks idle."""
 
 _WEIGHTS: Mapping[ResponseVerdict, float] = MappingProxyType(
     {
@@ -135,9 +132,6 @@
         attempt: The attempt, after its end.
     """
     if attempt.response is not None:
-        is_refused = attempt.response.verdict is ResponseVerdict.NOT_RUN
-        if is_refused and attempt.candidate.has_free_slot:
-            return REFUSED_WEIGHT
         return _WEIGHTS.get(attempt.response.verdict, FAILED_WEIGHT)
     if attempt.failure is ExchangeFailure.UNREACHABLE:
         return UNREACHABLE_WEIGHT
--- a/src/ebonystream/placement/_probing.py
+++ b/src/ebonystream/placement/_probing.py
@@ -8,7 +8,7 @@
 from ebonystream.placement._request import PlacementRequest
 from ebonystream.placement._results import ProbeResult
 from ebonystream.placement._selection import is_ideal
-from ebonystream.roster import KnownServer, is_unreliable
+from ebonystream.roster import KnownServer
 
 INITIAL_PROBES = 5
 """Number of servers in the host's zone that are probed first."""
@@ -26,9 +26,7 @@
 def list_usable_servers(
     context: SearchContext, request: PlacementRequest
 ) -> tuple[list[KnownServer], list[KnownServer]]:
-    """List usable servers: in the host's zone, and in others.
-
-    They are in random order, with unreliable ones last.
+    """List usable servers in random order: in the host's zone, in others.
 
     Args:
         context: Dependencies and state of the search.
@@ -48,8 +46,6 @@
         (local if is_local else remote).append(server)
     context.random.shuffle(local)
     context.random.shuffle(remote)
-    local.sort(key=lambda known: is_unreliable(known, now))
-    remote.sort(key=lambda known: is_unreliable(known, now))
     return local, remote
 
 
