Refuse responses with a status code outside 100 to 599

What callers saw: a status line of `HTTP/1.1 0` with the server's body, where a server in trouble had sent 000. Without a length in its head they waited for what followed until their deadline, or got all of it as the body, a whole 200 too; after 099 they waited until their deadline for 504. Where a 000 or 999 said "not run", a request that must run once ran at two servers, and its caller was told 503, not run.

Cause: the parser takes any three digits. The collector queued all but 001 to 199, which it took for informational responses and skipped. Nothing later looks at the code again: `perform_exchange` hands the message on, and both fronts decode it.

Change: the reader of responses checks the code once the head is complete, and queues nothing after an error. So the exchange fails as after any other bytes that are no response: its connection is closed, a request that may be repeated goes to another server, and any other one is answered 502, since it may have run. RFC 9110, section 15: codes outside 100 to 599 are invalid, and a client treats them as 5xx; hence 600 to 999 are refused as well.

Why this works: all responses that are not read by httpx pass this one reader, whether of servers, health checks, store, peers or the usage service.

Evidence: tests/test_broken_responses.py, with a stand-in that runs the request and then sends such bytes, at the exchange, the own front and the entry host's process.

--- a/src/ebonystream/http1/_collector.py
+++ b/src/ebonystream/http1/_collector.py
@@ -12,6 +12,7 @@
     MessageQueue,
     ReaderLimits,
 )
+from ebonystream.http1._statusline import is_informational
 
 FIELD_OVERHEAD_BYTES = 4
 """Bytes of a header field besides name and value: colon, space, line break."""
@@ -23,6 +24,9 @@
 MAX_LENGTH_DIGITS = 18
 """A longer number is far above each limit."""
 
+FindHeadError = Callable[[MessageInfo], EbonystreamError | None]
+"""Returns the error in a head that the parser accepts; None if it is valid."""
+
 
 @attrs.define
 class MessageCollector:
@@ -44,6 +48,8 @@
             does not say it, or is not complete.
         checks_announced: Whether a body that is announced above the limit is an
             error, before any of it is received.
+        find_head_error: Checks each complete head; None if the parser's checks
+            suffice.
         head_bytes: Size of its head so far.
     """
 
@@ -57,6 +63,7 @@
     body: BodyBuffer = attrs.field(factory=BodyBuffer)
     announced_bytes: int = 0
     checks_announced: bool = False
+    find_head_error: FindHeadError | None = None
     head_bytes: int = 0
     _target: bytes = b''
 
@@ -86,8 +93,10 @@
             self.announced_bytes = int(value[:MAX_LENGTH_DIGITS])
 
     def on_headers_complete(self) -> None:
-        """Mark the head as complete; check the size that it announces."""
+        """Mark the head as complete; check it and the size it announces."""
         self.in_body = True
+        if self.find_head_error is not None and self.error is None:
+            self.error = self.find_head_error(self.read_info())
         if self.checks_announced:
             self._check_body_size(self.announced_bytes)
 
@@ -97,9 +106,12 @@
         self._check_body_size(self.body.size)
 
     def on_message_complete(self) -> None:
-        """Queue the message, unless it is an informational (1xx) response."""
+        """Queue the message, unless it is an informational (1xx) response.
+
+        Nothing is queued after an error.
+        """
         info = self.read_info()
-        if _is_informational(info.status):
+        if self.error is not None or is_informational(info.status):
             return
         self.in_message = False
         self.completed.add(self.build_message(info))
@@ -154,8 +166,3 @@
 
 def _make_oversize(kind: ErrorKind, limit: int) -> EbonystreamError:
     return EbonystreamError(kind, f'more than {limit} bytes')
-
-
-def _is_informational(status: int) -> bool:
-    first_final_status = 200
-    return 0 < status < first_final_status
--- a/src/ebonystream/http1/_reader.py
+++ b/src/ebonystream/http1/_reader.py
@@ -8,6 +8,7 @@
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.http1._collector import MessageCollector, count_head_bytes
 from ebonystream.http1._message import Message, MessageInfo, ReaderLimits
+from ebonystream.http1._statusline import find_status_line_error
 
 RECEIVE_BYTES = 65_536
 """Maximum number of bytes received from a connection at once."""
@@ -210,7 +211,9 @@
             keep_alive=parser.should_keep_alive(),
         )
 
-    collector = MessageCollector(limits, read_info)
+    collector = MessageCollector(
+        limits, read_info, find_head_error=find_status_line_error
+    )
     parser = httptools.HttpResponseParser(collector)
     return MessageReader(collector, parser)
 
--- /dev/null
+++ b/tests/test_broken_responses.py
@@ -0,0 +1,128 @@
+"""Responses with a broken head never reach callers, and say nothing."""
+
+import pytest
+import trio
+from server_fakes import TIMERS, make_call, make_listed_server
+from test_entry_host import run_deployment
+from test_link_exchange import exchange
+
+from ebonystream.backend import AttemptKind
+from ebonystream.link import ExchangeFailure
+from ebonystream.upstream import ConnectionPool, PoolLimits, make_sender
+
+FIELDS = (
+    b'id: a\r\nebonystream-attempt-id: once\r\nebonystream-response-seal: s\r\n'
+)
+NOT_RUN = b'ebonystream-not-executed: 1\r\nx-not-run: true\r\n'
+LENGTH = b'content-length: 2\r\n\r\nhi'
+CHUNKS = b'transfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n'
+OWN = b'HTTP/1.1 200 OK\r\n' + FIELDS + LENGTH
+
+
+def make_head(status, fields=FIELDS):
+    return b'HTTP/1.1 %b X\r\n%b' % (status, fields)
+
+
+BROKEN = {
+    '000': make_head(b'000') + LENGTH,
+    '000 in chunks': make_head(b'000') + CHUNKS,
+    '000 without a length': make_head(b'000') + b'\r\n' + OWN,
+    '000, not run': make_head(b'000', FIELDS + NOT_RUN) + LENGTH,
+    '099': make_head(b'099') + LENGTH,
+    '099, then a response': make_head(b'099') + b'\r\n' + OWN,
+    '600': make_head(b'600') + LENGTH,
+    '999, not run': make_head(b'999', FIELDS + NOT_RUN) + LENGTH,
+}
+"""By name: bytes that are no response to any request."""
+
+
+@pytest.mark.parametrize('size', [1, 7, 999])
+@pytest.mark.parametrize('end', [False, True])
+@pytest.mark.parametrize('name', BROKEN)
+async def test_exchange(autojump_clock, name, end, size):
+    """It fails at once, whether or not the server closes the connection."""
+    content = BROKEN[name]
+    parts = [
+        content[start : start + size] for start in range(0, len(content), size)
+    ]
+    assert await exchange(parts, end=end) == (
+        ExchangeFailure.INTERRUPTED,
+        False,
+    )
+
+
+@pytest.mark.parametrize('name', BROKEN)
+async def test_exchange_after_a_response(autojump_clock, name):
+    """The response is delivered; its connection is not used again."""
+    result, usable = await exchange([OWN + BROKEN[name]], end=False)
+    assert (result.status, result.body, usable) == (200, b'hi', False)
+
+
+@pytest.mark.parametrize('status', [200, 299, 304, 404, 500, 599])
+async def test_valid_status_codes(autojump_clock, status):
+    content = make_head(b'%d' % status) + b'content-length: 0\r\n\r\n'
+    result, usable = await exchange([content], end=False)
+    assert (result.status, usable) == (status, True)
+
+
+def make_serve(content):
+    """Make the handler of connections on which each request gets this."""
+
+    async def serve(stream):
+        async with stream:
+            while await stream.receive_some():
+                await stream.send_all(content)
+
+    return serve
+
+
+@pytest.mark.parametrize('name', BROKEN)
+async def test_own_front_end(name):
+    limits = PoolLimits(max_idle=4, idle_timeout=60, connect_timeout=5)
+    send = make_sender(pool=ConnectionPool(limits, TIMERS), timers=TIMERS)
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        nursery.start_soon(
+            trio.serve_listeners, make_serve(BROKEN[name]), listeners
+        )
+        port = listeners[0].socket.getsockname()[1]
+        call = make_call(b'', timeout=2, now=TIMERS.now())
+        attempt = await send(call, make_listed_server('s', port=port))
+        nursery.cancel_scope.cancel()
+    assert attempt.kind is AttemptKind.INTERRUPTED
+    assert attempt.response is None
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize(
+    ('name', 'kind', 'broken_servers', 'status', 'runs'),
+    [
+        # A request that may be repeated is served by the other server.
+        ('000', 'idempotent', {'i-1'}, 200, 2),
+        ('099', 'idempotent', {'i-1'}, 200, 2),
+        # Otherwise callers learn that it may have run, and it runs once.
+        ('000', 'idempotent', {'i-1', 'i-2'}, 502, 2),
+        ('000', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
+        ('000 in chunks', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
+        ('000 without a length', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
+        ('000, not run', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
+        ('099', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
+        ('999, not run', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
+    ],
+)
+async def test_entry_host(tmp_path, name, kind, broken_servers, status, runs):
+    """Callers get no broken response; what may have run is not repeated."""
+    async with run_deployment(tmp_path) as deployment:
+        deployment.configure(1, kind=kind)
+        for server in deployment.servers:
+            deployment.list_server(server)
+        await deployment.wait_until(deployment.is_ready)
+        # The first request goes to the other server.
+        deployment.servers['i-2'].pace = 4
+        for server in broken_servers:
+            deployment.servers[server].broken_response = BROKEN[name]
+        response = await deployment.call('once', method='POST')
+        ran = sum(
+            server.run_counts['once'] for server in deployment.servers.values()
+        )
+    assert (response[0], ran) == (status, runs)
