Do not take an informational response for the final one

What callers saw: where a server sent 100 or 103 with the fields of its response and then closed, the entry host passed on the status 100 with those fields, and closed after it: no final response ever came. The request was not tried elsewhere, and its caller was not told that it may have run.

Cause: the collector drops an informational response at its end, but left its head marked as complete and its fields in place. At the end of the connection `finish` saw a head without a length whose body the connection ends, and returned it.

Change: after an informational response the head of the final one is awaited, as at the begin of a message; the message still counts as started, so that bytes that never end stay bounded and a 100 after a response still closes its connection.

The test client now fails where a connection ends without a response; it had waited without end.

--- a/src/ebonystream/http1/_collector.py
+++ b/src/ebonystream/http1/_collector.py
@@ -106,12 +106,16 @@
         self._check_body_size(self.body.size)
 
     def on_message_complete(self) -> None:
-        """Queue the message, unless it is an informational (1xx) response.
+        """Queue the message; nothing is queued after an error.
 
-        Nothing is queued after an error.
+        An informational (1xx) response is dropped, and the head of its final
+        response is awaited as a part of the same message.
         """
         info = self.read_info()
-        if self.error is not None or is_informational(info.status):
+        if self.error is not None:
+            return
+        if is_informational(info.status):
+            self.on_message_begin()
             return
         self.in_message = False
         self.completed.add(self.build_message(info))
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -7,6 +7,7 @@
 from test_link_exchange import exchange
 
 from ebonystream.backend import AttemptKind
+from ebonystream.ingress import EncodedResponse
 from ebonystream.link import ExchangeFailure
 from ebonystream.upstream import ConnectionPool, PoolLimits, make_sender
 
@@ -46,23 +47,22 @@
 """By name: bytes that are no response to any request."""
 
 
+def split(content, size):
+    starts = range(0, len(content), size)
+    return [content[start : start + size] for start in starts]
+
+
 @pytest.mark.parametrize('size', [1, 7, 999])
 @pytest.mark.parametrize('end', [False, True])
 @pytest.mark.parametrize('name', BROKEN)
 async def test_exchange(autojump_clock, name, end, size):
     """It fails at once, whether or not the server closes the connection."""
-    content = BROKEN[name]
-    parts = [
-        content[start : start + size] for start in range(0, len(content), size)
-    ]
-    assert await exchange(parts, end=end) == (
-        ExchangeFailure.INTERRUPTED,
-        False,
-    )
+    result = await exchange(split(BROKEN[name], size), end=end)
+    assert result == (ExchangeFailure.INTERRUPTED, False)
 
 
 @pytest.mark.parametrize('name', BROKEN)
-async def test_exchange_after_a_response(autojump_clock, name):
+async def test_broken_bytes_after_a_response(autojump_clock, name):
     """The response is delivered; its connection is not used again."""
     result, usable = await exchange([OWN + BROKEN[name]], end=False)
     assert (result.status, result.body, usable) == (200, b'hi', False)
@@ -87,6 +87,44 @@
     assert (result.status, is_usable) == (status, usable)
 
 
+INTERIM = make_head(b'100')
+HINTS = make_head(b'103', FIELDS + b'link: </a>\r\n')
+
+
+INCOMPLETE = {
+    '100': INTERIM + b'\r\n',
+    '100 with a length': INTERIM + LENGTH[:-2],
+    '100 and 103': INTERIM + b'\r\n' + HINTS + b'\r\n',
+    '103 and a part of a head': HINTS + b'\r\n' + OWN[:20],
+    '103 and a part of a body': HINTS + b'\r\n' + OWN[:-1],
+}
+"""By name: bytes of a response that the end of the connection cuts."""
+
+
+@pytest.mark.parametrize('size', [1, 7, 999])
+@pytest.mark.parametrize('name', INCOMPLETE)
+async def test_incomplete_response(autojump_clock, name, size):
+    """Guards against an informational response that is taken for the final."""
+    result, usable = await exchange(split(INCOMPLETE[name], size), end=True)
+    assert (result, usable) == (ExchangeFailure.INTERRUPTED, False)
+
+
+@pytest.mark.parametrize('end', [False, True])
+@pytest.mark.parametrize('size', [1, 7, 999])
+async def test_informational_responses_are_skipped(autojump_clock, size, end):
+    content = INTERIM + b'\r\n' + HINTS + b'\r\n' + OWN
+    parts = split(content, size)
+    result, usable = await exchange(parts, end=end)
+    assert (result.status, result.body, usable) == (200, b'hi', True)
+    assert b'link' not in dict(result.headers)
+
+
+async def test_an_informational_response_after_the_final(autojump_clock):
+    """Its connection is not used again."""
+    result, usable = await exchange([OWN + INTERIM + b'\r\n'], end=False)
+    assert (result.status, usable) == (200, False)
+
+
 def make_serve(content):
     """Make the handler of connections on which each request gets this."""
 
@@ -133,10 +171,15 @@
         ('HTTP/2.0', 'idempotent', {'i-1'}, 200, 2),
         ('HTTP/2.0', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
         ('HTTP/2.0, not run', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
+        ('100', 'idempotent', {'i-1'}, 200, 2),
+        ('100', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
     ],
 )
 async def test_entry_host(tmp_path, name, kind, broken_servers, status, runs):
     """Callers get no broken response; what may have run is not repeated."""
+    response = EncodedResponse(
+        {**BROKEN, **INCOMPLETE}[name], close=name in INCOMPLETE
+    )
     async with run_deployment(tmp_path) as deployment:
         deployment.configure(1, kind=kind)
         for server in deployment.servers:
@@ -145,9 +188,9 @@
         # The first request goes to the other server.
         deployment.servers['i-2'].pace = 4
         for server in broken_servers:
-            deployment.servers[server].broken_response = BROKEN[name]
-        response = await deployment.call('once', method='POST')
+            deployment.servers[server].broken_response = response
+        result = await deployment.call('once', method='POST')
         ran = sum(
             server.run_counts['once'] for server in deployment.servers.values()
         )
-    assert (response[0], ran) == (status, runs)
+    assert (result[0], ran) == (status, runs)
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -146,7 +146,9 @@
             await stream.send_all(request.encode())
             message = None
             while message is None:
-                reader.feed(bytes(await stream.receive_some(9999)))
+                received = await stream.receive_some(9999)
+                assert received, 'the connection ended without a response'
+                reader.feed(bytes(received))
                 message = reader.next_message()
         return message
 
--- a/tools/standins/pacedserver.py
+++ b/tools/standins/pacedserver.py
@@ -53,8 +53,8 @@
         cold_until: When it is no longer cold, by the clock of the event loop.
         arrivals: Arrivals of requests, but those for another server.
         received: Header fields of the latest request, by attempt id.
-        broken_response: Bytes sent instead of the response to each request that
-            ran; None for none.
+        broken_response: Sent instead of the response to each request that ran;
+            None for none.
     """
 
     name: str
@@ -71,7 +71,7 @@
     cold_until: float = float('-inf')
     arrivals: list[Arrival] = attrs.field(factory=list)
     received: dict[str, Headers] = attrs.field(factory=dict)
-    broken_response: bytes | None = None
+    broken_response: EncodedResponse | None = None
     _free: trio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -114,7 +114,7 @@
         self.received[attempt_id] = message.headers
         await self._run(attempt_id)
         if self.broken_response is not None:
-            return EncodedResponse(self.broken_response, close=False)
+            return self.broken_response
         seal = (b'ebonystream-response-seal', b's')
         status = FAILED if self.failing else OK
         return self._make_response(status, message, seal)
