Do not take an error of the host list for a list

What callers saw: nothing was reported; found while all readers of responses were checked. An error response (404, 500, 503) whose body happens to be `{"hosts": []}` was taken for the list, so that the own front end would drop every server and peer.

Cause: `_CachedHostList.update` looked at the status for 304 alone, and decoded the body of any other response.

Change: a status other than 200 and, with an entity tag, 304 is an error; the list that was known stays, and the platform counts as unreachable for that read.

Evidence: tests/test_host_reader.py; 4 rows of `test_invalid_response` fail without the change.

--- a/src/ebonystream/logservice/_hostlist.py
+++ b/src/ebonystream/logservice/_hostlist.py
@@ -76,9 +76,21 @@
     hosts: tuple[ListedHost, ...] = ()
 
     def update(self, response: httpx.Response) -> None:
-        """Replace the list by that of a response, unless it is unmodified."""
+        """Replace the list by that of a response, unless it is unmodified.
+
+        Args:
+            response: The response of the platform.
+
+        Raises:
+            EbonystreamError: `LOG_UNAVAILABLE`, if the status is another one.
+            msgspec.MsgspecError: If the list is malformed.
+        """
         if self.etag and response.status_code == HTTPStatus.NOT_MODIFIED:
             return
+        if response.status_code != HTTPStatus.OK:
+            raise EbonystreamError(
+                ErrorKind.LOG_UNAVAILABLE, f'status {response.status_code}'
+            )
         host_list = msgspec.json.decode(response.content, type=_HostList)
         self.hosts = host_list.hosts
         self.etag = response.headers.get('etag', '')
--- a/tests/test_host_reader.py
+++ b/tests/test_host_reader.py
@@ -61,9 +61,18 @@
 
 @pytest.mark.parametrize(
     'response',
-    [httpx.Response(304), httpx.Response(200, content=b'{"hosts": 1}')],
+    [
+        httpx.Response(304),
+        httpx.Response(200, content=b'{"hosts": 1}'),
+        httpx.Response(204, content=b'{"hosts": []}'),
+        httpx.Response(404, content=b'{"hosts": []}'),
+        httpx.Response(500, content=b'{"hosts": []}'),
+        httpx.Response(503, content=b'{"hosts": []}'),
+    ],
 )
 async def test_invalid_response(response):
+    """Guards against an error that is taken for a list without hosts."""
+
     async def respond(request):
         return response
 
