Refuse malformed status lines in responses that httpx reads

What callers saw: nothing was reported; found while all readers of responses were checked. A response of HTTP/0.9 or HTTP/2.0 was taken by the clients of the log, the host list and the administration API. From a reply with status 999 the command line believed "not run" and ended with the exit code of a refusal, though the move may have been published.

Cause: h11, which reads for httpx, refuses status codes below 100, but takes any version and codes up to 999; the readers checked neither.

It raises the error that httpx raises for other malformed responses, so that each client treats it like those: the log is unavailable, the outcome of a move unknown.

--- a/src/ebonystream/cli/_client.py
+++ b/src/ebonystream/cli/_client.py
@@ -6,6 +6,7 @@
 import httpx
 import typer
 
+from ebonystream._responsecheck import check_status_line
 from ebonystream.cli._exit import ExitCode
 
 TIMEOUT_SECONDS = 30
@@ -114,6 +115,7 @@
             headers=headers,
             timeout=TIMEOUT_SECONDS,
         )
+        check_status_line(response)
     except (httpx.HTTPError, httpx.InvalidURL) as error:
         reason = f'{client.base_url}: {error!r}'
         raise AdminError(reason, _get_failure_code(error, body)) from error
--- a/src/ebonystream/http1/__init__.py
+++ b/src/ebonystream/http1/__init__.py
@@ -17,6 +17,7 @@
     make_request_reader,
     make_response_reader,
 )
+from ebonystream.http1._statusline import find_status_line_error
 
 __all__ = (
     'RECEIVE_BYTES',
@@ -33,4 +34,5 @@
     'encode_request',
     'encode_response',
     'encode_request_parts',
+    'find_status_line_error',
 )
--- a/src/ebonystream/http1/_reader.py
+++ b/src/ebonystream/http1/_reader.py
@@ -214,11 +214,15 @@
         )
 
     collector = MessageCollector(
-        limits, read_info, find_head_error=find_status_line_error
+        limits, read_info, find_head_error=_find_response_error
     )
     parser = httptools.HttpResponseParser(collector)
     return MessageReader(collector, parser)
 
 
+def _find_response_error(info: MessageInfo) -> EbonystreamError | None:
+    return find_status_line_error(info.version, info.status)
+
+
 def _is_expect_continue(field: tuple[bytes, bytes]) -> bool:
     return (field[0], field[1].lower()) == EXPECT_CONTINUE
--- a/src/ebonystream/http1/_statusline.py
+++ b/src/ebonystream/http1/_statusline.py
@@ -1,7 +1,6 @@
-"""Rules on the status line of a response that the parser does not check."""
+"""Rules on the status line of a response that parsers do not check."""
 
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.http1._message import MessageInfo
 
 FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
@@ -21,16 +20,19 @@
     return FIRST_STATUS <= status < FIRST_FINAL_STATUS
 
 
-def find_status_line_error(info: MessageInfo) -> EbonystreamError | None:
+def find_status_line_error(
+    version: str, status: int
+) -> EbonystreamError | None:
     """Return the error in a status line; None if it is valid.
 
     Args:
-        info: Properties of the response, read from the parser.
+        version: Version of HTTP, such as `1.1`.
+        status: Status code.
     """
-    if info.version not in VERSIONS:
-        return _make_error(f'HTTP version {info.version}')
-    if not FIRST_STATUS <= info.status <= LAST_STATUS:
-        return _make_error(f'status code {info.status:03}')
+    if version not in VERSIONS:
+        return _make_error(f'HTTP version {version}')
+    if not FIRST_STATUS <= status <= LAST_STATUS:
+        return _make_error(f'status code {status:03}')
     return None
 
 
--- a/src/ebonystream/logservice/_hostlist.py
+++ b/src/ebonystream/logservice/_hostlist.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ebonystream._ids import ServiceName, VersionName, ZoneName
+from ebonystream._responsecheck import check_status_line
 from ebonystream.errors import EbonystreamError, ErrorKind
 
 
@@ -111,7 +112,9 @@
     async def read_hosts() -> tuple[ListedHost, ...]:
         headers = {'if-none-match': cached.etag} if cached.etag else {}
         try:
-            cached.update(await client.get(f'{url}/hosts', headers=headers))
+            response = await client.get(f'{url}/hosts', headers=headers)
+            check_status_line(response)
+            cached.update(response)
         except (httpx.HTTPError, msgspec.MsgspecError) as error:
             raise EbonystreamError(
                 ErrorKind.LOG_UNAVAILABLE, repr(error)
--- a/src/ebonystream/logservice/_loghttp.py
+++ b/src/ebonystream/logservice/_loghttp.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ebonystream._ids import EpochMs, Offset, Seconds, StreamName
+from ebonystream._responsecheck import check_status_line
 from ebonystream._timers import MS_PER_SECOND
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.logservice._log import LogPage, LogRecord, LogService
@@ -74,6 +75,7 @@
 async def _send(client: httpx.AsyncClient, request: httpx.Request) -> bytes:
     try:
         response = await client.send(request)
+        check_status_line(response)
     except httpx.HTTPError as error:
         raise EbonystreamError(
             ErrorKind.LOG_UNAVAILABLE, repr(error)
