Do not believe "not run" in a success or a redirect

What callers saw: nothing was reported; found while the "not run" of broken responses was checked. A response with the status of a success or a redirect that also said that its request had not run was taken for a refusal. So a request that must run once could be sent to a second server, or be answered 503, not run.

Cause: both decoders looked at the header field alone. The protocols name it with errors only: 503, 429, 421 and 400, and 503 on the own front.

Change: below 400 the response contradicts itself, and counts as one that can't be verified: the request may have run.

Evidence: 3 rows of `test_verdicts` and 2 of tests/test_upstream.py fail without the change; those for 503, 429 and 400 pass before it as well.

--- a/src/ebonystream/platform/_responses.py
+++ b/src/ebonystream/platform/_responses.py
@@ -25,6 +25,7 @@
 
 CONTENT_ENCODING = b'content-encoding'
 KEY_SCHEME = b'Token'
+FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
 MISDIRECTED_STATUS = 421
 
@@ -83,7 +84,7 @@
     if message.status == MISDIRECTED_STATUS:
         return ResponseVerdict.MISDIRECTED
     if find_header(message.headers, NOT_EXECUTED) is not None:
-        return ResponseVerdict.NOT_RUN
+        return _classify_not_executed(message.status)
     sealed = find_header(message.headers, RESPONSE_SEAL) is not None
     encoded = find_header(message.headers, CONTENT_ENCODING) is not None
     if not sealed or encoded:
@@ -91,3 +92,13 @@
     if message.status < FIRST_SERVER_ERROR_STATUS:
         return ResponseVerdict.SERVED
     return ResponseVerdict.FAILED
+
+
+def _classify_not_executed(status: int) -> ResponseVerdict:
+    """Classify a response that denies that the request ran.
+
+    A success or a redirect contradicts it: the request may have run.
+    """
+    if status < FIRST_ERROR_STATUS:
+        return ResponseVerdict.INVALID
+    return ResponseVerdict.NOT_RUN
--- a/src/ebonystream/upstream/_message.py
+++ b/src/ebonystream/upstream/_message.py
@@ -1,6 +1,7 @@
 """Encodes a call as an HTTP request and decodes the response."""
 
 import math
+from http import HTTPStatus
 
 from ebonystream._ids import BootId, Seconds
 from ebonystream._timers import MS_PER_SECOND
@@ -69,7 +70,10 @@
     headers = message.headers
     report = parse_load_report(headers)
     if _find_header(headers, NOT_RUN_HEADER) == b'true':
-        return Attempt(AttemptKind.REFUSED, report=report)
+        # A success or a redirect contradicts it: the call may have run.
+        is_error = message.status >= HTTPStatus.BAD_REQUEST
+        kind = AttemptKind.REFUSED if is_error else AttemptKind.INTERRUPTED
+        return Attempt(kind, report=report)
     response = CallResponse(
         outcome=Outcome.RAN,
         status=message.status,
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -332,6 +332,25 @@
             make_message(429, ebonystream_not_executed=1),
             ResponseVerdict.NOT_RUN,
         ),
+        (
+            make_message(400, ebonystream_not_executed=1),
+            ResponseVerdict.NOT_RUN,
+        ),
+        # A success that says so contradicts itself: it may have run.
+        (
+            make_message(
+                200, ebonystream_not_executed=1, ebonystream_response_seal='s'
+            ),
+            ResponseVerdict.INVALID,
+        ),
+        (
+            make_message(204, ebonystream_not_executed=1),
+            ResponseVerdict.INVALID,
+        ),
+        (
+            make_message(302, ebonystream_not_executed=1),
+            ResponseVerdict.INVALID,
+        ),
         (make_message(421), ResponseVerdict.MISDIRECTED),
         (make_message(200), ResponseVerdict.INVALID),
         (make_message(503), ResponseVerdict.INVALID),
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,6 +11,7 @@
 
 LIMITS = PoolLimits(max_idle=4, idle_timeout=60, connect_timeout=5)
 SHORT_TIME_LIMIT_S = 0.3
+NOT_RUN = 'X-Not-Run: true'
 
 
 def encode_response(body, *headers):
@@ -36,6 +37,15 @@
     ),
     b'twin': (encode_response('twin') * 2, b''),
     b'kept': (encode_response('kept'), b''),
+    b'shed': (
+        encode_response('', NOT_RUN).replace(b'200 OK', b'503 Unavailable'),
+        b'',
+    ),
+    b'done': (encode_response('done', NOT_RUN), b''),
+    b'away': (
+        encode_response('', NOT_RUN).replace(b'200 OK', b'302 Found'),
+        b'',
+    ),
 }
 """By request body: bytes sent at once, and before the next response."""
 
@@ -61,6 +71,10 @@
         (b'more', AttemptKind.ANSWERED, 2),
         (b'twin', AttemptKind.ANSWERED, 2),
         (b'kept', AttemptKind.ANSWERED, 1),
+        (b'shed', AttemptKind.REFUSED, 1),
+        # A success that denies that the call ran contradicts itself.
+        (b'done', AttemptKind.INTERRUPTED, 1),
+        (b'away', AttemptKind.INTERRUPTED, 1),
     ],
 )
 async def test_no_late_response_reaches_another_call(
