Do not pass on a status that promises "not run" for a server that ran

What callers saw: nothing was reported; found while the "not run" of broken responses was checked. Callers of the platform read 408, 429 and 503 as a promise that their request has not run. A server's own 408, 429 or 503 with its seal, and without the field that states that it did not run, was passed on as it came, also for a request that must run once and had run.

Cause: a sealed response was passed on whatever its status.

Change: such a response counts as one that can't be verified: a request that may be repeated is tried at another server, any other one is answered 502. 421 stays: the platform's protocol says that it alone states that the request did not run.

Evidence: 3 rows of `test_verdicts` fail without the change.

--- a/src/ebonystream/platform/_responses.py
+++ b/src/ebonystream/platform/_responses.py
@@ -29,6 +29,10 @@
 FIRST_SERVER_ERROR_STATUS = 500
 MISDIRECTED_STATUS = 421
 
+NOT_RUN_STATUSES = frozenset((408, 429, 503))
+"""Statuses that tell callers that their request did not run; passed on only
+where the server states it."""
+
 
 def make_response_matcher(request: Request) -> ResponseMatcher:
     """Return a predicate that matches the response to a request.
@@ -87,7 +91,7 @@
         return _classify_not_executed(message.status)
     sealed = find_header(message.headers, RESPONSE_SEAL) is not None
     encoded = find_header(message.headers, CONTENT_ENCODING) is not None
-    if not sealed or encoded:
+    if not sealed or encoded or message.status in NOT_RUN_STATUSES:
         return ResponseVerdict.INVALID
     if message.status < FIRST_SERVER_ERROR_STATUS:
         return ResponseVerdict.SERVED
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -354,6 +354,14 @@
         (make_message(421), ResponseVerdict.MISDIRECTED),
         (make_message(200), ResponseVerdict.INVALID),
         (make_message(503), ResponseVerdict.INVALID),
+        # Callers would read that it did not run, which only refusals state.
+        *(
+            (
+                make_message(status, ebonystream_response_seal='s'),
+                ResponseVerdict.INVALID,
+            )
+            for status in (408, 429, 503)
+        ),
         (
             make_message(ebonystream_response_seal='s', content_encoding='br'),
             ResponseVerdict.INVALID,
