Refuse an invalid status in the response of a key's owner

What callers saw: nothing was reported; found while all readers of responses were checked. While hosts are replaced, the owner of a key may run sources without the check of status lines. The status 000 of a backend server then came in its message and was passed on to the caller.

Cause: the message gives the status as any whole number, and its reader took it.

Change: a status outside 200 to 599 is answered 502, outcome unknown, as are an unknown outcome and an unknown kind of error already.

Evidence: 3 rows of `test_status_of_a_forwarded_response` fail without the change.

--- a/src/ebonystream/http1/__init__.py
+++ b/src/ebonystream/http1/__init__.py
@@ -17,9 +17,13 @@
     make_request_reader,
     make_response_reader,
 )
-from ebonystream.http1._statusline import find_status_line_error
+from ebonystream.http1._statusline import (
+    FINAL_STATUSES,
+    find_status_line_error,
+)
 
 __all__ = (
+    'FINAL_STATUSES',
     'RECEIVE_BYTES',
     'EncodedMessage',
     'Message',
--- a/src/ebonystream/http1/_statusline.py
+++ b/src/ebonystream/http1/_statusline.py
@@ -7,6 +7,8 @@
 LAST_STATUS = 599
 """RFC 9110, section 15: valid status codes are from 100 to 599."""
 
+FINAL_STATUSES = range(FIRST_FINAL_STATUS, LAST_STATUS + 1)
+
 VERSIONS = frozenset(('1.0', '1.1'))
 """RFC 9112, section 2.3: other major versions have another message format."""
 
--- a/src/ebonystream/ownership/_forwarding.py
+++ b/src/ebonystream/ownership/_forwarding.py
@@ -22,6 +22,7 @@
     RunCall,
 )
 from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
+from ebonystream.http1 import FINAL_STATUSES
 from ebonystream.ownership._key import parse_key
 from ebonystream.ownership._owner import ForwardToOwner, get_key
 from ebonystream.peer import ForwardedCall, ForwardedResponse
@@ -121,8 +122,13 @@
 
     Raises:
         EbonystreamError: The outcome or the kind of error is unknown to this
-            host, which is possible if the owner runs a later version.
+            host, or the status is not that of a final response, which is
+            possible if the owner runs another version.
     """
+    if response.status not in FINAL_STATUSES:
+        raise EbonystreamError(
+            ErrorKind.OUTCOME_LOST, f'status {response.status}'
+        )
     try:
         return CallResponse(
             outcome=Outcome(response.outcome),
--- a/tests/test_forwarded_calls.py
+++ b/tests/test_forwarded_calls.py
@@ -8,7 +8,8 @@
 from ebonystream.call import CallResponse
 from ebonystream.errors import EbonystreamError, ErrorKind, Outcome
 from ebonystream.ownership import get_timestamp, make_handle_forwarded_call
-from ebonystream.peer import ForwardedCall
+from ebonystream.ownership._forwarding import decode_forwarded_response
+from ebonystream.peer import ForwardedCall, ForwardedResponse
 
 KEY = '01890a5d-ac96-774b-bcce-b302099a8057'
 CALL = ForwardedCall(0, 'b1', 'c', 'r', 's', 'GET', '/', (), b'body', 9, KEY)
@@ -48,3 +49,18 @@
         await handle('a', request)
     assert caught.value.kind is ErrorKind.KEY_MALFORMED
     await trio.lowlevel.checkpoint()
+
+
+@pytest.mark.parametrize(
+    ('status', 'is_valid'),
+    [(200, True), (599, True), (0, False), (199, False), (600, False)],
+)
+def test_status_of_a_forwarded_response(status, is_valid):
+    """Guards against the invalid status of an owner of an earlier version."""
+    response = ForwardedResponse(0, 'ran', status, (), b'')
+    if is_valid:
+        assert decode_forwarded_response(response).status == status
+        return
+    with pytest.raises(EbonystreamError) as caught:
+        decode_forwarded_response(response)
+    assert caught.value.kind is ErrorKind.OUTCOME_LOST
