Keep tests of the broken responses that the parser refuses

Change: tests alone: 31 kinds of malformed heads at three sizes of parts, five heads cut at any byte, and some of them at the entry host's process.

--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -47,6 +47,74 @@
 """By name: bytes that are no response to any request."""
 
 
+def make_own(line=b'', *, before=b''):
+    """Make the own response with another line after its fields, or before."""
+    return make_head(b'200', before + FIELDS + line) + LENGTH
+
+
+MALFORMED = {
+    'blank in a name': make_own(b'x y: z\r\n'),
+    'tab in a name': make_own(b'x\ty: z\r\n'),
+    'NUL in a name': make_own(b'x\x00y: z\r\n'),
+    'control byte in a name': make_own(b'x\x01y: z\r\n'),
+    'DEL in a name': make_own(b'x\x7fy: z\r\n'),
+    'byte above ASCII in a name': make_own(b'x\xffy: z\r\n'),
+    'no name': make_own(b': z\r\n'),
+    'blank before the colon': make_own(b'x : z\r\n'),
+    'blank before the first name': make_own(before=b' x: z\r\n'),
+    'folded line': make_own(b'x: y\r\n z\r\n'),
+    'folded by a tab': make_own(b'x: y\r\n\tz\r\n'),
+    'no colon': make_own(b'x\r\n'),
+    'NUL in a value': make_own(b'x: y\x00z\r\n'),
+    'CR in a value': make_own(b'x: y\rz\r\n'),
+    'control byte in a value': make_own(b'x: y\x01z\r\n'),
+    'DEL in a value': make_own(b'x: y\x7fz\r\n'),
+    'control byte in an option': make_own(b'connection: close\x01\r\n'),
+    'bare line feeds': OWN.replace(b'\r\n', b'\n'),
+    'CR in the phrase': OWN.replace(b'OK', b'O\rK'),
+    'two digits': OWN.replace(b'200', b'20'),
+    'four digits': OWN.replace(b'200', b'2000'),
+    'sign': OWN.replace(b'200', b'+20'),
+    'HTTP/1.2': OWN.replace(b'HTTP/1.1', b'HTTP/1.2'),
+    'HTTP/3.0': OWN.replace(b'HTTP/1.1', b'HTTP/3.0'),
+    'lower case': OWN.replace(b'HTTP', b'http'),
+    'two lengths': make_own(b'content-length: 3\r\n'),
+    'length and chunks': make_own(b'transfer-encoding: chunked\r\n'),
+    'length with a sign': OWN.replace(b'length: 2', b'length: +2'),
+    'list of lengths': OWN.replace(b'length: 2', b'length: 2, 2'),
+    'no length after the colon': OWN.replace(b'length: 2', b'length:'),
+    'blank in a trailer': make_head(b'200')
+    + CHUNKS.replace(b'0\r\n', b'0\r\nx y: z\r\n'),
+}
+"""By name: bytes that the parser itself refuses."""
+
+
+@pytest.mark.parametrize('end', [False, True])
+@pytest.mark.parametrize('size', [1, 7, 999])
+@pytest.mark.parametrize('name', MALFORMED)
+async def test_malformed_response(autojump_clock, name, end, size):
+    result = await exchange(split(MALFORMED[name], size), end=end)
+    assert result == (ExchangeFailure.INTERRUPTED, False)
+
+
+CUT_HEADS = {
+    'length': make_head(b'200') + b'content-length: 2\r\n\r\n',
+    'length of no body': make_head(b'200') + b'content-length: 0\r\n\r\n',
+    'chunks': make_head(b'200') + b'transfer-encoding: chunked\r\n\r\n',
+    'no length': make_head(b'200') + b'\r\n',
+    'no content': make_head(b'204') + b'\r\n',
+}
+
+
+@pytest.mark.parametrize('name', CUT_HEADS)
+async def test_head_cut_at_any_byte(autojump_clock, name):
+    """Guards against a short body that is framed as a whole one."""
+    head = CUT_HEADS[name]
+    for size in range(len(head)):
+        result = await exchange([head[:size]], end=True)
+        assert result == (ExchangeFailure.INTERRUPTED, False), head[:size]
+
+
 def split(content, size):
     starts = range(0, len(content), size)
     return [content[start : start + size] for start in starts]
@@ -97,6 +165,8 @@
     '100 and 103': INTERIM + b'\r\n' + HINTS + b'\r\n',
     '103 and a part of a head': HINTS + b'\r\n' + OWN[:20],
     '103 and a part of a body': HINTS + b'\r\n' + OWN[:-1],
+    'cut after a length of no body': make_head(b'200')
+    + b'content-length: 0\r\n',
 }
 """By name: bytes of a response that the end of the connection cuts."""
 
@@ -173,12 +243,23 @@
         ('HTTP/2.0, not run', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
         ('100', 'idempotent', {'i-1'}, 200, 2),
         ('100', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
+        ('cut after a length of no body', 'idempotent', {'i-1'}, 200, 2),
+        (
+            'cut after a length of no body',
+            'non_idempotent',
+            {'i-1', 'i-2'},
+            502,
+            1,
+        ),
+        ('blank in a name', 'idempotent', {'i-1'}, 200, 2),
+        ('blank in a name', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
+        ('control byte in a name', 'non_idempotent', {'i-1', 'i-2'}, 502, 1),
     ],
 )
 async def test_entry_host(tmp_path, name, kind, broken_servers, status, runs):
     """Callers get no broken response; what may have run is not repeated."""
     response = EncodedResponse(
-        {**BROKEN, **INCOMPLETE}[name], close=name in INCOMPLETE
+        {**BROKEN, **MALFORMED, **INCOMPLETE}[name], close=name in INCOMPLETE
     )
     async with run_deployment(tmp_path) as deployment:
         deployment.configure(1, kind=kind)
