--- a/tests/host_mutations.py
+++ b/tests/host_mutations.py
@@ -8,6 +8,7 @@
 SCALE = 'tests/test_gossip_scale.py'
 NOTICES = 'tests/test_server_notices.py'
 GOSSIP = 'tests/test_gossip.py'
+READERS = 'tests/test_response_readers.py'
 
 HOST_MUTATIONS = {
     'a retry is taken for a first request': Mutation(
@@ -47,6 +48,36 @@
         'if False:',
         'tests/test_odd_records.py',
     ),
+    'any status code is valid': Mutation(
+        'http1/_statusline.py',
+        'if not FIRST_STATUS <= status <= LAST_STATUS:',
+        'if False:',
+        READERS,
+    ),
+    'any version of HTTP is valid': Mutation(
+        'http1/_statusline.py',
+        'if version not in VERSIONS:',
+        'if False:',
+        READERS,
+    ),
+    'a response is queued after an error': Mutation(
+        'http1/_collector.py',
+        'if self.error is not None:\n            return',
+        'if False:\n            return',
+        READERS,
+    ),
+    'an informational response is the final one': Mutation(
+        'http1/_collector.py',
+        'self.on_message_begin()\n            return',
+        'return',
+        READERS,
+    ),
+    'a success that was not run is a refusal': Mutation(
+        'platform/_responses.py',
+        'if status < FIRST_ERROR_STATUS:',
+        'if False:',
+        'tests/test_platform_formats.py',
+    ),
     'every host introduces a newcomer to all': Mutation(
         'gossip/_introduction.py',
         'if leader is not None and leader.host == table.local_host:',
