--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -42,6 +42,13 @@
     assert len(find_floods('i-1', arrivals, BOUND)) == floods
 
 
+def list_times(server):
+    """List when requests arrived, relative to the end of the cold time."""
+    return [
+        f'{arrival.at - server.cold_until:.2f}' for arrival in server.arrivals
+    ]
+
+
 async def call_again_and_again(deployment, host, numbers, random):
     """Send requests to one host, each after the answer to the one before."""
     while True:
@@ -85,7 +92,7 @@
         assert find_floods(server.name, server.arrivals, BOUND) == []
         # It gets requests while it is cold, and more when it is not.
         cold = sum(arrival.is_cold for arrival in server.arrivals)
-        assert 0 < cold < len(server.arrivals) - cold
+        assert 0 < cold < len(server.arrivals) - cold, list_times(server)
 
 
 def make_answers(statuses):
