Read the orders from the store before the proof that they are the newest ends

Cause: a host that does not read the store for its zone took the silence of its peers for agreement. It read the orders itself once it had heard no better reader for 2.5 s, or once its copy was 4.5 s old; a host that hears its peers and can't fetch from them was late at each change. The age of the proof of freshness told it, and counted only where revocation is strict.

Change: the proof is a lease on every deployment. Its periods are shares of config_apply of the settings (default 2s), or of revoke where that is strict and shorter: the reader of a zone polls for a fifth, from 0.65 on a host asks other zones, from 0.8 on any host reads the store itself. SHORT_SHARE was 0.55: a proof that is fetched is 0.58 of 2 s old at most, so that 0.55 would ask other zones all the time. The simulations of strict revocation keep their bounds on the calls to the store; they set both bounds to 5 s, as they play revocation alone.

Ruled out: the store, which answered; the announcement of newer orders in gossip, which arrived and led to fetches that failed.

--- a/src/ebonystream/entryhost/_lease.py
+++ b/src/ebonystream/entryhost/_lease.py
@@ -1,18 +1,23 @@
-"""How long this host may judge the keys of callers without the store."""
+"""How long this host may rely on its orders without the store.
+
+The proof that its orders are the newest is a lease, which a read of the store
+renews, by this host or by the one that it fetches from. A host whose lease ends
+reads the store itself, whatever its peers say or leave unsaid.
+"""
 
 from ebonystream._ids import Seconds
 from ebonystream.entryhost._parts import HostParts
 
-LEASE_SHARE = 0.95
+KEYS_SHARE = 0.95
 """Share of the bound on revocation for which a configuration counts as fresh.
 The rest covers clocks of different rates."""
 
 POLL_SHARE = 0.2
 """Share of the bound that one long poll for new orders may take, with its way
 to the store and back. The proof of a zone leader then reaches the age of two
-fifths of the bound, and a host has half of it left to find another source."""
+fifths of the bound, and a host has the rest of it to find another source."""
 
-SHORT_SHARE = 0.55
+SHORT_SHARE = 0.65
 """Share of the bound from which a host asks the leaders of other zones."""
 
 SHORT_LEASE_POLL = Seconds(0.1)
@@ -29,7 +34,22 @@
     Args:
         parts: The state of the host.
     """
-    return _is_within(parts, LEASE_SHARE)
+    revoke = parts.settings.limits.revoke
+    if revoke is None:
+        return True
+    return _is_within(parts, Seconds(revoke * KEYS_SHARE))
+
+
+def get_orders_bound(parts: HostParts) -> Seconds:
+    """Return how old the proof of the orders may become, in seconds.
+
+    Args:
+        parts: The state of the host.
+    """
+    limits = parts.settings.limits
+    if limits.revoke is None:
+        return limits.apply_time
+    return min(limits.revoke, limits.apply_time)
 
 
 def is_lease_short(parts: HostParts) -> bool:
@@ -38,7 +58,7 @@
     Args:
         parts: The state of the host.
     """
-    return not _is_within(parts, SHORT_SHARE)
+    return not _is_within(parts, Seconds(get_orders_bound(parts) * SHORT_SHARE))
 
 
 def is_lease_ending(parts: HostParts) -> bool:
@@ -47,29 +67,20 @@
     Args:
         parts: The state of the host.
     """
-    return not _is_within(parts, STALE_SHARE)
+    return not _is_within(parts, Seconds(get_orders_bound(parts) * STALE_SHARE))
 
 
-def get_orders_poll(parts: HostParts, usual: Seconds) -> Seconds:
+def get_orders_poll(parts: HostParts) -> Seconds:
     """Return the upper bound on one long poll for new orders, in seconds.
 
     Args:
         parts: The state of the host.
-        usual: The bound where revocation is not strict, in seconds.
     """
-    revoke = parts.settings.limits.revoke
-    if revoke is None:
-        return usual
     if is_lease_short(parts):
         return SHORT_LEASE_POLL
-    in_time = revoke * POLL_SHARE - parts.store_latency
-    return Seconds(min(usual, max(SHORT_LEASE_POLL, in_time)))
+    in_time = get_orders_bound(parts) * POLL_SHARE - parts.store_latency
+    return Seconds(max(SHORT_LEASE_POLL, in_time))
 
 
-def _is_within(parts: HostParts, share: float) -> bool:
-    revoke = parts.settings.limits.revoke
-    if revoke is None:
-        return True
-    return parts.orders.freshness.is_within(
-        Seconds(revoke * share), parts.timers.boot_now()
-    )
+def _is_within(parts: HostParts, limit: Seconds) -> bool:
+    return parts.orders.freshness.is_within(limit, parts.timers.boot_now())
--- a/src/ebonystream/entryhost/_settings.py
+++ b/src/ebonystream/entryhost/_settings.py
@@ -24,9 +24,10 @@
 """Default for a machine of 200 MB."""
 
 MIN_REVOKE_S = 2
-"""Hosts can't confirm a configuration to each other more often."""
-
 MAX_REVOKE_S = 3600
+MIN_APPLY_TIME = Seconds(0.2)
+MAX_APPLY_TIME = Seconds(3600)
+DEFAULT_APPLY_TIME = Seconds(2)
 MIN_WINDOW = Seconds(1)
 MAX_WINDOW = Seconds(3600)
 MIN_LEASE = Seconds(0.5)
@@ -52,6 +53,8 @@
             backend servers may take together.
         revoke: How long after the withdrawal of a key its requests may still
             run, in seconds; None if this is not bounded.
+        apply_time: How long after its acknowledgement by the store an order may
+            not be in force on a host that reaches the store, in seconds.
         client_memory_bytes: Bytes that this host may hold for its callers.
         max_descriptors: Descriptors that this host may have open.
     """
@@ -75,6 +78,10 @@
             make_range_validator(MIN_REVOKE_S, MAX_REVOKE_S)
         ),
     )
+    apply_time: Seconds = attrs.field(
+        default=DEFAULT_APPLY_TIME,
+        validator=make_range_validator(MIN_APPLY_TIME, MAX_APPLY_TIME),
+    )
     client_memory_bytes: int = attrs.field(
         default=DEFAULT_CLIENT_MEMORY_BYTES,
         validator=make_range_validator(MIN_CLIENT_MEMORY_BYTES, MAX_BYTES),
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -23,9 +23,6 @@
 from ebonystream.orders import OrdersListing
 from ebonystream.roster import EntriesListing
 
-ORDERS_POLL_TIMEOUT = Seconds(2)
-"""Upper bound on one long poll for new orders, in seconds."""
-
 SERVERS_READ_PERIOD = Seconds(0.7)
 """Period of reading the entries of the servers, in seconds."""
 
@@ -191,7 +188,7 @@
     """
     known_end = parts.orders.end
     asked_at = parts.timers.boot_now()
-    poll_timeout = get_orders_poll(parts, ORDERS_POLL_TIMEOUT)
+    poll_timeout = get_orders_poll(parts)
     with trio.CancelScope() as scope:
         parts.orders_wait_scope = scope
         end = await reader.wait_for_orders(known_end, poll_timeout)
--- a/src/ebonystream/platform/_settings.py
+++ b/src/ebonystream/platform/_settings.py
@@ -67,6 +67,7 @@
     cold_slack: _ColdBound = 5
     strict_revoke: bool = False
     revoke: str = '5s'
+    config_apply: str = '2s'
 
 
 class _Terms(msgspec.Struct):
@@ -125,4 +126,5 @@
         client_memory_bytes=process.compute_client_memory(),
         max_descriptors=process.max_fds,
         revoke=parse_duration(bounds.revoke) if bounds.strict_revoke else None,
+        apply_time=parse_duration(bounds.config_apply),
     )
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -252,6 +252,8 @@
         (('local', 'ip'), 'here'),
         (('platform', 'platform', 'address'), '10.200.1.7'),
         (('terms', 'bounds', 'grace'), '-1s'),
+        (('terms', 'bounds', 'config_apply'), '0s'),
+        (('terms', 'bounds', 'config_apply'), '2h'),
         (('terms', 'bounds', 'retry_budget_slack'), -1),
         (('terms', 'bounds', 'retry_budget_ratio'), 10**30),
     ],
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -159,7 +159,9 @@
             host.orders = Orders()
             host.orders.update(make_listing(end=4), 0.0)
             host.orders.confirm_newest(4, host.timers.boot_now())
-            host.settings = SimpleNamespace(limits=SimpleNamespace(revoke=5.0))
+            host.settings = SimpleNamespace(
+                limits=SimpleNamespace(revoke=5.0, apply_time=5.0)
+            )
             host.store_latency = 0.0
             nursery.start_soon(sync_orders, host, reader)
         await trio.sleep(OUTAGE_S)
--- a/tests/test_zone_freshness.py
+++ b/tests/test_zone_freshness.py
@@ -72,7 +72,7 @@
                 name=name,
                 zone=zone,
                 peer_endpoint=ServerAddress('10.0.0.1', 1),
-                limits=SimpleNamespace(revoke=REVOKE_S),
+                limits=SimpleNamespace(revoke=REVOKE_S, apply_time=REVOKE_S),
             ),
             log_event=lambda event, **fields: None,
             orders_source=None,
