Ask the store again after a failed read until it responds

Operators saw no dependency_regained on hosts that others supply, and a store_silent of 1 for ever.

Cause: only a read of the host itself ends its belief that the store does not respond, and a host that others supply does not read. After an outage all hosts of a zone but one told their peers that they can't reach the store. A host that then needed it waited at the pace of a failing store (up to 0.75 s for each host of its zone), and the choice of a reader among them meant nothing.

--- a/src/ebonystream/entryhost/_store.py
+++ b/src/ebonystream/entryhost/_store.py
@@ -5,7 +5,7 @@
 from ebonystream._ids import Offset, Seconds, ServerId
 from ebonystream.entryhost._move_reports import StoredReport
 from ebonystream.entryhost._parts import HostParts
-from ebonystream.entryhost._store_sync import StoreReader
+from ebonystream.entryhost._store_sync import NO_WAIT, StoreReader
 from ebonystream.gossip import HostRegistry, RegisteredHost
 from ebonystream.orders import OrdersListing
 from ebonystream.platform import (
@@ -50,10 +50,14 @@
         parts.unreadable_records.update(SERVERS_TOPIC, unreadable)
         return EntriesListing(entries, frozenset(map(ServerId, unreadable)))
 
+    async def check_store() -> None:
+        await store.wait_for_append(SERVERS_TOPIC, Offset(0), wait=NO_WAIT)
+
     return StoreReader(
         list_orders=list_orders,
         wait_for_orders=wait_for_orders,
         list_entries=list_entries,
+        check_store=check_store,
     )
 
 
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -16,6 +16,7 @@
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_turns import (
     StoreCopy,
+    must_read,
     wait_for_turn,
     wait_to_retry,
 )
@@ -38,6 +39,11 @@
 ListEntries = Callable[[], Awaitable[EntriesListing]]
 """Reads the entries of all servers; raises if the store fails."""
 
+CheckStore = Callable[[], Awaitable[None]]
+"""Makes a call with a small response; raises if the store fails."""
+
+NO_WAIT = Seconds(0)
+
 
 @attrs.frozen(kw_only=True)
 class StoreReader:
@@ -47,11 +53,13 @@
         list_orders: Reads all orders.
         wait_for_orders: Waits for new orders.
         list_entries: Reads the entries of all servers.
+        check_store: Checks whether the store responds.
     """
 
     list_orders: ListOrders
     wait_for_orders: WaitForOrders
     list_entries: ListEntries
+    check_store: CheckStore
 
 
 async def sync_orders(parts: HostParts, reader: StoreReader) -> None:
@@ -63,11 +71,12 @@
     """
     store = Dependency('store: orders', parts.log_event, parts.timers)
     while True:
-        if not await wait_for_turn(parts, StoreCopy.ORDERS):
+        is_lost = store.lost_at is not None
+        if not await wait_for_turn(parts, StoreCopy.ORDERS, is_lost=is_lost):
             continue
         proven_at = parts.orders.freshness.asked_at
         try:
-            await _read_orders(parts, reader, can_wait=store.lost_at is None)
+            await _read_orders(parts, reader, can_wait=not is_lost)
         except EbonystreamError as error:
             store.record_failure(str(error))
             await wait_to_retry(parts)
@@ -85,11 +94,12 @@
     """
     store = Dependency('store: servers', parts.log_event, parts.timers)
     while True:
-        if not await wait_for_turn(parts, StoreCopy.SERVERS):
+        is_lost = store.lost_at is not None
+        if not await wait_for_turn(parts, StoreCopy.SERVERS, is_lost=is_lost):
             continue
         started_at = parts.timers.now()
         try:
-            listing = await reader.list_entries()
+            listing = await _list_entries(parts, reader)
         except EbonystreamError as error:
             store.record_failure(str(error))
             parts.store_unreachable = True
@@ -99,6 +109,8 @@
         parts.store_unreachable = False
         if store.record_success():
             parts.cancel_orders_wait()
+        if listing is None:
+            continue
         update_roster(parts, listing, started_at)
         await trio.sleep_until(started_at + SERVERS_READ_PERIOD)
 
@@ -151,11 +163,22 @@
         )
 
 
+async def _list_entries(
+    parts: HostParts, reader: StoreReader
+) -> EntriesListing | None:
+    """List the entries; only check the store if others supply this host."""
+    if must_read(parts, StoreCopy.SERVERS):
+        return await reader.list_entries()
+    await reader.check_store()
+    return None
+
+
 async def _read_orders(
     parts: HostParts, reader: StoreReader, *, can_wait: bool
 ) -> None:
-    if can_wait and parts.orders.listing is not None:
-        if not await _wait_for_new_orders(parts, reader):
+    if parts.orders.listing is not None:
+        poll = get_orders_poll(parts) if can_wait else NO_WAIT
+        if not await _wait_for_new_orders(parts, reader, poll):
             return
     started_at = parts.timers.now()
     asked_at = parts.timers.boot_now()
@@ -181,14 +204,15 @@
         await wait_to_retry(parts)
 
 
-async def _wait_for_new_orders(parts: HostParts, reader: StoreReader) -> bool:
+async def _wait_for_new_orders(
+    parts: HostParts, reader: StoreReader, poll_timeout: Seconds
+) -> bool:
     """Wait for new orders; return whether to read the orders now.
 
     A cancelled wait returns True, so that the orders are read at once.
     """
     known_end = parts.orders.end
     asked_at = parts.timers.boot_now()
-    poll_timeout = get_orders_poll(parts)
     with trio.CancelScope() as scope:
         parts.orders_wait_scope = scope
         end = await reader.wait_for_orders(known_end, poll_timeout)
--- a/src/ebonystream/entryhost/_store_turns.py
+++ b/src/ebonystream/entryhost/_store_turns.py
@@ -1,7 +1,8 @@
 """When this host reads the store itself.
 
 The leader of a zone reads it all the time. Any other host does so if its copy
-has become stale, at a pace that it shares with its zone while the store fails.
+has become stale, and after a failed read until the store responds to it again,
+at a pace that it shares with its zone while the store fails.
 """
 
 import enum
@@ -42,14 +43,20 @@
     ORDERS = 4.5
 
 
-async def wait_for_turn(parts: HostParts, copy: StoreCopy) -> bool:
+async def wait_for_turn(
+    parts: HostParts, copy: StoreCopy, *, is_lost: bool
+) -> bool:
     """Wait for the next check; return whether to read the store now.
 
     Args:
         parts: The state of the host.
         copy: What would be read.
+        is_lost: Whether the last read failed, after which `wait_to_retry` has
+            been called.
     """
-    if not _must_read(parts, copy):
+    if is_lost:
+        return True
+    if not must_read(parts, copy):
         is_started = parts.has_read()
         await parts.timers.wait(
             LEADER_CHECK_PERIOD if is_started else START_CHECK_PERIOD
@@ -59,7 +66,7 @@
     if parts.facts.is_leader(now) or not is_store_failing(parts.facts, now):
         return True
     await wait_to_retry(parts)
-    return _must_read(parts, copy)
+    return must_read(parts, copy)
 
 
 async def wait_to_retry(parts: HostParts) -> None:
@@ -79,7 +86,13 @@
                 return
 
 
-def _must_read(parts: HostParts, copy: StoreCopy) -> bool:
+def must_read(parts: HostParts, copy: StoreCopy) -> bool:
+    """Return whether this host needs a new copy from the store.
+
+    Args:
+        parts: The state of the host.
+        copy: What would be read.
+    """
     is_orders = copy is StoreCopy.ORDERS
     if is_orders and is_lease_ending(parts) and parts.has_read():
         return True
--- a/tests/test_orders_in_time.py
+++ b/tests/test_orders_in_time.py
@@ -80,8 +80,14 @@
             await self.call_store(host)
             return EntriesListing((make_entry(),))
 
+        async def check_store():
+            await self.call_store(host)
+
         return attrs.evolve(
-            reader, wait_for_orders=wait_for_orders, list_entries=list_entries
+            reader,
+            wait_for_orders=wait_for_orders,
+            list_entries=list_entries,
+            check_store=check_store,
         )
 
     def make_fetch(self, host):
@@ -244,3 +250,23 @@
     delays = await deployment.measure(trouble, lead_s)
     late = {name: at for name, at in delays.items() if at > APPLY_S}
     assert late == {}
+
+
+@pytest.mark.parametrize('hosts_per_zone', [1, 5, 10])
+async def test_each_host_learns_that_the_store_is_back(
+    autojump_clock, hosts_per_zone
+):
+    # Guards against hosts that say for ever that the store is lost.
+    deployment = Deployment(hosts_per_zone)
+    await deployment.measure(end_an_outage, hosts_per_zone)
+    logged = {'dependency_lost': set(), 'dependency_regained': set()}
+    for _, name, event, fields in deployment.events:
+        logged.get(event, set()).add((name, fields.get('dependency')))
+    stores = {
+        (name, dependency)
+        for name, dependency in logged['dependency_lost']
+        if dependency.startswith('store')
+    }
+    assert {name for name, _ in stores} == set(deployment.hosts)
+    assert stores <= logged['dependency_regained']
+    assert not any(host.store_unreachable for host in deployment.hosts.values())
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -121,7 +121,10 @@
     for host in hosts:
         host.roster.apply_listing([], 0.0)
     reader = StoreReader(
-        list_orders=None, wait_for_orders=None, list_entries=list_entries
+        list_orders=None,
+        wait_for_orders=None,
+        list_entries=list_entries,
+        check_store=list_entries,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(exchange_facts, hosts)
@@ -149,7 +152,10 @@
         return known_end - 1
 
     reader = StoreReader(
-        list_orders=None, wait_for_orders=wait_for_orders, list_entries=None
+        list_orders=None,
+        wait_for_orders=wait_for_orders,
+        list_entries=None,
+        check_store=None,
     )
     hosts = [make_host(f'e{number:03}') for number in range(count)]
     async with trio.open_nursery() as nursery:
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -123,7 +123,10 @@
         return reading
 
     reader = StoreReader(
-        list_orders=None, wait_for_orders=None, list_entries=list_entries
+        list_orders=None,
+        wait_for_orders=None,
+        list_entries=list_entries,
+        check_store=None,
     )
     with trio.move_on_after(5):
         await run_supervised(
--- a/tests/test_zone_freshness.py
+++ b/tests/test_zone_freshness.py
@@ -126,6 +126,7 @@
             list_orders=list_orders,
             wait_for_orders=wait_for_orders,
             list_entries=None,
+            check_store=None,
         )
 
     def make_fetch(self, host):
@@ -296,6 +297,7 @@
         list_orders=partial(delay, reader.list_orders),
         wait_for_orders=partial(delay, reader.wait_for_orders),
         list_entries=None,
+        check_store=None,
     )
     await sync_orders(host, slow)
 
