Count the wait at the store into the proof that the orders are the newest

Cause: the proof of a poll counted from its start, so that it was two polls old before the next one renewed it.

Change: a store that was to wait for new orders responds without any only at the end of the wait. The proof of such a response counts from 0.95 of the wait on; a response that came earlier, from when the store was asked. The way of the response still proves nothing. A poll takes two fifths of the bound.

--- a/src/ebonystream/entryhost/_lease.py
+++ b/src/ebonystream/entryhost/_lease.py
@@ -12,10 +12,10 @@
 """Share of the bound on revocation for which a configuration counts as fresh.
 The rest covers clocks of different rates."""
 
-POLL_SHARE = 0.2
+POLL_SHARE = 0.4
 """Share of the bound that one long poll for new orders may take, with its way
-to the store and back. The proof of a zone leader then reaches the age of two
-fifths of the bound, and a host has the rest of it to find another source."""
+to the store and back. The proof of a zone leader becomes as old, and a host has
+the rest of the bound to find another source."""
 
 SHORT_SHARE = 0.65
 """Share of the bound from which a host asks the leaders of other zones."""
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -21,7 +21,7 @@
     wait_to_retry,
 )
 from ebonystream.errors import EbonystreamError
-from ebonystream.orders import OrdersListing
+from ebonystream.orders import OrdersListing, compute_proof_time
 from ebonystream.roster import EntriesListing
 
 SERVERS_READ_PERIOD = Seconds(0.7)
@@ -216,9 +216,11 @@
     with trio.CancelScope() as scope:
         parts.orders_wait_scope = scope
         end = await reader.wait_for_orders(known_end, poll_timeout)
-        parts.orders.confirm_newest(end, asked_at)
+        responded_at = parts.timers.boot_now()
+        proven_at = compute_proof_time(asked_at, responded_at, poll_timeout)
+        parts.orders.confirm_newest(end, proven_at)
         if end == known_end:
-            taken = parts.timers.boot_now() - asked_at
+            taken = responded_at - asked_at
             parts.store_latency = Seconds(max(0, taken - poll_timeout))
         parts.orders.confirm(parts.timers.now())
         return end > known_end
--- a/src/ebonystream/orders/_freshness.py
+++ b/src/ebonystream/orders/_freshness.py
@@ -4,17 +4,37 @@
 
 from ebonystream._ids import BootTime, Offset, Seconds
 
+WAITED_SHARE = 0.95
+"""Share of a wait at the store that counts as waited; the rest covers clocks of
+different rates."""
+
+
+def compute_proof_time(
+    asked_at: BootTime, responded_at: BootTime, wait: Seconds
+) -> BootTime:
+    """Return the latest time at which the store surely had no newer orders.
+
+    An order may have been appended while the response was on its way. A store
+    that was to wait for new orders responds without any at the end of the wait,
+    not earlier.
+
+    Args:
+        asked_at: When the store was asked.
+        responded_at: When its response without new orders arrived.
+        wait: How long it was to wait for new orders, in seconds.
+    """
+    if responded_at - asked_at < wait:
+        return asked_at
+    return BootTime(asked_at + wait * WAITED_SHARE)
+
 
 @attrs.define
 class Freshness:
     """Proof that the orders of this host were the newest at some time.
 
-    That time is when the store was asked, not when it responded: an order may
-    have been appended while the response was on its way.
-
     Attributes:
-        asked_at: When the store was last asked for newer orders and had none,
-            by this host or by the one that passed it on; None if never.
+        asked_at: When the store last had no newer orders, as told to this host
+            or to the one that passed it on; None if never.
     """
 
     asked_at: BootTime | None = None
@@ -27,7 +47,7 @@
         Other orders than those in force prove nothing about these.
 
         Args:
-            asked_at: When the store was asked.
+            asked_at: When the store had no newer orders.
             newest: Offset of the next order, according to the store.
             held: Offset of the next order, according to this host.
         """
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -34,7 +34,7 @@
     PoolLimits,
     make_exchange,
 )
-from ebonystream.orders import Freshness, Orders
+from ebonystream.orders import Freshness, Orders, compute_proof_time
 from ebonystream.route import index_routes
 from ebonystream.workspace import (
     Credential,
@@ -132,6 +132,24 @@
     assert freshness.is_within(2, 12) is (age is not None and age <= 2)
 
 
+@pytest.mark.parametrize(
+    ('wait', 'responded_at', 'proven_at'),
+    [
+        (0, 10.0, 10),
+        (0, 13.0, 10),
+        (2, 12.0, 11.9),
+        # The way of the response proves nothing.
+        (2, 13.5, 11.9),
+        # The machine was suspended meanwhile.
+        (2, 99.0, 11.9),
+        # The store did not wait.
+        (2, 11.9, 10),
+    ],
+)
+def test_the_wait_at_the_store_counts_as_proof(wait, responded_at, proven_at):
+    assert compute_proof_time(10, responded_at, wait) == proven_at
+
+
 @pytest.mark.parametrize(
     ('running_s', 'suspended_s', 'revoke', 'fresh'),
     [
