Let the stand-in of the store return from an older copy

The users' drill: the store comes back without its last records, gives their offsets out again, raises Store-Era in all its responses, and answers a read past its end with 410. No test could play it, as the stand-in knew no loss.

--- a/tools/standins/platformstore.py
+++ b/tools/standins/platformstore.py
@@ -1,6 +1,7 @@
 """A small stand-in for the store of the users' platform: topics over HTTP.
 
-It serves the calls that `ebonystream.platform` makes, and can simulate outages.
+It serves the calls that `ebonystream.platform` makes. It can simulate outages,
+and returns from an older copy of its topics.
 """
 
 import base64
@@ -19,6 +20,9 @@
 from standins.messages import serve_messages
 
 OK, UNAVAILABLE, CONDITION_FAILED, NOT_FOUND = 200, 503, 412, 404
+GONE = 410
+"""Status of a read from an offset that the topic does not have."""
+
 PAGE_HEADER = struct.Struct('>QQ')
 KEYED_PREFIX = 'keyed.'
 """Start of the names of topics whose records have keys."""
@@ -26,6 +30,12 @@
 RECORD_LENGTH_BYTES = 4
 """Size of the length field in front of an appended record."""
 
+ERA_FIELD = b'Store-Era'
+FIRST_ERA = 1
+
+StoreCopy = Mapping[str, int]
+"""The end of each topic at one moment."""
+
 
 class StoreMode(enum.Enum):
     """How the store responds."""
@@ -35,22 +45,73 @@
     UNRESPONSIVE = 'silent'
 
 
+@attrs.frozen
+class KeyedWrite:
+    """One record of a keyed topic.
+
+    Attributes:
+        key: The key.
+        content: Its new content; None if the key was removed.
+    """
+
+    key: str
+    content: bytes | None
+
+
 @attrs.define
 class Topic:
-    """One keyed topic.
+    """One topic.
 
     Attributes:
         newest: Latest content of each key, with its offset.
+        writes: All records of a keyed topic.
         records: All records of a topic without keys.
         end: Offset of the next record.
-        changed: Set and replaced when a record is added.
+        changed: Set and replaced when records are added or lost.
     """
 
     newest: dict[str, tuple[bytes, int]] = attrs.field(factory=dict)
+    writes: list[KeyedWrite] = attrs.field(factory=list)
     records: list[bytes] = attrs.field(factory=list)
     end: int = 0
     changed: trio.Event = attrs.field(factory=trio.Event)
 
+    def write(self, record: KeyedWrite) -> int:
+        """Append a record of a key, and return its offset.
+
+        Args:
+            record: The record.
+        """
+        if record.content is None:
+            self.newest.pop(record.key, None)
+        else:
+            self.newest[record.key] = (record.content, self.end)
+        self.writes.append(record)
+        self.end += 1
+        self.notify()
+        return self.end - 1
+
+    def truncate(self, end: int) -> None:
+        """Lose the records from an offset on.
+
+        Args:
+            end: Offset of the first record that is lost.
+        """
+        kept = self.writes[:end]
+        self.newest = {}
+        self.writes = []
+        self.end = 0
+        for record in kept:
+            self.write(record)
+        self.records = self.records[:end]
+        self.end = end
+        self.notify()
+
+    def notify(self) -> None:
+        """Let the reads that wait look at the topic again."""
+        self.changed.set()
+        self.changed = trio.Event()
+
 
 @attrs.define
 class PlatformStore:
@@ -60,11 +121,13 @@
         topics: The topics by name.
         mode: How the store responds.
         calls: Number of calls by name.
+        era: Number of returns from an older copy, plus `FIRST_ERA`.
     """
 
     topics: dict[str, Topic] = attrs.field(factory=dict)
     mode: StoreMode = StoreMode.AVAILABLE
     calls: dict[str, int] = attrs.field(factory=dict)
+    era: int = FIRST_ERA
 
     def put(self, topic: str, key: str, content: object) -> None:
         """Append a record of a key; None removes the key.
@@ -75,7 +138,7 @@
             content: New content, which is encoded as JSON.
         """
         encoded = None if content is None else json.dumps(content).encode()
-        self._write(topic, key, encoded)
+        self._get_topic(topic).write(KeyedWrite(key, encoded))
 
     def read(self, topic: str, key: str) -> object:
         """Return the decoded content of a key; None if it has no record.
@@ -87,6 +150,30 @@
         newest = self._get_topic(topic).newest.get(key)
         return None if newest is None else json.loads(newest[0])
 
+    def make_copy(self) -> StoreCopy:
+        """Make a copy of all topics, from which the store may return."""
+        return {name: topic.end for name, topic in self.topics.items()}
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return from an older copy; later records of its topics are lost.
+
+        Args:
+            copy: The copy. Topics that began after it lose all records.
+        """
+        self.era += 1
+        for name, topic in self.topics.items():
+            topic.truncate(min(topic.end, copy.get(name, 0)))
+
+    def restore_without(self, topic: str, count: int) -> None:
+        """Return from a copy that lacks the last records of one topic.
+
+        Args:
+            topic: Name of the topic.
+            count: Number of the records that are lost.
+        """
+        copy = self.make_copy()
+        self.restore({**copy, topic: max(0, copy.get(topic, 0) - count)})
+
     async def respond(
         self, message: Message, arrived: Monotonic, presence: CallerPresence
     ) -> EncodedResponse:
@@ -100,7 +187,7 @@
         if self.mode is StoreMode.UNRESPONSIVE:
             await trio.sleep_forever()
         if self.mode is StoreMode.UNAVAILABLE:
-            return _make_response(UNAVAILABLE, b'')
+            return self._make_response(UNAVAILABLE, b'')
         path, _, query_string = message.target.decode().partition('?')
         query = dict(parse_qsl(query_string))
         name = path.rpartition('/')[2]
@@ -111,7 +198,7 @@
             return await self._wait_for_records(query)
         if name == 'log-append':
             return self._append(query, message.body)
-        return _make_response(NOT_FOUND, b'')
+        return self._make_response(NOT_FOUND, b'')
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection.
@@ -124,17 +211,6 @@
     def _get_topic(self, name: str) -> Topic:
         return self.topics.setdefault(name, Topic())
 
-    def _write(self, name: str, key: str, content: bytes | None) -> int:
-        topic = self._get_topic(name)
-        if content is None:
-            topic.newest.pop(key, None)
-        else:
-            topic.newest[key] = (content, topic.end)
-        topic.end += 1
-        topic.changed.set()
-        topic.changed = trio.Event()
-        return topic.end - 1
-
     def _list_newest(self, query: Mapping[str, str]) -> EncodedResponse:
         topic = self._get_topic(query['topic'])
         items = [
@@ -146,39 +222,42 @@
             for key, (content, offset) in sorted(topic.newest.items())
         ]
         page = {'items': items, 'more': False, 'end': topic.end}
-        return _make_response(OK, json.dumps(page).encode())
+        return self._make_response(OK, json.dumps(page).encode())
 
     async def _wait_for_records(
         self, query: Mapping[str, str]
     ) -> EncodedResponse:
-        topic = self._get_topic(query['topic'])
-        if topic.end <= int(query['from']):
+        topic, start = self._get_topic(query['topic']), int(query['from'])
+        if topic.end == start:
             with trio.move_on_after(int(query['wait_ms']) / 1000):
                 await topic.changed.wait()
+        if start > topic.end:
+            gone = json.dumps({'first': 0, 'end': topic.end}).encode()
+            return self._make_response(GONE, gone)
         header = PAGE_HEADER.pack(topic.end, 0)
         frames = (
             len(record).to_bytes(RECORD_LENGTH_BYTES, 'big') + record
-            for record in topic.records[int(query['from']) :]
+            for record in topic.records[start:]
         )
-        return _make_response(OK, header + b''.join(frames))
+        return self._make_response(OK, header + b''.join(frames))
 
     def _append(self, query: Mapping[str, str], body: bytes) -> EncodedResponse:
         topic = self._get_topic(query['topic'])
         if 'at' in query and int(query['at']) != topic.end:
             end = json.dumps({'end': topic.end}).encode()
-            return _make_response(CONDITION_FAILED, end)
+            return self._make_response(CONDITION_FAILED, end)
         record = body[RECORD_LENGTH_BYTES:]
         if not query['topic'].startswith(KEYED_PREFIX):
             topic.records.append(record)
             topic.end += 1
             result = {'offset': topic.end - 1, 'end': topic.end}
-            return _make_response(OK, json.dumps(result).encode())
+            return self._make_response(OK, json.dumps(result).encode())
         key_end = 1 + record[0]
         key = record[1:key_end].decode()
-        offset = self._write(query['topic'], key, record[key_end:])
+        offset = topic.write(KeyedWrite(key, record[key_end:]))
         result = {'offset': offset, 'end': topic.end}
-        return _make_response(OK, json.dumps(result).encode())
-
+        return self._make_response(OK, json.dumps(result).encode())
 
-def _make_response(status: int, body: bytes) -> EncodedResponse:
-    return EncodedResponse(encode_response(status, (), body), close=False)
+    def _make_response(self, status: int, body: bytes) -> EncodedResponse:
+        era = ((ERA_FIELD, str(self.era).encode()),)
+        return EncodedResponse(encode_response(status, era, body), close=False)
