Order the orders of operators by era and offset, not by the offset alone

Cause: after a return of the store from an older copy its offsets are given out again. A host that had read the lost ones dropped each listing as older, and hosts that hadn't took the higher offset of one that had.

Callers saw: changes of the configuration not in force on any host until the store's end passed the old one.

The header Store-Era is decoded once, into each result of a call. An OrdersPosition of era and end replaces the bare end in the listing, the proof, the gossip, the request for shared state and its response, whose fields are appended with defaults. Pages of different eras make no listing. A wait for records that the topic doesn't have is reported as such, not as a higher end.

--- a/src/ebonystream/_ids.py
+++ b/src/ebonystream/_ids.py
@@ -57,6 +57,10 @@
 Offset = NewType('Offset', int)
 """Position of a record in a stream of the log service, from 0."""
 
+StoreEra = NewType('StoreEra', int)
+"""Number of times that the store has returned from an older copy. Offsets of
+different eras can't be compared."""
+
 StreamName = NewType('StreamName', str)
 """Name of a stream of the log service."""
 
--- a/src/ebonystream/entryhost/_fetch_source.py
+++ b/src/ebonystream/entryhost/_fetch_source.py
@@ -88,7 +88,9 @@
     source = parts.orders_source
     parts.orders_source = None
     parts.orders_announced = trio.Event()
-    if source is None or source.orders_end <= parts.orders.end:
+    if source is None:
+        return None
+    if source.get_orders_position() <= parts.orders.position:
         return None
     return None if source.host in failed else source
 
--- a/src/ebonystream/entryhost/_fetch_state.py
+++ b/src/ebonystream/entryhost/_fetch_state.py
@@ -2,8 +2,9 @@
 
 import attrs
 
-from ebonystream._ids import HostId, Monotonic, Offset, Seconds
+from ebonystream._ids import HostId, Monotonic, Seconds
 from ebonystream.gossip import SharedOrders, SharedRequest
+from ebonystream.orders import OrdersPosition
 
 FETCH_PERIOD = Seconds(0.35)
 """Period of fetching from the zone leader, in seconds."""
@@ -90,17 +91,16 @@
     """Newer orders that a host has, but left out of its response.
 
     Attributes:
-        end: Offset of the next order, according to that host; None if no
-            orders are missing.
+        position: Position of that host; None if no orders are missing.
         fetches_left: Fetches that may still seek them.
     """
 
-    end: Offset | None = None
+    position: OrdersPosition | None = None
     fetches_left: int = 0
 
     def is_sought(self) -> bool:
         """Return whether any host of the zone is asked for the orders."""
-        return self.end is not None
+        return self.position is not None
 
     def lengthen_timeout(self, usual: Seconds) -> Seconds:
         """Return the timeout of the next fetch, in seconds.
@@ -110,29 +110,30 @@
         """
         return MAX_FETCH_TIMEOUT if self.is_sought() else usual
 
-    def record(self, shared: SharedOrders | None, own_end: Offset) -> None:
+    def record(self, shared: SharedOrders | None, held: OrdersPosition) -> None:
         """Record a response.
 
         Args:
             shared: The orders in the response.
-            own_end: Offset of the next order, according to this host.
+            held: Position of this host.
         """
         self.fetches_left -= 1
-        if self.end is not None:
-            is_over = own_end >= self.end or self.fetches_left <= 0
-            self.end = None if is_over else self.end
-        elif shared is not None and is_left_out(shared, own_end):
-            self.end = shared.end
+        if self.position is not None:
+            is_over = held >= self.position or self.fetches_left <= 0
+            self.position = None if is_over else self.position
+        elif shared is not None and is_left_out(shared, held):
+            self.position = shared.get_position()
             self.fetches_left = MAX_PACED_FETCHES
 
 
-def is_left_out(shared: SharedOrders, own_end: Offset) -> bool:
+def is_left_out(shared: SharedOrders, held: OrdersPosition) -> bool:
     """Return whether a host has newer orders, but did not send them.
 
     Args:
         shared: The orders in its response.
-        own_end: Offset of the next order, according to this host.
+        held: Position of this host.
     """
-    if shared.end is None or shared.listing is not None:
+    position = shared.get_position()
+    if position is None or shared.listing is not None:
         return False
-    return shared.end > own_end
+    return position > held
--- a/src/ebonystream/entryhost/_gossip.py
+++ b/src/ebonystream/entryhost/_gossip.py
@@ -92,7 +92,7 @@
             parts.roster.mark_leaving(leaving.server, leaving.started)
         parts.suspect_exchange.update_from_notes(facts.suspect_notes)
         _hear_duty(parts, facts)
-        if facts.orders_end > parts.orders.end:
+        if facts.get_orders_position() > parts.orders.position:
             parts.cancel_orders_wait()
             parts.request_orders_from(facts)
 
@@ -126,6 +126,7 @@
         settled=now - parts.started_at >= SETTLING_TIME,
         duty=_make_duty_facts(parts),
         rank_demands=make_rank_demands(parts.reservations, now),
+        orders_era=parts.orders.position.era,
     )
 
 
--- a/src/ebonystream/entryhost/_peer_fetch.py
+++ b/src/ebonystream/entryhost/_peer_fetch.py
@@ -55,7 +55,7 @@
     """
     # Failures of any other host that is fetched from are logged here as well.
     leader = Dependency('speaker of the zone', parts.log_event, parts.timers)
-    request = SharedRequest(parts.orders.end, NO_SOURCE, 0)
+    request = _make_request(parts, NO_SOURCE, 0)
     period = FIRST_FETCH_PERIOD
     failures = FetchFailures()
     missing = MissingOrders()
@@ -75,7 +75,7 @@
         leader.record_success()
         failures.record_success()
         request = updated.request
-        missing.record(updated.orders, parts.orders.end)
+        missing.record(updated.orders, parts.orders.position)
         if missing.is_sought():
             period = PACED_FETCH_PERIOD
 
@@ -132,7 +132,7 @@
     """Apply the response of a host; return the next request to it."""
     revision = request.revision if request.source == response.source else 0
     if response.orders is not None and not is_left_out(
-        response.orders, parts.orders.end
+        response.orders, parts.orders.position
     ):
         read_at = Monotonic(now - response.orders.age)
         parts.orders.confirm(read_at)
@@ -142,7 +142,14 @@
         read_at = Monotonic(now - response.entries.age)
         if _update_shared_entries(parts, response.entries, read_at):
             revision = response.entries.revision
-    return SharedRequest(parts.orders.end, response.source, revision)
+    return _make_request(parts, response.source, revision)
+
+
+def _make_request(
+    parts: HostParts, source: Incarnation, revision: int
+) -> SharedRequest:
+    position = parts.orders.position
+    return SharedRequest(position.end, source, revision, position.era)
 
 
 def _confirm_orders(
@@ -153,11 +160,13 @@
     The age was computed after this host asked, so that the time of asking less
     this age is not after the time at which the store was asked.
     """
-    if shared is None or shared.end is None or shared.asked_age is None:
+    if shared is None or shared.asked_age is None:
         return
-    parts.orders.confirm_newest(
-        shared.end, BootTime(asked_at - shared.asked_age)
-    )
+    position = shared.get_position()
+    if position is not None:
+        parts.orders.confirm_newest(
+            position, BootTime(asked_at - shared.asked_age)
+        )
 
 
 def _update_shared_entries(
--- a/src/ebonystream/entryhost/_store.py
+++ b/src/ebonystream/entryhost/_store.py
@@ -7,7 +7,7 @@
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_sync import StoreReader
 from ebonystream.gossip import HostRegistry, RegisteredHost
-from ebonystream.orders import OrdersListing
+from ebonystream.orders import OrdersListing, OrdersPosition
 from ebonystream.platform import (
     HOSTS_TOPIC,
     OPERATOR_TOPIC,
@@ -40,8 +40,15 @@
         parts.unreadable_records.update(OPERATOR_TOPIC, unreadable)
         return orders
 
-    async def wait_for_orders(end: Offset, wait: Seconds) -> Offset:
-        return await store.wait_for_append(OPERATOR_TOPIC, end, wait=wait)
+    async def wait_for_orders(
+        known_end: Offset, wait: Seconds
+    ) -> OrdersPosition | None:
+        found = await store.wait_for_append(
+            OPERATOR_TOPIC, known_end, wait=wait
+        )
+        if found.end is None:
+            return None
+        return OrdersPosition(found.era, found.end)
 
     async def list_entries() -> EntriesListing:
         listing = await store.list_newest(SERVERS_TOPIC)
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -20,7 +20,7 @@
     wait_to_retry,
 )
 from ebonystream.errors import EbonystreamError
-from ebonystream.orders import OrdersListing
+from ebonystream.orders import OrdersListing, OrdersPosition, OrdersUpdate
 from ebonystream.roster import EntriesListing
 
 ORDERS_POLL_TIMEOUT = Seconds(2)
@@ -32,10 +32,11 @@
 ListOrders = Callable[[], Awaitable[OrdersListing]]
 """Reads all orders; raises `EbonystreamError` if the store fails."""
 
-WaitForOrders = Callable[[Offset, Seconds], Awaitable[Offset]]
-"""Waits until the orders extend beyond an offset; returns their end.
+WaitForOrders = Callable[[Offset, Seconds], Awaitable[OrdersPosition | None]]
+"""Waits until the orders extend beyond an offset.
 
-The second argument bounds the wait, in seconds.
+Returns the position of the store; None if it doesn't have the offset. The
+second argument bounds the wait, in seconds.
 """
 
 ListEntries = Callable[[], Awaitable[EntriesListing]]
@@ -117,11 +118,12 @@
         read_at: When the orders were read from the store.
     """
     orders = parts.orders
-    if not orders.update(listing, read_at):
+    if orders.update(listing, read_at) is not OrdersUpdate.TAKEN:
         return
     configuration = orders.configuration
     parts.log_event(
         'orders_taken',
+        era=orders.position.era,
         end=orders.end,
         configuration=configuration.version if configuration else None,
         zones_out=sorted(orders.zones_out),
@@ -164,7 +166,7 @@
     asked_at = parts.timers.boot_now()
     listing = await reader.list_orders()
     update_orders(parts, listing, started_at)
-    parts.orders.confirm_newest(listing.end, asked_at)
+    parts.orders.confirm_newest(listing.position, asked_at)
 
 
 async def _pace_after_read(
@@ -189,16 +191,18 @@
 
     A cancelled wait returns True, so that the orders are read at once.
     """
-    known_end = parts.orders.end
+    known = parts.orders.position
     asked_at = parts.timers.boot_now()
     poll_timeout = get_orders_poll(parts, ORDERS_POLL_TIMEOUT)
     with trio.CancelScope() as scope:
         parts.orders_wait_scope = scope
-        end = await reader.wait_for_orders(known_end, poll_timeout)
-        parts.orders.confirm_newest(end, asked_at)
-        if end == known_end:
+        found = await reader.wait_for_orders(known.end, poll_timeout)
+        if found is None or found > known:
+            return True
+        parts.orders.confirm_newest(found, asked_at)
+        if found == known:
             taken = parts.timers.boot_now() - asked_at
             parts.store_latency = Seconds(max(0, taken - poll_timeout))
         parts.orders.confirm(parts.timers.now())
-        return end > known_end
+        return False
     return True
--- a/src/ebonystream/gossip/_facts.py
+++ b/src/ebonystream/gossip/_facts.py
@@ -14,10 +14,12 @@
     Seconds,
     ServerId,
     ServiceName,
+    StoreEra,
     WindowNumber,
     ZoneName,
 )
 from ebonystream._validation import MAX_DURATION_S, MAX_NAME_LENGTH
+from ebonystream.orders import OrdersPosition
 from ebonystream.versionmove import MoveCounts, MoveVerdict
 
 MAX_DEMAND = 1_000_000_000
@@ -142,6 +144,7 @@
         duty: What the host knows about the duty of reporting usage; None if
             this deployment does not report it.
         rank_demands: Recent requests of the host by service and rank.
+        orders_era: Era of the store that the host has read the orders in.
     """
 
     host: Annotated[HostId, _NAME]
@@ -160,3 +163,10 @@
     settled: bool = False
     duty: DutyFacts | None = None
     rank_demands: tuple[RankDemandFacts, ...] = ()
+    orders_era: Annotated[StoreEra, msgspec.Meta(ge=0, le=MAX_SEQUENCE)] = (
+        StoreEra(0)
+    )
+
+    def get_orders_position(self) -> OrdersPosition:
+        """Return the position up to which the host has read the orders."""
+        return OrdersPosition(self.orders_era, self.orders_end)
--- a/src/ebonystream/gossip/_shared.py
+++ b/src/ebonystream/gossip/_shared.py
@@ -114,12 +114,13 @@
 ) -> SharedOrders | None:
     if orders.confirmed_at is None or orders.listing is None:
         return None
-    has_newer = orders.end > request.orders_end
+    has_newer = orders.position > request.get_orders_position()
     asked_age = orders.freshness.get_age(boot_now)
     return SharedOrders(
         age=limit_duration(now - orders.confirmed_at),
         listing=orders.listing if has_newer else None,
-        end=orders.end,
+        era=orders.position.era,
+        end=orders.position.end,
         asked_age=None if asked_age is None else limit_duration(asked_age),
     )
 
@@ -139,7 +140,7 @@
     configuration = shared.listing.configuration
     if configuration is None or not configuration.workspaces:
         return shared
-    size = len(encoder.orders.encode(shared.listing.end, shared.listing))
+    size = len(encoder.orders.encode(shared.listing.position, shared.listing))
     if pace.try_send(size, now):
         return shared
     return msgspec.structs.replace(shared, listing=None)
--- a/src/ebonystream/gossip/_shared_encoding.py
+++ b/src/ebonystream/gossip/_shared_encoding.py
@@ -11,7 +11,7 @@
 import attrs
 import msgspec
 
-from ebonystream._ids import Incarnation, Offset
+from ebonystream._ids import Incarnation, Offset, StoreEra
 from ebonystream._validation import UNDECODABLE
 from ebonystream.gossip._shared_state import (
     Age,
@@ -41,6 +41,7 @@
     encoding: int = 0
     end: Offset | None = None
     asked_age: Age | None = None
+    era: StoreEra = StoreEra(0)
 
 
 class _EncodedEntries(msgspec.Struct, frozen=True, array_like=True):
@@ -114,13 +115,14 @@
         listing = shared.listing
         content: bytes | None = None
         if listing is not None:
-            content = self.orders.encode(listing.end, listing)
+            content = self.orders.encode(listing.position, listing)
         return _EncodedOrders(
             age=shared.age,
             listing=content,
             encoding=ORDERS_ENCODING,
             end=shared.end,
             asked_age=shared.asked_age,
+            era=shared.era,
         )
 
     def _encode_entries(
@@ -165,6 +167,7 @@
         listing=listing,
         end=encoded.end,
         asked_age=encoded.asked_age,
+        era=encoded.era,
     )
 
 
--- a/src/ebonystream/orders/_freshness.py
+++ b/src/ebonystream/orders/_freshness.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from ebonystream._ids import BootTime, Offset, Seconds
+from ebonystream._ids import BootTime, Seconds
+from ebonystream.orders._position import OrdersPosition
 
 
 @attrs.define
@@ -20,7 +21,11 @@
     asked_at: BootTime | None = None
 
     def confirm(
-        self, asked_at: BootTime, *, newest: Offset, held: Offset
+        self,
+        asked_at: BootTime,
+        *,
+        newest: OrdersPosition,
+        held: OrdersPosition,
     ) -> None:
         """Record a response of the store.
 
@@ -28,8 +33,8 @@
 
         Args:
             asked_at: When the store was asked.
-            newest: Offset of the next order, according to the store.
-            held: Offset of the next order, according to this host.
+            newest: Position of the store.
+            held: Position of this host.
         """
         if newest != held:
             return
--- a/src/ebonystream/orders/_orders.py
+++ b/src/ebonystream/orders/_orders.py
@@ -1,4 +1,6 @@
-"""Orders of operators, up to the offset that this host has read."""
+"""Orders of operators, up to the position that this host has read."""
+
+import enum
 
 import attrs
 
@@ -9,14 +11,22 @@
     Offset,
     Seconds,
     ServiceName,
+    StoreEra,
     VersionName,
     ZoneName,
 )
 from ebonystream._validation import validate_duration, validate_name
 from ebonystream.orders._freshness import Freshness
+from ebonystream.orders._position import FIRST_POSITION, OrdersPosition
 from ebonystream.route import RouteConfiguration
 
-INITIAL_OFFSET = Offset(0)
+
+class OrdersUpdate(enum.Enum):
+    """How a listing compares to the one that a host has."""
+
+    TAKEN = 'taken'
+    CONFIRMED = 'confirmed'
+    OUTDATED = 'outdated'
 
 
 @attrs.frozen(kw_only=True)
@@ -38,7 +48,7 @@
 
 @attrs.frozen(kw_only=True)
 class OrdersListing:
-    """Snapshot of all orders at one offset of the stream of orders.
+    """Snapshot of all orders at one position of the stream of orders.
 
     Attributes:
         end: Offset of the next order in the stream.
@@ -46,12 +56,19 @@
             be decoded.
         zones_out: Evacuated zones, which receive no requests.
         moves: Version moves.
+        era: Era of the store that it was read in.
     """
 
     end: Offset
     configuration: RouteConfiguration | None
     zones_out: frozenset[ZoneName]
     moves: tuple[VersionOrder, ...]
+    era: StoreEra = StoreEra(0)
+
+    @property
+    def position(self) -> OrdersPosition:
+        """Position in the stream of orders."""
+        return OrdersPosition(self.era, self.end)
 
 
 @attrs.define
@@ -72,10 +89,15 @@
     confirmed_at: Monotonic | None = None
     freshness: Freshness = attrs.field(factory=Freshness)
 
+    @property
+    def position(self) -> OrdersPosition:
+        """Position up to which this host has the orders."""
+        return self.listing.position if self.listing else FIRST_POSITION
+
     @property
     def end(self) -> Offset:
-        """Offset of the next order in the stream."""
-        return self.listing.end if self.listing else INITIAL_OFFSET
+        """Offset of the next order, which only its era gives a meaning."""
+        return self.position.end
 
     @property
     def zones_out(self) -> frozenset[ZoneName]:
@@ -96,34 +118,35 @@
         if self.confirmed_at is None or read_at > self.confirmed_at:
             self.confirmed_at = read_at
 
-    def confirm_newest(self, end: Offset, asked_at: BootTime) -> None:
+    def confirm_newest(
+        self, newest: OrdersPosition, asked_at: BootTime
+    ) -> None:
         """Record that the store was asked for the end of the orders.
 
         Args:
-            end: Offset of the next order, according to the store.
+            newest: Position of the store.
             asked_at: When the store was asked.
         """
         if self.listing is not None:
-            self.freshness.confirm(asked_at, newest=end, held=self.end)
+            self.freshness.confirm(asked_at, newest=newest, held=self.position)
 
-    def update(self, listing: OrdersListing, read_at: Monotonic) -> bool:
-        """Replace the listing if the given one is newer.
+    def update(
+        self, listing: OrdersListing, read_at: Monotonic
+    ) -> OrdersUpdate:
+        """Replace the listing if the position of the given one is higher.
 
         An invalid or older configuration leaves the one in force.
 
         Args:
             listing: Listing read from the store.
             read_at: Time at which the store was read.
-
-        Returns:
-            Whether the listing is newer.
         """
         self.confirm(read_at)
-        if self.listing is not None and listing.end <= self.end:
-            return False
+        if self.listing is not None and listing.position <= self.position:
+            return OrdersUpdate.CONFIRMED
         self.listing = listing
         self._apply_configuration(listing.configuration)
-        return True
+        return OrdersUpdate.TAKEN
 
     def _apply_configuration(self, listed: RouteConfiguration | None) -> None:
         if listed is None:
--- a/src/ebonystream/platform/_listing.py
+++ b/src/ebonystream/platform/_listing.py
@@ -70,6 +70,7 @@
         if record.key.startswith(ROLLOUT_PREFIX)
     )
     return OrdersListing(
+        era=listing.era,
         end=listing.end,
         configuration=next(
             _decode_each(configurations, _decode_configuration, on_unreadable),
--- a/src/ebonystream/platform/_store.py
+++ b/src/ebonystream/platform/_store.py
@@ -11,7 +11,7 @@
 from ebonystream._ids import Offset, Seconds
 from ebonystream._timers import MS_PER_SECOND
 from ebonystream.errors import EbonystreamError, ErrorKind
-from ebonystream.http1 import Message, encode_request
+from ebonystream.http1 import encode_request
 from ebonystream.link import Exchange, ExchangeFailure, match_any
 from ebonystream.platform._store_messages import (
     READ_HEADER,
@@ -26,6 +26,11 @@
     decode_item,
     encode_record,
 )
+from ebonystream.platform._store_response import (
+    StoreResponse,
+    WaitResult,
+    decode_era,
+)
 
 OPERATOR_TOPIC = 'keyed.op'
 SERVERS_TOPIC = 'keyed.servers'
@@ -78,25 +83,30 @@
             topic: The name of a keyed topic.
 
         Raises:
-            EbonystreamError: `LOG_UNAVAILABLE`, if the call fails.
+            EbonystreamError: `LOG_UNAVAILABLE`, if the call fails, or if the
+                pages are of different eras of the store.
         """
-        page = await self._fetch_page(topic, after=None)
+        response = await self._fetch_page(topic, after=None)
+        era = response.era
+        page = decode_body(response.body, ListingPage)
         first_end = page.end
         records = [decode_item(item) for item in page.items]
         while page.more and page.items:
-            page = await self._fetch_page(topic, page.items[-1].key)
+            response = await self._fetch_page(topic, page.items[-1].key)
+            if response.era != era:
+                raise EbonystreamError(ErrorKind.LOG_UNAVAILABLE, 'a new era')
+            page = decode_body(response.body, ListingPage)
             records.extend(decode_item(item) for item in page.items)
-        return Listing(tuple(records), first_end)
+        return Listing(tuple(records), first_end, era)
 
     async def wait_for_append(
         self, topic: str, known_end: Offset, *, wait: Seconds
-    ) -> Offset:
-        """Wait for a record at or after an offset, and return the topic's end.
+    ) -> WaitResult:
+        """Wait for a record at or after an offset.
 
         Args:
             topic: The name of the topic.
-            known_end: The end offset that the caller knows. If the store no
-                longer retains it, the result is `known_end` plus 1.
+            known_end: The end offset that the caller knows.
             wait: Upper bound on the wait, in seconds.
 
         Raises:
@@ -104,9 +114,9 @@
         """
         response = await self._read(topic, known_end, max_kb=1, wait=wait)
         if response.status == GONE_STATUS:
-            return Offset(known_end + 1)
+            return WaitResult(response.era, None)
         _require_ok(response)
-        return decode_bounds(response.body).end
+        return WaitResult(response.era, decode_bounds(response.body).end)
 
     async def append_keyed(
         self,
@@ -192,7 +202,7 @@
 
     async def _read(
         self, topic: str, start: Offset, *, max_kb: int, wait: Seconds
-    ) -> Message:
+    ) -> StoreResponse:
         query: dict[str, str | int] = {
             'topic': topic,
             'part': ONLY_PARTITION,
@@ -202,13 +212,13 @@
         }
         return await self._call('GET', 'log-read', query, wait=wait)
 
-    async def _fetch_page(self, topic: str, after: str | None) -> ListingPage:
+    async def _fetch_page(self, topic: str, after: str | None) -> StoreResponse:
         query: dict[str, str | int] = {'topic': topic, 'part': ONLY_PARTITION}
         if after is not None:
             query['after'] = after
         response = await self._call('GET', 'log-newest', query)
         _require_ok(response)
-        return decode_body(response.body, ListingPage)
+        return response
 
     async def _call(
         self,
@@ -218,7 +228,7 @@
         *,
         body: bytes = b'',
         wait: Seconds = NO_WAIT,
-    ) -> Message:
+    ) -> StoreResponse:
         self.count_call(name)
         target = f'/-/{name}?{urlencode(query)}'
         host = f'{self.endpoint.address}:{self.endpoint.port}'
@@ -229,11 +239,15 @@
             result = await self.exchange(self.endpoint, request, match_any)
             if isinstance(result, ExchangeFailure):
                 raise EbonystreamError(ErrorKind.LOG_UNAVAILABLE, result.value)
-            return result
+            return StoreResponse(
+                status=result.status,
+                body=result.body,
+                era=decode_era(result.headers),
+            )
         raise EbonystreamError(ErrorKind.LOG_UNAVAILABLE, f'{name}: no answer')
 
 
-def _require_ok(response: Message) -> None:
+def _require_ok(response: StoreResponse) -> None:
     if response.status != OK_STATUS:
         raise EbonystreamError(
             ErrorKind.LOG_UNAVAILABLE, f'status {response.status}'
--- a/src/ebonystream/platform/_store_messages.py
+++ b/src/ebonystream/platform/_store_messages.py
@@ -7,9 +7,10 @@
 import attrs
 import msgspec
 
-from ebonystream._ids import Offset
+from ebonystream._ids import Offset, StoreEra
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.platform._errors import FormatError, decode_json
+from ebonystream.platform._store_response import NO_ERA
 
 Decoded = TypeVar('Decoded')
 
@@ -41,10 +42,12 @@
         records: One record for each key.
         end: Offset of the record after the last one that is surely among them;
             some may be newer.
+        era: Era of the store.
     """
 
     records: tuple[KeyedRecord, ...]
     end: Offset
+    era: StoreEra = NO_ERA
 
 
 @attrs.frozen
--- a/tests/host_mutations.py
+++ b/tests/host_mutations.py
@@ -232,7 +232,7 @@
     ),
     'older orders replace newer ones': Mutation(
         'orders/_orders.py',
-        'listing.end <= self.end',
+        'listing.position <= self.position',
         'listing.end < 0',
         GOSSIP,
     ),
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -34,7 +34,7 @@
     PoolLimits,
     make_exchange,
 )
-from ebonystream.orders import Freshness, Orders
+from ebonystream.orders import Freshness, Orders, OrdersPosition
 from ebonystream.route import index_routes
 from ebonystream.workspace import (
     Credential,
@@ -71,7 +71,7 @@
         logged=[],
     )
     apply_keys(host, digests, end=4, exempt=exempt)
-    host.orders.confirm_newest(4, timers.boot_now())
+    host.orders.confirm_newest(host.orders.position, timers.boot_now())
     return host
 
 
@@ -126,7 +126,8 @@
 )
 def test_age_of_a_proof(proofs, age):
     freshness = Freshness()
-    for asked_at, newest, held in proofs:
+    for asked_at, *ends in proofs:
+        newest, held = (OrdersPosition(end=end) for end in ends)
         freshness.confirm(asked_at, newest=newest, held=held)
     assert freshness.get_age(12) == age
     assert freshness.is_within(2, 12) is (age is not None and age <= 2)
@@ -248,7 +249,9 @@
 
     async def find_server(request):
         apply_owner(host, after, end=6)
-        host.orders.confirm_newest(6, host.timers.boot_now())
+        host.orders.confirm_newest(
+            OrdersPosition(end=6), host.timers.boot_now()
+        )
         return await dispatcher.find_server(request)
 
     handle = make_handler(
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -17,10 +17,10 @@
 STORE_ADDRESS = ServerAddress('10.0.0.1', 80)
 
 
-def make_response(status, body=b''):
+def make_response(status, body=b'', eras=()):
     return Message(
         target=b'',
-        headers=(),
+        headers=tuple((b'store-era', era) for era in eras),
         body=body,
         keep_alive=True,
         method=b'',
@@ -112,6 +112,37 @@
     assert (await store.list_newest('keyed.op')).end == end
 
 
+@pytest.mark.parametrize(
+    ('eras', 'era'),
+    [
+        ([[], []], 0),
+        ([[b'0'], [b'0']], 0),
+        ([[b'3'], [b'3']], 3),
+        # The store has returned between two pages.
+        ([[b'3'], [b'4']], None),
+        ([[], [b'1']], None),
+        ([[b'4'], [b'3']], None),
+        ([[b''], [b'']], None),
+        ([[b'-1'], [b'-1']], None),
+        ([[b'1.5'], [b'1.5']], None),
+        ([[b'\xb2'], [b'\xb2']], None),
+        ([[b'9' * 400], [b'9' * 400]], None),
+        ([[b'3', b'3'], [b'3', b'3']], None),
+    ],
+)
+async def test_eras_of_pages(eras, era):
+    store, _ = make_store(
+        make_response(200, make_page(['a'], more=True), eras[0]),
+        make_response(200, make_page(['b']), eras[1]),
+    )
+    try:
+        listing = await store.list_newest('keyed.op')
+    except EbonystreamError as error:
+        assert (error.kind, era) == (ErrorKind.LOG_UNAVAILABLE, None)
+    else:
+        assert listing.era == era
+
+
 @pytest.mark.parametrize(
     ('reply', 'at', 'offset'),
     [
@@ -129,14 +160,19 @@
 
 
 @pytest.mark.parametrize(
-    ('reply', 'end'),
+    ('reply', 'found'),
     [
-        (make_response(200, struct.pack('>QQ', 8, 0)), 8),
-        (make_response(410, b'{"first":7}'), 4),
+        (make_response(200, struct.pack('>QQ', 8, 0)), (0, 8)),
+        (make_response(200, struct.pack('>QQ', 8, 0), [b'4']), (4, 8)),
+        (make_response(410, b'{"first":7}'), (0, None)),
+        (make_response(410, b'{"first":7}', [b'4']), (4, None)),
+        # What the topic had before it was lost.
+        (make_response(410, b'', [b'4']), (4, None)),
     ],
 )
-async def test_waits(reply, end):
+async def test_waits(reply, found):
     store, requests = make_store(reply)
-    assert await store.wait_for_append('t', Offset(3), wait=2) == end
+    result = await store.wait_for_append('t', Offset(3), wait=2)
+    assert (result.era, result.end) == found
     assert b'from=3' in requests[0]
     assert b'wait_ms=2000' in requests[0]
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -19,7 +19,7 @@
 )
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.gossip import HostFactTable
-from ebonystream.orders import Orders
+from ebonystream.orders import Orders, OrdersPosition
 from ebonystream.roster import EntriesListing, Roster
 
 OUTAGE_S = 8
@@ -146,7 +146,7 @@
     async def wait_for_orders(known_end, wait):
         reads.append(trio.current_time())
         await trio.sleep(wait)
-        return known_end - 1
+        return OrdersPosition(end=known_end - 1)
 
     reader = StoreReader(
         list_orders=None, wait_for_orders=wait_for_orders, list_entries=None
@@ -158,7 +158,9 @@
         for host in hosts:
             host.orders = Orders()
             host.orders.update(make_listing(end=4), 0.0)
-            host.orders.confirm_newest(4, host.timers.boot_now())
+            host.orders.confirm_newest(
+                host.orders.position, host.timers.boot_now()
+            )
             host.settings = SimpleNamespace(limits=SimpleNamespace(revoke=5.0))
             host.store_latency = 0.0
             nursery.start_soon(sync_orders, host, reader)
--- a/tests/test_zone_freshness.py
+++ b/tests/test_zone_freshness.py
@@ -28,7 +28,7 @@
 from ebonystream.gossip._shared import make_shared_handler
 from ebonystream.gossip._shared_encoding import decode_shared
 from ebonystream.ingress import CallerPresence
-from ebonystream.orders import Orders
+from ebonystream.orders import Orders, OrdersPosition
 from ebonystream.roster import Roster
 from ebonystream.workspace import Workspace
 
@@ -118,9 +118,9 @@
             with trio.move_on_after(wait):
                 while self.end <= known_end:
                     await self.changed.wait()
-            end = self.end
+            found = OrdersPosition(end=self.end)
             await trio.sleep(self.store_s)
-            return end
+            return found
 
         return StoreReader(
             list_orders=list_orders,
@@ -320,7 +320,9 @@
     simulation = Simulation()
     source, host = simulation.hosts['e0'], simulation.hosts['e1']
     source.orders.update(make_listing(version=1, end=1), 0.0)
-    source.orders.confirm_newest(1, source.timers.boot_now())
+    source.orders.confirm_newest(
+        OrdersPosition(end=1), source.timers.boot_now()
+    )
     host.orders.update(make_listing(version=1, end=1), 0.0)
     fetch = simulation.make_fetch(host)
 
