Let only listings and proofs of the held position confirm the orders

Cause: Orders.update counted any listing as a confirmation, one that it dropped as older too, and a response of a host that is behind confirmed as well.

Callers saw: a host that was behind counted its copy as confirmed and didn't read the store itself.

Orders.update returns taken, confirmed or outdated, and confirm takes the position that the store or the other host has.

--- a/src/ebonystream/entryhost/_peer_fetch.py
+++ b/src/ebonystream/entryhost/_peer_fetch.py
@@ -21,7 +21,6 @@
     Fetched,
     FetchFailures,
     MissingOrders,
-    is_left_out,
 )
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_sync import update_orders, update_roster
@@ -131,13 +130,8 @@
 ) -> SharedRequest:
     """Apply the response of a host; return the next request to it."""
     revision = request.revision if request.source == response.source else 0
-    if response.orders is not None and not is_left_out(
-        response.orders, parts.orders.position
-    ):
-        read_at = Monotonic(now - response.orders.age)
-        parts.orders.confirm(read_at)
-        if response.orders.listing is not None:
-            update_orders(parts, response.orders.listing, read_at)
+    if response.orders is not None:
+        _update_shared_orders(parts, response.orders, now)
     if response.entries is not None:
         read_at = Monotonic(now - response.entries.age)
         if _update_shared_entries(parts, response.entries, read_at):
@@ -145,6 +139,18 @@
     return _make_request(parts, response.source, revision)
 
 
+def _update_shared_orders(
+    parts: HostParts, shared: SharedOrders, now: Monotonic
+) -> None:
+    """Update the orders; a host of another position confirms nothing."""
+    read_at = Monotonic(now - shared.age)
+    position = shared.get_position()
+    if shared.listing is not None:
+        update_orders(parts, shared.listing, read_at)
+    elif position is not None:
+        parts.orders.confirm(position, read_at)
+
+
 def _make_request(
     parts: HostParts, source: Incarnation, revision: int
 ) -> SharedRequest:
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -203,6 +203,6 @@
         if found == known:
             taken = parts.timers.boot_now() - asked_at
             parts.store_latency = Seconds(max(0, taken - poll_timeout))
-        parts.orders.confirm(parts.timers.now())
+        parts.orders.confirm(found, parts.timers.now())
         return False
     return True
--- a/src/ebonystream/orders/_orders.py
+++ b/src/ebonystream/orders/_orders.py
@@ -109,12 +109,17 @@
         """Version moves in the newest listing."""
         return self.listing.moves if self.listing else ()
 
-    def confirm(self, read_at: Monotonic) -> None:
-        """Record that the store had no newer orders.
+    def confirm(self, newest: OrdersPosition, read_at: Monotonic) -> None:
+        """Record that the store had no newer orders than those of a position.
+
+        Another position than that of this host says nothing of its orders.
 
         Args:
+            newest: Position of the store, or of a host that has read it.
             read_at: Time at which the store was read.
         """
+        if self.listing is None or newest != self.position:
+            return
         if self.confirmed_at is None or read_at > self.confirmed_at:
             self.confirmed_at = read_at
 
@@ -141,10 +146,13 @@
             listing: Listing read from the store.
             read_at: Time at which the store was read.
         """
-        self.confirm(read_at)
-        if self.listing is not None and listing.position <= self.position:
+        if self.listing is not None and listing.position < self.position:
+            return OrdersUpdate.OUTDATED
+        if self.listing is not None and listing.position == self.position:
+            self.confirm(listing.position, read_at)
             return OrdersUpdate.CONFIRMED
         self.listing = listing
+        self.confirm(listing.position, read_at)
         self._apply_configuration(listing.configuration)
         return OrdersUpdate.TAKEN
 
--- a/tests/host_mutations.py
+++ b/tests/host_mutations.py
@@ -8,6 +8,7 @@
 SCALE = 'tests/test_gossip_scale.py'
 NOTICES = 'tests/test_server_notices.py'
 GOSSIP = 'tests/test_gossip.py'
+POSITIONS = 'tests/test_orders_positions.py'
 READERS = 'tests/test_response_readers.py'
 
 HOST_MUTATIONS = {
@@ -232,10 +233,29 @@
     ),
     'older orders replace newer ones': Mutation(
         'orders/_orders.py',
-        'listing.position <= self.position',
+        'listing.position < self.position',
         'listing.end < 0',
         GOSSIP,
     ),
+    'positions are compared by their end alone': Mutation(
+        'orders/_position.py',
+        'era: StoreEra = StoreEra(0)',
+        'era: StoreEra = attrs.field(default=StoreEra(0), order=False)',
+        POSITIONS,
+    ),
+    'an outdated listing confirms the orders': Mutation(
+        'orders/_orders.py',
+        '            return OrdersUpdate.OUTDATED',
+        '            self.confirmed_at = read_at\n'
+        '            return OrdersUpdate.OUTDATED',
+        POSITIONS,
+    ),
+    'a proof of other orders confirms these': Mutation(
+        'orders/_orders.py',
+        'if self.listing is None or newest != self.position:',
+        'if self.listing is None:',
+        POSITIONS,
+    ),
     'a late request rejects an idle server': Mutation(
         'placement/_search.py',
         'allow_late=allow_late or is_plentiful,\n            spare_only=spare_only,',
