Read a store that is behind at the pace of a failing store

Cause: a wait for new orders that got 410 counted as news, the listing after it was dropped as older, and the next wait began at once.

The store saw: 1258 calls in 5 s of one leader that was ahead of it (simulated, 4 ms a call).

Any position but the host's own makes it read the listing. If the store proves nothing by that, the host waits as after a failure, whether its proof ends or not. test_reads_of_a_store_that_lost_orders lists the orders now as well, since a lower position makes the host look; its bound on the waits is unchanged, and there are no more listings than waits.

--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -5,14 +5,15 @@
 stale because no other host could provide a newer one.
 """
 
+import enum
 from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
 
-from ebonystream._ids import BootTime, Monotonic, Offset, Seconds
+from ebonystream._ids import Monotonic, Offset, Seconds
 from ebonystream.entryhost._dependency import Dependency
-from ebonystream.entryhost._lease import get_orders_poll, is_lease_ending
+from ebonystream.entryhost._lease import get_orders_poll
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_turns import (
     StoreCopy,
@@ -43,6 +44,14 @@
 """Reads the entries of all servers; raises if the store fails."""
 
 
+class _StorePosition(enum.Enum):
+    """How far the store has the orders, compared to this host."""
+
+    UNKNOWN = 'unknown'
+    SAME = 'same'
+    BEHIND = 'behind'
+
+
 @attrs.frozen(kw_only=True)
 class StoreReader:
     """Functions that read the store.
@@ -69,15 +78,17 @@
     while True:
         if not await wait_for_turn(parts, StoreCopy.ORDERS):
             continue
-        proven_at = parts.orders.freshness.asked_at
         try:
-            await _read_orders(parts, reader, can_wait=store.lost_at is None)
+            is_proven = await _read_orders(
+                parts, reader, can_wait=store.lost_at is None
+            )
         except EbonystreamError as error:
             store.record_failure(str(error))
             await wait_to_retry(parts)
         else:
             store.record_success()
-            await _pace_after_read(parts, proven_at)
+            if not is_proven:
+                await wait_to_retry(parts)
 
 
 async def sync_servers(parts: HostParts, reader: StoreReader) -> None:
@@ -109,7 +120,7 @@
 
 def update_orders(
     parts: HostParts, listing: OrdersListing, read_at: Monotonic
-) -> None:
+) -> OrdersUpdate:
     """Update the orders, and log the change if there is one.
 
     Args:
@@ -118,8 +129,9 @@
         read_at: When the orders were read from the store.
     """
     orders = parts.orders
-    if orders.update(listing, read_at) is not OrdersUpdate.TAKEN:
-        return
+    update = orders.update(listing, read_at)
+    if update is not OrdersUpdate.TAKEN:
+        return update
     configuration = orders.configuration
     parts.log_event(
         'orders_taken',
@@ -130,6 +142,7 @@
         moves=[move.id for move in orders.moves],
         age_s=parts.timers.now() - read_at,
     )
+    return update
 
 
 def update_roster(
@@ -158,51 +171,44 @@
 
 async def _read_orders(
     parts: HostParts, reader: StoreReader, *, can_wait: bool
-) -> None:
+) -> bool:
+    """Read the orders if the store has others than this host.
+
+    Returns:
+        Whether the store has proved something. One that is behind this host
+        proves nothing, so that all hosts would read it again at once.
+    """
+    store = _StorePosition.UNKNOWN
     if can_wait and parts.orders.listing is not None:
-        if not await _wait_for_new_orders(parts, reader):
-            return
+        store = await _wait_for_new_orders(parts, reader)
+        if store is _StorePosition.SAME:
+            return True
     started_at = parts.timers.now()
     asked_at = parts.timers.boot_now()
     listing = await reader.list_orders()
-    update_orders(parts, listing, started_at)
+    update = update_orders(parts, listing, started_at)
     parts.orders.confirm_newest(listing.position, asked_at)
+    if store is _StorePosition.BEHIND:
+        return update is OrdersUpdate.TAKEN
+    return update is not OrdersUpdate.OUTDATED
 
 
-async def _pace_after_read(
-    parts: HostParts, proven_at: BootTime | None
-) -> None:
-    """Wait if the store responded, but the lease still ends.
-
-    A store that has lost orders proves nothing about newer ones, so that all
-    hosts would read it again at once.
-
-    Args:
-        parts: The state of the host.
-        proven_at: Time of the proof of freshness before the read.
-    """
-    is_proven = parts.orders.freshness.asked_at != proven_at
-    if not is_proven and is_lease_ending(parts):
-        await wait_to_retry(parts)
-
-
-async def _wait_for_new_orders(parts: HostParts, reader: StoreReader) -> bool:
-    """Wait for new orders; return whether to read the orders now.
-
-    A cancelled wait returns True, so that the orders are read at once.
-    """
+async def _wait_for_new_orders(
+    parts: HostParts, reader: StoreReader
+) -> _StorePosition:
+    """Wait for new orders; a cancelled wait tells nothing."""
     known = parts.orders.position
     asked_at = parts.timers.boot_now()
     poll_timeout = get_orders_poll(parts, ORDERS_POLL_TIMEOUT)
     with trio.CancelScope() as scope:
         parts.orders_wait_scope = scope
         found = await reader.wait_for_orders(known.end, poll_timeout)
-        if found is None or found > known:
-            return True
-        parts.orders.confirm_newest(found, asked_at)
         if found == known:
+            parts.orders.confirm_newest(found, asked_at)
             taken = parts.timers.boot_now() - asked_at
             parts.store_latency = Seconds(max(0, taken - poll_timeout))
-        parts.orders.confirm(found, parts.timers.now())
-        return False
-    return True
+            parts.orders.confirm(found, parts.timers.now())
+            return _StorePosition.SAME
+        if found is None or found < known:
+            return _StorePosition.BEHIND
+    return _StorePosition.UNKNOWN
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -141,15 +141,23 @@
 @pytest.mark.parametrize('count', [5, 30])
 async def test_reads_of_a_store_that_lost_orders(autojump_clock, count):
     # With strict revocation each host asked ten times a second, for ever.
-    reads = []
+    # A store that is behind its hosts proves nothing to them.
+    reads, listings = [], []
 
     async def wait_for_orders(known_end, wait):
         reads.append(trio.current_time())
         await trio.sleep(wait)
         return OrdersPosition(end=known_end - 1)
 
+    async def list_orders():
+        listings.append(trio.current_time())
+        await trio.sleep(0.004)
+        return make_listing(end=3)
+
     reader = StoreReader(
-        list_orders=None, wait_for_orders=wait_for_orders, list_entries=None
+        list_orders=list_orders,
+        wait_for_orders=wait_for_orders,
+        list_entries=None,
     )
     hosts = [make_host(f'e{number:03}') for number in range(count)]
     async with trio.open_nursery() as nursery:
@@ -167,4 +175,5 @@
         await trio.sleep(OUTAGE_S)
         first_reads = count + FIRST_READS
         assert len(reads) <= OUTAGE_S * READS_PER_S + first_reads
+        assert len(listings) <= len(reads)
         nursery.cancel_scope.cancel()
