Carry evacuations and moves over a return of the store

Cause: the listing of the new era replaced all orders, so that an evacuation or a move that the store had lost ended until the operator wrote it again, and a move that was written again, at another offset, began anew.

Callers saw: requests sent into a zone that had been evacuated.

--- a/src/ebonystream/entryhost/_explaining.py
+++ b/src/ebonystream/entryhost/_explaining.py
@@ -222,7 +222,7 @@
             context,
             request,
             servers=copied.roster.list_servers(progress.service),
-            zones_out=copied.orders.zones_out,
+            zones_out=copied.orders.get_zones_out(copied.timers.now()),
         ),
         reserve=get_reserve(context, request),
     )
--- a/src/ebonystream/entryhost/_listing.py
+++ b/src/ebonystream/entryhost/_listing.py
@@ -20,13 +20,15 @@
         service: Name of the service.
         draw: Random number from 0 to 1 that selects the version.
     """
+    now = parts.timers.now()
+    zones_out = parts.orders.get_zones_out(now)
     servers = [
         server
         for server in parts.roster.list_servers(service)
-        if server.entry.zone not in parts.orders.zones_out
+        if server.entry.zone not in zones_out
     ]
     return parts.moves.select_servers(
-        service, servers, now=parts.timers.now(), version_draw=draw
+        service, servers, now=now, version_draw=draw
     )
 
 
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -132,15 +132,16 @@
     update = orders.update(listing, read_at)
     if update is not OrdersUpdate.TAKEN:
         return update
+    now = parts.timers.now()
     configuration = orders.configuration
     parts.log_event(
         'orders_taken',
         era=orders.position.era,
         end=orders.end,
         configuration=configuration.version if configuration else None,
-        zones_out=sorted(orders.zones_out),
-        moves=[move.id for move in orders.moves],
-        age_s=parts.timers.now() - read_at,
+        zones_out=sorted(orders.get_zones_out(now)),
+        moves=[move.id for move in orders.list_moves(now)],
+        age_s=now - read_at,
     )
     return update
 
--- a/src/ebonystream/entryhost/_version_moves.py
+++ b/src/ebonystream/entryhost/_version_moves.py
@@ -34,7 +34,7 @@
         read_report: Reads the newest report of a move.
     """
     async for now in parts.timers.subscribe(period=MOVE_UPDATE_PERIOD):
-        for started in parts.moves.update(parts.orders.moves, now):
+        for started in parts.moves.update(parts.orders.list_moves(now), now):
             parts.log_event(
                 'move_ordered', move=started.id, version=started.version
             )
--- a/src/ebonystream/orders/__init__.py
+++ b/src/ebonystream/orders/__init__.py
@@ -1,16 +1,18 @@
 """Orders of operators: configuration, evacuated zones and version moves."""
 
+from ebonystream.orders._carried import CarriedOrders
 from ebonystream.orders._freshness import Freshness
 from ebonystream.orders._orders import (
     Orders,
     OrdersListing,
     OrdersUpdate,
-    VersionOrder,
 )
 from ebonystream.orders._position import FIRST_POSITION, OrdersPosition
+from ebonystream.orders._version_order import VersionOrder
 
 __all__ = (
     'FIRST_POSITION',
+    'CarriedOrders',
     'Freshness',
     'Orders',
     'OrdersListing',
--- a/src/ebonystream/orders/_orders.py
+++ b/src/ebonystream/orders/_orders.py
@@ -7,17 +7,20 @@
 from ebonystream._ids import (
     BootTime,
     Monotonic,
-    MoveId,
     Offset,
-    Seconds,
-    ServiceName,
     StoreEra,
-    VersionName,
     ZoneName,
 )
-from ebonystream._validation import validate_duration, validate_name
+from ebonystream.orders._carried import (
+    CarriedOrders,
+    carry_orders,
+    drop_listed_moves,
+    drop_listed_zones,
+    identify_move,
+)
 from ebonystream.orders._freshness import Freshness
 from ebonystream.orders._position import FIRST_POSITION, OrdersPosition
+from ebonystream.orders._version_order import VersionOrder
 from ebonystream.route import RouteConfiguration
 
 
@@ -29,23 +32,6 @@
     OUTDATED = 'outdated'
 
 
-@attrs.frozen(kw_only=True)
-class VersionOrder:
-    """Order to move the requests of a service to another version of it.
-
-    Attributes:
-        id: Unique identifier of the order; repeating an order gives a new one.
-        service: Service whose requests move.
-        version: Version whose backend servers receive the requests.
-        within: Time limit of the move, in seconds.
-    """
-
-    id: MoveId
-    service: ServiceName = attrs.field(validator=validate_name)
-    version: VersionName = attrs.field(validator=validate_name)
-    within: Seconds = attrs.field(validator=validate_duration)
-
-
 @attrs.frozen(kw_only=True)
 class OrdersListing:
     """Snapshot of all orders at one position of the stream of orders.
@@ -82,12 +68,16 @@
         confirmed_at: Time at which the store last confirmed the orders, to this
             host or to a peer.
         freshness: Proof that the orders were the newest at some time.
+        carried: Orders of the previous era that stay in force for a while.
+        moves: Version moves of the newest listing, identified across eras.
     """
 
     listing: OrdersListing | None = None
     configuration: RouteConfiguration | None = None
     confirmed_at: Monotonic | None = None
     freshness: Freshness = attrs.field(factory=Freshness)
+    carried: CarriedOrders = attrs.field(factory=CarriedOrders)
+    moves: tuple[VersionOrder, ...] = ()
 
     @property
     def position(self) -> OrdersPosition:
@@ -99,15 +89,22 @@
         """Offset of the next order, which only its era gives a meaning."""
         return self.position.end
 
-    @property
-    def zones_out(self) -> frozenset[ZoneName]:
-        """Evacuated zones, which receive no requests."""
-        return self.listing.zones_out if self.listing else frozenset()
+    def get_zones_out(self, now: Monotonic) -> frozenset[ZoneName]:
+        """Return the evacuated zones, which receive no requests.
 
-    @property
-    def moves(self) -> tuple[VersionOrder, ...]:
-        """Version moves in the newest listing."""
-        return self.listing.moves if self.listing else ()
+        Args:
+            now: The current time.
+        """
+        listed = self.listing.zones_out if self.listing else frozenset()
+        return self.carried.list_zones_out(now).union(listed)
+
+    def list_moves(self, now: Monotonic) -> tuple[VersionOrder, ...]:
+        """List the version moves that are ordered.
+
+        Args:
+            now: The current time.
+        """
+        return self.moves + self.carried.list_moves(now)
 
     def confirm(self, newest: OrdersPosition, read_at: Monotonic) -> None:
         """Record that the store had no newer orders than those of a position.
@@ -151,11 +148,27 @@
         if self.listing is not None and listing.position == self.position:
             self.confirm(listing.position, read_at)
             return OrdersUpdate.CONFIRMED
+        self._carry(listing, read_at)
         self.listing = listing
         self.confirm(listing.position, read_at)
         self._apply_configuration(listing.configuration)
         return OrdersUpdate.TAKEN
 
+    def _carry(self, listing: OrdersListing, now: Monotonic) -> None:
+        """Carry what is in force into a new era, and drop what is listed."""
+        if self.listing is not None and listing.era > self.listing.era:
+            self.carried = carry_orders(
+                self.get_zones_out(now),
+                self.list_moves(now),
+                era=listing.era,
+                now=now,
+            )
+        carried = drop_listed_zones(self.carried, listing.zones_out)
+        self.carried = drop_listed_moves(carried, listing.moves, now)
+        self.moves = tuple(
+            identify_move(move, self.carried) for move in listing.moves
+        )
+
     def _apply_configuration(self, listed: RouteConfiguration | None) -> None:
         if listed is None:
             return
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -174,7 +174,7 @@
     """Move a part of the requests to v2, which no server runs but i-2."""
     known = parts.roster.servers['i-2']
     known.entry = attrs.evolve(known.entry, version='v2')
-    parts.moves.update(parts.orders.moves, NOW - 9)
+    parts.moves.update(parts.orders.list_moves(NOW), NOW - 9)
     parts.moves.moves['m'].store_checked = True
 
 
