Tell when the store has returned, and when a listing is behind

Cause: a listing that was dropped as older left no line, and nothing told whether the store had returned, so that the incident's record couldn't show it.

--- a/src/ebonystream/entryhost/_gauges.py
+++ b/src/ebonystream/entryhost/_gauges.py
@@ -66,6 +66,10 @@
             'Since the store was asked whether the orders are the newest.',
             _read_proof_age,
         ),
+        'ebonystream_store_era': _Gauge(
+            'The era of the store that the orders were read in.',
+            lambda parts: parts.orders.position.era,
+        ),
         'ebonystream_servers_known': _Gauge(
             'Backend servers that are known.',
             lambda parts: len(parts.roster.servers),
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -129,9 +129,15 @@
         read_at: When the orders were read from the store.
     """
     orders = parts.orders
+    known = orders.position if orders.listing else listing.position
+    known_outdated = orders.outdated
     update = orders.update(listing, read_at)
+    if orders.outdated != known_outdated:
+        _log_outdated(parts, listing.position)
     if update is not OrdersUpdate.TAKEN:
         return update
+    if orders.position.era > known.era:
+        _log_return(parts, known)
     now = parts.timers.now()
     configuration = orders.configuration
     parts.log_event(
@@ -170,6 +176,33 @@
         )
 
 
+def _log_return(parts: HostParts, known: OrdersPosition) -> None:
+    """Log that the store has returned from an older copy."""
+    orders = parts.orders
+    now = parts.timers.now()
+    parts.log_event(
+        'store_returned',
+        era=orders.position.era,
+        known_era=known.era,
+        end=orders.position.end,
+        known_end=known.end,
+        zones_out=sorted(orders.carried.list_zones_out(now)),
+        moves=[move.id for move in orders.carried.list_moves(now)],
+    )
+
+
+def _log_outdated(parts: HostParts, found: OrdersPosition) -> None:
+    """Log that the store, or another host, is behind this host."""
+    held = parts.orders.position
+    parts.log_event(
+        'orders_outdated',
+        era=found.era,
+        known_era=held.era,
+        end=found.end,
+        known_end=held.end,
+    )
+
+
 async def _read_orders(
     parts: HostParts, reader: StoreReader, *, can_wait: bool
 ) -> bool:
--- a/src/ebonystream/orders/_orders.py
+++ b/src/ebonystream/orders/_orders.py
@@ -70,6 +70,8 @@
         freshness: Proof that the orders were the newest at some time.
         carried: Orders of the previous era that stay in force for a while.
         moves: Version moves of the newest listing, identified across eras.
+        outdated: Position of the latest listing that was older than these
+            orders; None if there was none.
     """
 
     listing: OrdersListing | None = None
@@ -78,6 +80,7 @@
     freshness: Freshness = attrs.field(factory=Freshness)
     carried: CarriedOrders = attrs.field(factory=CarriedOrders)
     moves: tuple[VersionOrder, ...] = ()
+    outdated: OrdersPosition | None = None
 
     @property
     def position(self) -> OrdersPosition:
@@ -144,6 +147,7 @@
             read_at: Time at which the store was read.
         """
         if self.listing is not None and listing.position < self.position:
+            self.outdated = listing.position
             return OrdersUpdate.OUTDATED
         if self.listing is not None and listing.position == self.position:
             self.confirm(listing.position, read_at)
--- a/tests/host_mutations.py
+++ b/tests/host_mutations.py
@@ -245,9 +245,8 @@
     ),
     'an outdated listing confirms the orders': Mutation(
         'orders/_orders.py',
-        '            return OrdersUpdate.OUTDATED',
-        '            self.confirmed_at = read_at\n'
-        '            return OrdersUpdate.OUTDATED',
+        'self.outdated = listing.position',
+        'self.confirmed_at = read_at',
         POSITIONS,
     ),
     'a proof of other orders confirms these': Mutation(
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -64,6 +64,10 @@
             version += 1
         nursery.cancel_scope.cancel()
     assert max(delays) <= APPLY_S
+    logged = deployment.list_events('store_returned')
+    for name in deployment.hosts:
+        eras = [fields['era'] for host, fields in logged if host == name]
+        assert eras == list(range(2, 2 + returns))
 
 
 @pytest.mark.parametrize('reader', ['e0', 'e1', 'e2'])
@@ -112,3 +116,4 @@
     (host,) = deployment.hosts.values()
     age = host.orders.freshness.get_age(host.timers.boot_now())
     assert age >= 5
+    assert len(deployment.list_events('orders_outdated')) == 1
