--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -17,16 +17,19 @@
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_turns import (
     StoreCopy,
+    must_read,
     wait_for_turn,
     wait_to_retry,
 )
 from ebonystream.errors import EbonystreamError
-from ebonystream.orders import OrdersListing, OrdersPosition, OrdersUpdate
+from ebonystream.orders import (
+    OrdersListing,
+    OrdersPosition,
+    OrdersUpdate,
+    compute_proof_time,
+)
 from ebonystream.roster import EntriesListing
 
-ORDERS_POLL_TIMEOUT = Seconds(2)
-"""Upper bound on one long poll for new orders, in seconds."""
-
 SERVERS_READ_PERIOD = Seconds(0.7)
 """Period of reading the entries of the servers, in seconds."""
 
@@ -43,6 +46,11 @@
 ListEntries = Callable[[], Awaitable[EntriesListing]]
 """Reads the entries of all servers; raises if the store fails."""
 
+CheckStore = Callable[[], Awaitable[None]]
+"""Makes a call with a small response; raises if the store fails."""
+
+NO_WAIT = Seconds(0)
+
 
 class _StorePosition(enum.Enum):
     """How far the store has the orders, compared to this host."""
@@ -60,11 +68,13 @@
         list_orders: Reads all orders.
         wait_for_orders: Waits for new orders.
         list_entries: Reads the entries of all servers.
+        check_store: Checks whether the store responds.
     """
 
     list_orders: ListOrders
     wait_for_orders: WaitForOrders
     list_entries: ListEntries
+    check_store: CheckStore
 
 
 async def sync_orders(parts: HostParts, reader: StoreReader) -> None:
@@ -76,12 +86,11 @@
     """
     store = Dependency('store: orders', parts.log_event, parts.timers)
     while True:
-        if not await wait_for_turn(parts, StoreCopy.ORDERS):
+        is_lost = store.lost_at is not None
+        if not await wait_for_turn(parts, StoreCopy.ORDERS, is_lost=is_lost):
             continue
         try:
-            is_proven = await _read_orders(
-                parts, reader, can_wait=store.lost_at is None
-            )
+            is_proven = await _read_orders(parts, reader, can_wait=not is_lost)
         except EbonystreamError as error:
             store.record_failure(str(error))
             await wait_to_retry(parts)
@@ -100,11 +109,12 @@
     """
     store = Dependency('store: servers', parts.log_event, parts.timers)
     while True:
-        if not await wait_for_turn(parts, StoreCopy.SERVERS):
+        is_lost = store.lost_at is not None
+        if not await wait_for_turn(parts, StoreCopy.SERVERS, is_lost=is_lost):
             continue
         started_at = parts.timers.now()
         try:
-            listing = await reader.list_entries()
+            listing = await _list_entries(parts, reader)
         except EbonystreamError as error:
             store.record_failure(str(error))
             parts.store_unreachable = True
@@ -114,6 +124,8 @@
         parts.store_unreachable = False
         if store.record_success():
             parts.cancel_orders_wait()
+        if listing is None:
+            continue
         update_roster(parts, listing, started_at)
         await trio.sleep_until(started_at + SERVERS_READ_PERIOD)
 
@@ -203,6 +215,16 @@
     )
 
 
+async def _list_entries(
+    parts: HostParts, reader: StoreReader
+) -> EntriesListing | None:
+    """List the entries; only check the store if others supply this host."""
+    if must_read(parts, StoreCopy.SERVERS):
+        return await reader.list_entries()
+    await reader.check_store()
+    return None
+
+
 async def _read_orders(
     parts: HostParts, reader: StoreReader, *, can_wait: bool
 ) -> bool:
@@ -213,8 +235,9 @@
         proves nothing, so that all hosts would read it again at once.
     """
     store = _StorePosition.UNKNOWN
-    if can_wait and parts.orders.listing is not None:
-        store = await _wait_for_new_orders(parts, reader)
+    if parts.orders.listing is not None:
+        poll = get_orders_poll(parts) if can_wait else NO_WAIT
+        store = await _wait_for_new_orders(parts, reader, poll)
         if store is _StorePosition.SAME:
             return True
     started_at = parts.timers.now()
@@ -228,18 +251,19 @@
 
 
 async def _wait_for_new_orders(
-    parts: HostParts, reader: StoreReader
+    parts: HostParts, reader: StoreReader, poll_timeout: Seconds
 ) -> _StorePosition:
     """Wait for new orders; a cancelled wait tells nothing."""
     known = parts.orders.position
     asked_at = parts.timers.boot_now()
-    poll_timeout = get_orders_poll(parts, ORDERS_POLL_TIMEOUT)
     with trio.CancelScope() as scope:
         parts.orders_wait_scope = scope
         found = await reader.wait_for_orders(known.end, poll_timeout)
+        responded_at = parts.timers.boot_now()
         if found == known:
-            parts.orders.confirm_newest(found, asked_at)
-            taken = parts.timers.boot_now() - asked_at
+            proven_at = compute_proof_time(asked_at, responded_at, poll_timeout)
+            parts.orders.confirm_newest(found, proven_at)
+            taken = responded_at - asked_at
             parts.store_latency = Seconds(max(0, taken - poll_timeout))
             parts.orders.confirm(found, parts.timers.now())
             return _StorePosition.SAME
--- a/src/ebonystream/orders/__init__.py
+++ b/src/ebonystream/orders/__init__.py
@@ -1,7 +1,7 @@
 """Orders of operators: configuration, evacuated zones and version moves."""
 
 from ebonystream.orders._carried import CarriedOrders
-from ebonystream.orders._freshness import Freshness
+from ebonystream.orders._freshness import Freshness, compute_proof_time
 from ebonystream.orders._orders import (
     Orders,
     OrdersListing,
@@ -19,4 +19,5 @@
     'OrdersPosition',
     'OrdersUpdate',
     'VersionOrder',
+    'compute_proof_time',
 )
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -121,7 +121,10 @@
     for host in hosts:
         host.roster.apply_listing([], 0.0)
     reader = StoreReader(
-        list_orders=None, wait_for_orders=None, list_entries=list_entries
+        list_orders=None,
+        wait_for_orders=None,
+        list_entries=list_entries,
+        check_store=list_entries,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(exchange_facts, hosts)
@@ -158,6 +161,7 @@
         list_orders=list_orders,
         wait_for_orders=wait_for_orders,
         list_entries=None,
+        check_store=None,
     )
     hosts = [make_host(f'e{number:03}') for number in range(count)]
     async with trio.open_nursery() as nursery:
@@ -169,7 +173,9 @@
             host.orders.confirm_newest(
                 host.orders.position, host.timers.boot_now()
             )
-            host.settings = SimpleNamespace(limits=SimpleNamespace(revoke=5.0))
+            host.settings = SimpleNamespace(
+                limits=SimpleNamespace(revoke=5.0, apply_time=5.0)
+            )
             host.store_latency = 0.0
             nursery.start_soon(sync_orders, host, reader)
         await trio.sleep(OUTAGE_S)
--- a/tests/test_zone_freshness.py
+++ b/tests/test_zone_freshness.py
@@ -72,7 +72,7 @@
                 name=name,
                 zone=zone,
                 peer_endpoint=ServerAddress('10.0.0.1', 1),
-                limits=SimpleNamespace(revoke=REVOKE_S),
+                limits=SimpleNamespace(revoke=REVOKE_S, apply_time=REVOKE_S),
             ),
             log_event=lambda event, **fields: None,
             orders_source=None,
@@ -126,6 +126,7 @@
             list_orders=list_orders,
             wait_for_orders=wait_for_orders,
             list_entries=None,
+            check_store=None,
         )
 
     def make_fetch(self, host):
@@ -296,6 +297,7 @@
         list_orders=partial(delay, reader.list_orders),
         wait_for_orders=partial(delay, reader.wait_for_orders),
         list_entries=None,
+        check_store=None,
     )
     await sync_orders(host, slow)
 
