--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -5,14 +5,15 @@
 stale because no other host could provide a newer one.
 """
 
+import enum
 from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
 
-from ebonystream._ids import BootTime, Monotonic, Offset, Seconds
+from ebonystream._ids import Monotonic, Offset, Seconds
 from ebonystream.entryhost._dependency import Dependency
-from ebonystream.entryhost._lease import get_orders_poll, is_lease_ending
+from ebonystream.entryhost._lease import get_orders_poll
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_turns import (
     StoreCopy,
@@ -21,7 +22,12 @@
     wait_to_retry,
 )
 from ebonystream.errors import EbonystreamError
-from ebonystream.orders import OrdersListing, compute_proof_time
+from ebonystream.orders import (
+    OrdersListing,
+    OrdersPosition,
+    OrdersUpdate,
+    compute_proof_time,
+)
 from ebonystream.roster import EntriesListing
 
 SERVERS_READ_PERIOD = Seconds(0.7)
@@ -30,10 +36,11 @@
 ListOrders = Callable[[], Awaitable[OrdersListing]]
 """Reads all orders; raises `EbonystreamError` if the store fails."""
 
-WaitForOrders = Callable[[Offset, Seconds], Awaitable[Offset]]
-"""Waits until the orders extend beyond an offset; returns their end.
+WaitForOrders = Callable[[Offset, Seconds], Awaitable[OrdersPosition | None]]
+"""Waits until the orders extend beyond an offset.
 
-The second argument bounds the wait, in seconds.
+Returns the position of the store; None if it doesn't have the offset. The
+second argument bounds the wait, in seconds.
 """
 
 ListEntries = Callable[[], Awaitable[EntriesListing]]
@@ -45,6 +52,14 @@
 NO_WAIT = Seconds(0)
 
 
+class _StorePosition(enum.Enum):
+    """How far the store has the orders, compared to this host."""
+
+    UNKNOWN = 'unknown'
+    SAME = 'same'
+    BEHIND = 'behind'
+
+
 @attrs.frozen(kw_only=True)
 class StoreReader:
     """Functions that read the store.
@@ -74,15 +89,15 @@
         is_lost = store.lost_at is not None
         if not await wait_for_turn(parts, StoreCopy.ORDERS, is_lost=is_lost):
             continue
-        proven_at = parts.orders.freshness.asked_at
         try:
-            await _read_orders(parts, reader, can_wait=not is_lost)
+            is_proven = await _read_orders(parts, reader, can_wait=not is_lost)
         except EbonystreamError as error:
             store.record_failure(str(error))
             await wait_to_retry(parts)
         else:
             store.record_success()
-            await _pace_after_read(parts, proven_at)
+            if not is_proven:
+                await wait_to_retry(parts)
 
 
 async def sync_servers(parts: HostParts, reader: StoreReader) -> None:
@@ -117,7 +132,7 @@
 
 def update_orders(
     parts: HostParts, listing: OrdersListing, read_at: Monotonic
-) -> None:
+) -> OrdersUpdate:
     """Update the orders, and log the change if there is one.
 
     Args:
@@ -126,17 +141,27 @@
         read_at: When the orders were read from the store.
     """
     orders = parts.orders
-    if not orders.update(listing, read_at):
-        return
+    known = orders.position if orders.listing else listing.position
+    known_outdated = orders.outdated
+    update = orders.update(listing, read_at)
+    if orders.outdated != known_outdated:
+        _log_outdated(parts, listing.position)
+    if update is not OrdersUpdate.TAKEN:
+        return update
+    if orders.position.era > known.era:
+        _log_return(parts, known)
+    now = parts.timers.now()
     configuration = orders.configuration
     parts.log_event(
         'orders_taken',
+        era=orders.position.era,
         end=orders.end,
         configuration=configuration.version if configuration else None,
-        zones_out=sorted(orders.zones_out),
-        moves=[move.id for move in orders.moves],
-        age_s=parts.timers.now() - read_at,
+        zones_out=sorted(orders.get_zones_out(now)),
+        moves=[move.id for move in orders.list_moves(now)],
+        age_s=now - read_at,
     )
+    return update
 
 
 def update_roster(
@@ -163,6 +188,33 @@
         )
 
 
+def _log_return(parts: HostParts, known: OrdersPosition) -> None:
+    """Log that the store has returned from an older copy."""
+    orders = parts.orders
+    now = parts.timers.now()
+    parts.log_event(
+        'store_returned',
+        era=orders.position.era,
+        known_era=known.era,
+        end=orders.position.end,
+        known_end=known.end,
+        zones_out=sorted(orders.carried.list_zones_out(now)),
+        moves=[move.id for move in orders.carried.list_moves(now)],
+    )
+
+
+def _log_outdated(parts: HostParts, found: OrdersPosition) -> None:
+    """Log that the store, or another host, is behind this host."""
+    held = parts.orders.position
+    parts.log_event(
+        'orders_outdated',
+        era=found.era,
+        known_era=held.era,
+        end=found.end,
+        known_end=held.end,
+    )
+
+
 async def _list_entries(
     parts: HostParts, reader: StoreReader
 ) -> EntriesListing | None:
@@ -175,53 +227,46 @@
 
 async def _read_orders(
     parts: HostParts, reader: StoreReader, *, can_wait: bool
-) -> None:
+) -> bool:
+    """Read the orders if the store has others than this host.
+
+    Returns:
+        Whether the store has proved something. One that is behind this host
+        proves nothing, so that all hosts would read it again at once.
+    """
+    store = _StorePosition.UNKNOWN
     if parts.orders.listing is not None:
         poll = get_orders_poll(parts) if can_wait else NO_WAIT
-        if not await _wait_for_new_orders(parts, reader, poll):
-            return
+        store = await _wait_for_new_orders(parts, reader, poll)
+        if store is _StorePosition.SAME:
+            return True
     started_at = parts.timers.now()
     asked_at = parts.timers.boot_now()
     listing = await reader.list_orders()
-    update_orders(parts, listing, started_at)
-    parts.orders.confirm_newest(listing.end, asked_at)
-
-
-async def _pace_after_read(
-    parts: HostParts, proven_at: BootTime | None
-) -> None:
-    """Wait if the store responded, but the lease still ends.
-
-    A store that has lost orders proves nothing about newer ones, so that all
-    hosts would read it again at once.
-
-    Args:
-        parts: The state of the host.
-        proven_at: Time of the proof of freshness before the read.
-    """
-    is_proven = parts.orders.freshness.asked_at != proven_at
-    if not is_proven and is_lease_ending(parts):
-        await wait_to_retry(parts)
+    update = update_orders(parts, listing, started_at)
+    parts.orders.confirm_newest(listing.position, asked_at)
+    if store is _StorePosition.BEHIND:
+        return update is OrdersUpdate.TAKEN
+    return update is not OrdersUpdate.OUTDATED
 
 
 async def _wait_for_new_orders(
     parts: HostParts, reader: StoreReader, poll_timeout: Seconds
-) -> bool:
-    """Wait for new orders; return whether to read the orders now.
-
-    A cancelled wait returns True, so that the orders are read at once.
-    """
-    known_end = parts.orders.end
+) -> _StorePosition:
+    """Wait for new orders; a cancelled wait tells nothing."""
+    known = parts.orders.position
     asked_at = parts.timers.boot_now()
     with trio.CancelScope() as scope:
         parts.orders_wait_scope = scope
-        end = await reader.wait_for_orders(known_end, poll_timeout)
+        found = await reader.wait_for_orders(known.end, poll_timeout)
         responded_at = parts.timers.boot_now()
-        proven_at = compute_proof_time(asked_at, responded_at, poll_timeout)
-        parts.orders.confirm_newest(end, proven_at)
-        if end == known_end:
+        if found == known:
+            proven_at = compute_proof_time(asked_at, responded_at, poll_timeout)
+            parts.orders.confirm_newest(found, proven_at)
             taken = responded_at - asked_at
             parts.store_latency = Seconds(max(0, taken - poll_timeout))
-        parts.orders.confirm(parts.timers.now())
-        return end > known_end
-    return True
+            parts.orders.confirm(found, parts.timers.now())
+            return _StorePosition.SAME
+        if found is None or found < known:
+            return _StorePosition.BEHIND
+    return _StorePosition.UNKNOWN
--- a/src/ebonystream/orders/_orders.py
+++ b/src/ebonystream/orders/_orders.py
@@ -1,44 +1,40 @@
-"""Orders of operators, up to the offset that this host has read."""
+"""Orders of operators, up to the position that this host has read."""
+
+import enum
 
 import attrs
 
 from ebonystream._ids import (
     BootTime,
     Monotonic,
-    MoveId,
     Offset,
-    Seconds,
-    ServiceName,
-    VersionName,
+    StoreEra,
     ZoneName,
 )
-from ebonystream._validation import validate_duration, validate_name
+from ebonystream.orders._carried import (
+    CarriedOrders,
+    carry_orders,
+    drop_listed_moves,
+    drop_listed_zones,
+    identify_move,
+)
 from ebonystream.orders._freshness import Freshness
+from ebonystream.orders._position import FIRST_POSITION, OrdersPosition
+from ebonystream.orders._version_order import VersionOrder
 from ebonystream.route import RouteConfiguration
 
-INITIAL_OFFSET = Offset(0)
-
 
-@attrs.frozen(kw_only=True)
-class VersionOrder:
-    """Order to move the requests of a service to another version of it.
+class OrdersUpdate(enum.Enum):
+    """How a listing compares to the one that a host has."""
 
-    Attributes:
-        id: Unique identifier of the order; repeating an order gives a new one.
-        service: Service whose requests move.
-        version: Version whose backend servers receive the requests.
-        within: Time limit of the move, in seconds.
-    """
-
-    id: MoveId
-    service: ServiceName = attrs.field(validator=validate_name)
-    version: VersionName = attrs.field(validator=validate_name)
-    within: Seconds = attrs.field(validator=validate_duration)
+    TAKEN = 'taken'
+    CONFIRMED = 'confirmed'
+    OUTDATED = 'outdated'
 
 
 @attrs.frozen(kw_only=True)
 class OrdersListing:
-    """Snapshot of all orders at one offset of the stream of orders.
+    """Snapshot of all orders at one position of the stream of orders.
 
     Attributes:
         end: Offset of the next order in the stream.
@@ -46,12 +42,19 @@
             be decoded.
         zones_out: Evacuated zones, which receive no requests.
         moves: Version moves.
+        era: Era of the store that it was read in.
     """
 
     end: Offset
     configuration: RouteConfiguration | None
     zones_out: frozenset[ZoneName]
     moves: tuple[VersionOrder, ...]
+    era: StoreEra = StoreEra(0)
+
+    @property
+    def position(self) -> OrdersPosition:
+        """Position in the stream of orders."""
+        return OrdersPosition(self.era, self.end)
 
 
 @attrs.define
@@ -65,65 +68,110 @@
         confirmed_at: Time at which the store last confirmed the orders, to this
             host or to a peer.
         freshness: Proof that the orders were the newest at some time.
+        carried: Orders of the previous era that stay in force for a while.
+        moves: Version moves of the newest listing, identified across eras.
+        outdated: Position of the latest listing that was older than these
+            orders; None if there was none.
     """
 
     listing: OrdersListing | None = None
     configuration: RouteConfiguration | None = None
     confirmed_at: Monotonic | None = None
     freshness: Freshness = attrs.field(factory=Freshness)
+    carried: CarriedOrders = attrs.field(factory=CarriedOrders)
+    moves: tuple[VersionOrder, ...] = ()
+    outdated: OrdersPosition | None = None
 
     @property
-    def end(self) -> Offset:
-        """Offset of the next order in the stream."""
-        return self.listing.end if self.listing else INITIAL_OFFSET
+    def position(self) -> OrdersPosition:
+        """Position up to which this host has the orders."""
+        return self.listing.position if self.listing else FIRST_POSITION
 
     @property
-    def zones_out(self) -> frozenset[ZoneName]:
-        """Evacuated zones, which receive no requests."""
-        return self.listing.zones_out if self.listing else frozenset()
+    def end(self) -> Offset:
+        """Offset of the next order, which only its era gives a meaning."""
+        return self.position.end
 
-    @property
-    def moves(self) -> tuple[VersionOrder, ...]:
-        """Version moves in the newest listing."""
-        return self.listing.moves if self.listing else ()
+    def get_zones_out(self, now: Monotonic) -> frozenset[ZoneName]:
+        """Return the evacuated zones, which receive no requests.
+
+        Args:
+            now: The current time.
+        """
+        listed = self.listing.zones_out if self.listing else frozenset()
+        return self.carried.list_zones_out(now).union(listed)
 
-    def confirm(self, read_at: Monotonic) -> None:
-        """Record that the store had no newer orders.
+    def list_moves(self, now: Monotonic) -> tuple[VersionOrder, ...]:
+        """List the version moves that are ordered.
 
         Args:
+            now: The current time.
+        """
+        return self.moves + self.carried.list_moves(now)
+
+    def confirm(self, newest: OrdersPosition, read_at: Monotonic) -> None:
+        """Record that the store had no newer orders than those of a position.
+
+        Another position than that of this host says nothing of its orders.
+
+        Args:
+            newest: Position of the store, or of a host that has read it.
             read_at: Time at which the store was read.
         """
+        if self.listing is None or newest != self.position:
+            return
         if self.confirmed_at is None or read_at > self.confirmed_at:
             self.confirmed_at = read_at
 
-    def confirm_newest(self, end: Offset, asked_at: BootTime) -> None:
+    def confirm_newest(
+        self, newest: OrdersPosition, asked_at: BootTime
+    ) -> None:
         """Record that the store was asked for the end of the orders.
 
         Args:
-            end: Offset of the next order, according to the store.
+            newest: Position of the store.
             asked_at: When the store was asked.
         """
         if self.listing is not None:
-            self.freshness.confirm(asked_at, newest=end, held=self.end)
+            self.freshness.confirm(asked_at, newest=newest, held=self.position)
 
-    def update(self, listing: OrdersListing, read_at: Monotonic) -> bool:
-        """Replace the listing if the given one is newer.
+    def update(
+        self, listing: OrdersListing, read_at: Monotonic
+    ) -> OrdersUpdate:
+        """Replace the listing if the position of the given one is higher.
 
         An invalid or older configuration leaves the one in force.
 
         Args:
             listing: Listing read from the store.
             read_at: Time at which the store was read.
-
-        Returns:
-            Whether the listing is newer.
         """
-        self.confirm(read_at)
-        if self.listing is not None and listing.end <= self.end:
-            return False
+        if self.listing is not None and listing.position < self.position:
+            self.outdated = listing.position
+            return OrdersUpdate.OUTDATED
+        if self.listing is not None and listing.position == self.position:
+            self.confirm(listing.position, read_at)
+            return OrdersUpdate.CONFIRMED
+        self._carry(listing, read_at)
         self.listing = listing
+        self.confirm(listing.position, read_at)
         self._apply_configuration(listing.configuration)
-        return True
+        return OrdersUpdate.TAKEN
+
+    def _carry(self, listing: OrdersListing, now: Monotonic) -> None:
+        """Carry what is in force into a new era, and drop what is listed."""
+        if self.listing is not None and listing.era > self.listing.era:
+            self.carried = carry_orders(
+                self.get_zones_out(now),
+                self.list_moves(now),
+                era=listing.era,
+                now=now,
+            )
+        carried = drop_listed_zones(self.carried, listing.zones_out)
+        self.carried = drop_listed_moves(carried, listing.moves, now)
+        self.moves = tuple(
+            identify_move(move, self.carried) for move in listing.moves
+        )
 
     def _apply_configuration(self, listed: RouteConfiguration | None) -> None:
         if listed is None:
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -19,7 +19,7 @@
 )
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.gossip import HostFactTable
-from ebonystream.orders import Orders
+from ebonystream.orders import Orders, OrdersPosition
 from ebonystream.roster import EntriesListing, Roster
 
 OUTAGE_S = 8
@@ -144,15 +144,21 @@
 @pytest.mark.parametrize('count', [5, 30])
 async def test_reads_of_a_store_that_lost_orders(autojump_clock, count):
     # With strict revocation each host asked ten times a second, for ever.
-    reads = []
+    # A store that is behind its hosts proves nothing to them.
+    reads, listings = [], []
 
     async def wait_for_orders(known_end, wait):
         reads.append(trio.current_time())
         await trio.sleep(wait)
-        return known_end - 1
+        return OrdersPosition(end=known_end - 1)
+
+    async def list_orders():
+        listings.append(trio.current_time())
+        await trio.sleep(0.004)
+        return make_listing(end=3)
 
     reader = StoreReader(
-        list_orders=None,
+        list_orders=list_orders,
         wait_for_orders=wait_for_orders,
         list_entries=None,
         check_store=None,
@@ -164,7 +170,9 @@
         for host in hosts:
             host.orders = Orders()
             host.orders.update(make_listing(end=4), 0.0)
-            host.orders.confirm_newest(4, host.timers.boot_now())
+            host.orders.confirm_newest(
+                host.orders.position, host.timers.boot_now()
+            )
             host.settings = SimpleNamespace(
                 limits=SimpleNamespace(revoke=5.0, apply_time=5.0)
             )
@@ -173,4 +181,5 @@
         await trio.sleep(OUTAGE_S)
         first_reads = count + FIRST_READS
         assert len(reads) <= OUTAGE_S * READS_PER_S + first_reads
+        assert len(listings) <= len(reads)
         nursery.cancel_scope.cancel()
