Log the version of the configuration that routed a request

Change: configuration is read before the request is handled, and configuration_now is added where another version is in force at the end.

--- a/src/ebonystream/entryhost/_handlers.py
+++ b/src/ebonystream/entryhost/_handlers.py
@@ -5,7 +5,7 @@
 import trio
 
 from ebonystream._calls import CallKind
-from ebonystream._ids import Monotonic, Seconds
+from ebonystream._ids import ConfigurationVersion, Monotonic, Seconds
 from ebonystream.dispatch import HandleRequest
 from ebonystream.entryhost._connections import serve_logged
 from ebonystream.entryhost._parts import HostParts
@@ -55,6 +55,7 @@
         message: Message, arrived_at: Monotonic, presence: CallerPresence
     ) -> EncodedResponse:
         request = codec.decode_request(message, arrived_at)
+        routed_by = _get_version(parts)
         try:
             response = await _handle_checked(
                 parts, request, presence, handle_request
@@ -67,7 +68,7 @@
             response = make_error_response(
                 EbonystreamError(ErrorKind.INTERNAL), close=True
             )
-        _log_response(parts, request, response)
+        _log_response(parts, request, response, routed_by)
         close = (
             parts.caller_connections.close_after_response
             or not message.keep_alive
@@ -150,11 +151,18 @@
     )
 
 
+def _get_version(parts: HostParts) -> ConfigurationVersion | None:
+    """Return the version of the configuration in force; None without one."""
+    configuration = parts.orders.configuration
+    return configuration.version if configuration else None
+
+
 def _log_response(
-    parts: HostParts, request: Request, response: Response
+    parts: HostParts,
+    request: Request,
+    response: Response,
+    routed_by: ConfigurationVersion | None,
 ) -> None:
-    orders = parts.orders
-    configuration = orders.configuration
     parts.log_event(
         'answered',
         id=request.attempt_id,
@@ -163,10 +171,18 @@
         took_ms=round((parts.timers.now() - request.arrived_at) * 1000, 1),
         retry_after=response.retry_after,
         given_ms=_get_timeout_ms(request),
-        configuration=configuration.version if configuration else None,
+        configuration=routed_by,
+        **_describe_newer(routed_by, _get_version(parts)),
     )
 
 
+def _describe_newer(
+    routed_by: ConfigurationVersion | None, now: ConfigurationVersion | None
+) -> dict[str, ConfigurationVersion | None]:
+    """Describe the version in force now if it did not route the request."""
+    return {} if now == routed_by else {'configuration_now': now}
+
+
 def _get_timeout_ms(request: Request) -> float | None:
     """Return the timeout that the caller sent, in milliseconds."""
     if request.deadline is None:
