Report sources of orders that are behind this host

Change: orders_outdated, once for each source until it has caught up; the ends are compared in is_outdated alone. Ends are those that the host had when it asked, so that newer orders which arrive meanwhile make no line.

--- a/src/ebonystream/entryhost/_peer_fetch.py
+++ b/src/ebonystream/entryhost/_peer_fetch.py
@@ -23,6 +23,7 @@
     MissingOrders,
     is_left_out,
 )
+from ebonystream.entryhost._outdated_sources import OutdatedSources
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_sync import update_orders, update_roster
 from ebonystream.gossip import (
@@ -59,6 +60,7 @@
     period = FIRST_FETCH_PERIOD
     failures = FetchFailures()
     missing = MissingOrders()
+    sources = OutdatedSources(parts.log_event)
     while True:
         with trio.move_on_after(period):
             await parts.orders_announced.wait()
@@ -66,14 +68,18 @@
         host = _select_host(parts, failures, missing)
         if host is None:
             continue
-        timeout = missing.lengthen_timeout(failures.timeout)
-        updated = await _fetch_from(host, parts, fetch, request, timeout)
+        updated = await _fetch_from(
+            host, parts, fetch, request, _get_timeout(failures, missing)
+        )
         if updated is None:
-            leader.record_failure(f'{host.host}: no answer in {timeout} s')
+            leader.record_failure(
+                f'{host.host}: no answer in {_get_timeout(failures, missing)} s'
+            )
             period = failures.record_failure(host.host, parts.timers.now())
             continue
         leader.record_success()
         failures.record_success()
+        _compare_end(sources, host, updated.orders, request)
         request = updated.request
         missing.record(updated.orders, parts.orders.end)
         if missing.is_sought():
@@ -112,6 +118,20 @@
     return Fetched(updated, shared.orders)
 
 
+def _get_timeout(failures: FetchFailures, missing: MissingOrders) -> Seconds:
+    return missing.lengthen_timeout(failures.timeout)
+
+
+def _compare_end(
+    sources: OutdatedSources,
+    host: HostFacts,
+    shared: SharedOrders | None,
+    request: SharedRequest,
+) -> None:
+    if shared is not None and shared.end is not None:
+        sources.compare(host.host, shared.end, request.orders_end)
+
+
 def _lengthen(parts: HostParts, period: Seconds) -> Seconds:
     if parts.has_read():
         return FETCH_PERIOD
--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -13,6 +13,10 @@
 from ebonystream._ids import BootTime, Monotonic, Offset, Seconds
 from ebonystream.entryhost._dependency import Dependency
 from ebonystream.entryhost._lease import get_orders_poll, is_lease_ending
+from ebonystream.entryhost._outdated_sources import (
+    STORE_SOURCE,
+    OutdatedSources,
+)
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_turns import (
     StoreCopy,
@@ -65,12 +69,15 @@
         reader: Functions that read the store.
     """
     store = Dependency('store: orders', parts.log_event, parts.timers)
+    sources = OutdatedSources(parts.log_event)
     while True:
         if not await wait_for_turn(parts, StoreCopy.ORDERS):
             continue
         proven_at = parts.orders.freshness.asked_at
         try:
-            await _read_orders(parts, reader, can_wait=store.lost_at is None)
+            await _read_orders(
+                parts, reader, sources, can_wait=store.lost_at is None
+            )
         except EbonystreamError as error:
             store.record_failure(str(error))
             await wait_to_retry(parts)
@@ -155,14 +162,20 @@
 
 
 async def _read_orders(
-    parts: HostParts, reader: StoreReader, *, can_wait: bool
+    parts: HostParts,
+    reader: StoreReader,
+    sources: OutdatedSources,
+    *,
+    can_wait: bool,
 ) -> None:
     if can_wait and parts.orders.listing is not None:
-        if not await _wait_for_new_orders(parts, reader):
+        if not await _wait_for_new_orders(parts, reader, sources):
             return
+    known_end = parts.orders.end
     started_at = parts.timers.now()
     asked_at = parts.timers.boot_now()
     listing = await reader.list_orders()
+    sources.compare(STORE_SOURCE, listing.end, known_end)
     update_orders(parts, listing, started_at)
     parts.orders.confirm_newest(listing.end, asked_at)
 
@@ -184,7 +197,9 @@
         await wait_to_retry(parts)
 
 
-async def _wait_for_new_orders(parts: HostParts, reader: StoreReader) -> bool:
+async def _wait_for_new_orders(
+    parts: HostParts, reader: StoreReader, sources: OutdatedSources
+) -> bool:
     """Wait for new orders; return whether to read the orders now.
 
     A cancelled wait returns True, so that the orders are read at once.
@@ -200,5 +215,8 @@
             taken = parts.timers.boot_now() - asked_at
             parts.store_latency = Seconds(max(0, taken - poll_timeout))
         parts.orders.confirm(parts.timers.now())
+        if end <= known_end:
+            # A higher end may stand for lost orders, which the listing shows.
+            sources.compare(STORE_SOURCE, end, known_end)
         return end > known_end
     return True
