--- a/src/ebonystream/entryhost/_store_sync.py
+++ b/src/ebonystream/entryhost/_store_sync.py
@@ -14,6 +14,10 @@
 from ebonystream._ids import Monotonic, Offset, Seconds
 from ebonystream.entryhost._dependency import Dependency
 from ebonystream.entryhost._lease import get_orders_poll
+from ebonystream.entryhost._outdated_sources import (
+    STORE_SOURCE,
+    OutdatedSources,
+)
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_turns import (
     StoreCopy,
@@ -85,12 +89,15 @@
         reader: Functions that read the store.
     """
     store = Dependency('store: orders', parts.log_event, parts.timers)
+    sources = OutdatedSources(parts.log_event)
     while True:
         is_lost = store.lost_at is not None
         if not await wait_for_turn(parts, StoreCopy.ORDERS, is_lost=is_lost):
             continue
         try:
-            is_proven = await _read_orders(parts, reader, can_wait=not is_lost)
+            is_proven = await _read_orders(
+                parts, reader, sources, can_wait=not is_lost
+            )
         except EbonystreamError as error:
             store.record_failure(str(error))
             await wait_to_retry(parts)
@@ -142,10 +149,7 @@
     """
     orders = parts.orders
     known = orders.position if orders.listing else listing.position
-    known_outdated = orders.outdated
     update = orders.update(listing, read_at)
-    if orders.outdated != known_outdated:
-        _log_outdated(parts, listing.position)
     if update is not OrdersUpdate.TAKEN:
         return update
     if orders.position.era > known.era:
@@ -203,18 +207,6 @@
     )
 
 
-def _log_outdated(parts: HostParts, found: OrdersPosition) -> None:
-    """Log that the store, or another host, is behind this host."""
-    held = parts.orders.position
-    parts.log_event(
-        'orders_outdated',
-        era=found.era,
-        known_era=held.era,
-        end=found.end,
-        known_end=held.end,
-    )
-
-
 async def _list_entries(
     parts: HostParts, reader: StoreReader
 ) -> EntriesListing | None:
@@ -226,7 +218,11 @@
 
 
 async def _read_orders(
-    parts: HostParts, reader: StoreReader, *, can_wait: bool
+    parts: HostParts,
+    reader: StoreReader,
+    sources: OutdatedSources,
+    *,
+    can_wait: bool,
 ) -> bool:
     """Read the orders if the store has others than this host.
 
@@ -240,9 +236,11 @@
         store = await _wait_for_new_orders(parts, reader, poll)
         if store is _StorePosition.SAME:
             return True
+    known = parts.orders.position
     started_at = parts.timers.now()
     asked_at = parts.timers.boot_now()
     listing = await reader.list_orders()
+    sources.compare(STORE_SOURCE, listing.position, known)
     update = update_orders(parts, listing, started_at)
     parts.orders.confirm_newest(listing.position, asked_at)
     if store is _StorePosition.BEHIND:
--- a/tests/host_mutations.py
+++ b/tests/host_mutations.py
@@ -245,8 +245,8 @@
     ),
     'an outdated listing confirms the orders': Mutation(
         'orders/_orders.py',
-        'self.outdated = listing.position',
-        'self.confirmed_at = read_at',
+        'return OrdersUpdate.OUTDATED',
+        'self.confirmed_at = read_at; return OrdersUpdate.OUTDATED',
         POSITIONS,
     ),
     'a proof of other orders confirms these': Mutation(
