--- a/tools/faultsoak/deployment.py
+++ b/tools/faultsoak/deployment.py
@@ -7,7 +7,7 @@
 import sys
 import tomllib
 from collections.abc import AsyncIterator, Mapping
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -18,9 +18,11 @@
 from ebonystream._ids import HostId, ZoneName
 from standins.pacedserver import PacedServer
 from standins.platformstore import PlatformStore
+from standins.storeproxy import StoreProxy
 
 ROOT = Path(__file__).resolve().parents[2]
 STORE_NUMBER, FIRST_HOST_NUMBER, FIRST_SERVER_NUMBER = 1, 10, 100
+FIRST_PROXY_NUMBER = 200
 """Last parts of the addresses."""
 
 NETWORKS = range(2, 250)
@@ -29,6 +31,7 @@
 READY_TIMEOUT_S = 20
 OK = 200
 READY_CHECK_S = 0.05
+METRICS_TIMEOUT_S = 5
 REQUEST_END = b'\r\n\r\n'
 
 Json = Mapping[str, object]
@@ -44,6 +47,7 @@
         readiness: Port of the hosts for readiness checks.
         peers: First of the two ports of the hosts for one another.
         servers: Port of the servers.
+        metrics: Port of the hosts for their metrics.
     """
 
     store: int = 21001
@@ -51,6 +55,7 @@
     readiness: int = 21003
     peers: int = 21004
     servers: int = 21006
+    metrics: int = 21007
 
 
 def choose_network(random: Random) -> str:
@@ -100,6 +105,7 @@
         store: The store.
         hosts: The entry hosts.
         servers: The servers with their addresses.
+        proxies: Proxies to the store, for the hosts that have one.
     """
 
     folder: Path
@@ -110,6 +116,7 @@
     store: PlatformStore = attrs.field(factory=PlatformStore)
     hosts: list[EntryHost] = attrs.field(factory=list)
     servers: dict[str, PacedServer] = attrs.field(factory=dict)
+    proxies: dict[HostId, StoreProxy] = attrs.field(factory=dict)
 
     def add_host(self, zone: ZoneName) -> EntryHost:
         """Add an entry host, which starts with the deployment.
@@ -135,6 +142,20 @@
         number = FIRST_SERVER_NUMBER + len(self.servers)
         self.servers[f'{self.network}.{number}'] = server
 
+    def add_proxy(self, host: EntryHost) -> StoreProxy:
+        """Add a proxy between a host and the store.
+
+        Args:
+            host: The host.
+        """
+        proxy = StoreProxy(
+            address=f'{self.network}.{FIRST_PROXY_NUMBER + len(self.proxies)}',
+            port=self.ports.store,
+            store_address=self.get_store_address(),
+        )
+        self.proxies[host.name] = proxy
+        return proxy
+
     def get_store_address(self) -> str:
         """Return the address of the store."""
         return f'{self.network}.{STORE_NUMBER}'
@@ -183,6 +204,23 @@
             return await _ask(host.address, self.ports.callers, head)
         return None
 
+    async def read_gauge(self, host: EntryHost, name: str) -> float | None:
+        """Read a gauge of a host; None if its page doesn't have it.
+
+        Args:
+            host: The host.
+            name: Name of the gauge.
+        """
+        head = 'GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+        page = b''
+        with trio.move_on_after(METRICS_TIMEOUT_S):
+            page = await _receive(host.address, self.ports.metrics, head)
+        for line in page.decode().splitlines():
+            metric, _, number = line.rpartition(' ')
+            if metric.partition('{')[0] == name:
+                return float(number)
+        return None
+
     async def wait_ready(self) -> None:
         """Wait until all hosts are ready."""
         head = 'GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n'
@@ -203,6 +241,8 @@
         """
         ports, address = self.ports, host.address
         seeds = [f'{each.address}:{ports.peers}' for each in self.hosts[:1]]
+        proxy = self.proxies.get(host.name)
+        store = proxy.address if proxy else self.get_store_address()
         return {
             'local': {
                 'node_name': host.name,
@@ -220,9 +260,7 @@
             },
             'platform': {
                 'heartbeat': '1500ms',
-                'platform': {
-                    'address': f'{self.get_store_address()}:{ports.store}'
-                },
+                'platform': {'address': f'{store}:{ports.store}'},
             },
             'terms': {'bounds': self.bounds},
         }
@@ -242,6 +280,8 @@
         for address, server in deployment.servers.items():
             listen = partial(trio.serve_tcp, host=address)
             await nursery.start(listen, server.serve, ports.servers)
+        for proxy in deployment.proxies.values():
+            nursery.start_soon(proxy.run)
         async with AsyncExitStack() as stack:
             for host in deployment.hosts:
                 await stack.enter_async_context(_run_host(deployment, host))
@@ -249,26 +289,73 @@
         nursery.cancel_scope.cancel()
 
 
+async def restart_host(deployment: Deployment, host: EntryHost) -> None:
+    """Kill a host and start it again; its log is continued.
+
+    Args:
+        deployment: The deployment of the host.
+        host: The host.
+    """
+    await _kill_host(host)
+    await _start_host(deployment, host)
+
+
+def read_events(deployment: Deployment, host: EntryHost) -> list[Json]:
+    """Read the events that a host has logged.
+
+    Args:
+        deployment: The deployment of the host.
+        host: The host.
+    """
+    lines = _get_log(deployment, host).read_text().splitlines()
+    return [json.loads(line) for line in lines if line.startswith('{')]
+
+
 @asynccontextmanager
 async def _run_host(
     deployment: Deployment, host: EntryHost
 ) -> AsyncIterator[None]:
-    settings = deployment.folder / f'{host.name}.json'
+    settings = _get_settings(deployment, host)
     settings.write_text(json.dumps(deployment.make_settings(host)))
-    with (deployment.folder / f'{host.name}.log').open('wb') as output:
+    _get_log(deployment, host).unlink(missing_ok=True)
+    await _start_host(deployment, host)
+    try:
+        yield
+    finally:
+        with trio.CancelScope(shield=True):
+            await _kill_host(host)
+
+
+async def _start_host(deployment: Deployment, host: EntryHost) -> None:
+    settings = str(_get_settings(deployment, host))
+    port = str(deployment.ports.metrics)
+    with _get_log(deployment, host).open('ab') as output:
         host.process = await trio.lowlevel.open_process(
             _read_command(),
             cwd=ROOT,
-            env={**os.environ, 'EBONYSTREAM_SETTINGS': str(settings)},
+            env={
+                **os.environ,
+                'EBONYSTREAM_SETTINGS': settings,
+                'EBONYSTREAM_METRICS_PORT': port,
+            },
             stdout=output,
         )
-    try:
-        yield
-    finally:
-        if host.process.poll() is None:
-            host.process.kill()
-        with trio.CancelScope(shield=True):
-            await host.process.wait()
+
+
+async def _kill_host(host: EntryHost) -> None:
+    if host.process is None:
+        return
+    if host.process.poll() is None:
+        host.process.kill()
+    await host.process.wait()
+
+
+def _get_settings(deployment: Deployment, host: EntryHost) -> Path:
+    return deployment.folder / f'{host.name}.json'
+
+
+def _get_log(deployment: Deployment, host: EntryHost) -> Path:
+    return deployment.folder / f'{host.name}.log'
 
 
 def _read_command() -> list[str]:
@@ -280,19 +367,28 @@
 
 async def _ask(address: str, port: int, head: str) -> int | None:
     """Send a request; return the status of the response, if there is one."""
+    received = await _receive(address, port, head, until=REQUEST_END)
+    if REQUEST_END not in received:
+        return None
+    return int(received.split(b' ', 2)[1])
+
+
+async def _receive(
+    address: str, port: int, head: str, *, until: bytes | None = None
+) -> bytes:
+    """Send a request; receive until some bytes, or the connection's end."""
+    received = b''
     try:
         stream = await trio.open_tcp_stream(address, port)
     except OSError:
-        return None
-    received = b''
+        return received
     async with stream:
-        try:
+        # The host may close the connection at any time.
+        with suppress(trio.BrokenResourceError):
             await stream.send_all(head.encode())
-            while REQUEST_END not in received:
+            while until is None or until not in received:
                 data = await stream.receive_some()
                 if not data:
-                    return None
+                    break
                 received += data
-        except trio.BrokenResourceError:
-            return None
-    return int(received.split(b' ', 2)[1])
+    return received
