Retry at once where peers get the response that a host lacks

Cause: the pace of retries looked at the zone alone. That two hosts say that the store does not respond to them, or that this one has failed once, tells nothing of a host whose lease ends while its peers get responses.

Change: facts carry the age of the proof. A host whose lease ends retries every 0.5 s while a peer has a young proof; its first read is not paced.

--- a/src/ebonystream/entryhost/_gossip.py
+++ b/src/ebonystream/entryhost/_gossip.py
@@ -3,6 +3,7 @@
 from itertools import islice
 
 from ebonystream._ids import Monotonic, Seconds
+from ebonystream._validation import limit_duration
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._rank_demands import make_rank_demands
 from ebonystream.entryhost._version_moves import make_move_facts
@@ -127,9 +128,15 @@
         duty=_make_duty_facts(parts),
         rank_demands=make_rank_demands(parts.reservations, now),
         orders_era=parts.orders.position.era,
+        proof_age=_round_proof_age(parts),
     )
 
 
+def _round_proof_age(parts: HostParts) -> Seconds | None:
+    age = parts.orders.freshness.get_age(parts.timers.boot_now())
+    return None if age is None else limit_duration(round(age, 1))
+
+
 def _hear_duty(parts: HostParts, facts: HostFacts) -> None:
     usage = parts.usage
     if usage is None or facts.duty is None:
--- a/src/ebonystream/entryhost/_lease.py
+++ b/src/ebonystream/entryhost/_lease.py
@@ -27,6 +27,12 @@
 STALE_SHARE = 0.8
 """Share of the bound from which any host reads the store itself."""
 
+MIN_BOUND = Seconds(1)
+"""Hosts can't confirm orders to each other more often, in seconds."""
+
+MAX_POLL = Seconds(2)
+"""Upper bound on one long poll, in seconds."""
+
 
 def is_fresh(parts: HostParts) -> bool:
     """Return whether the configuration is fresh enough to judge a key.
@@ -47,9 +53,10 @@
         parts: The state of the host.
     """
     limits = parts.settings.limits
-    if limits.revoke is None:
-        return limits.apply_time
-    return min(limits.revoke, limits.apply_time)
+    bound = limits.apply_time
+    if limits.revoke is not None:
+        bound = min(bound, limits.revoke)
+    return max(bound, MIN_BOUND)
 
 
 def is_lease_short(parts: HostParts) -> bool:
@@ -70,6 +77,22 @@
     return not _is_within(parts, Seconds(get_orders_bound(parts) * STALE_SHARE))
 
 
+def is_store_needed(parts: HostParts) -> bool:
+    """Return whether this host alone lacks a proof that the store gives.
+
+    The lease of its orders ends, while peers have had a response of the store.
+
+    Args:
+        parts: The state of the host.
+    """
+    limit = get_orders_bound(parts) * STALE_SHARE
+    peers = parts.facts.list_alive_with_age(parts.timers.now())
+    return is_lease_ending(parts) and any(
+        facts.proof_age is not None and facts.proof_age + age <= limit
+        for facts, age in peers
+    )
+
+
 def get_orders_poll(parts: HostParts) -> Seconds:
     """Return the upper bound on one long poll for new orders, in seconds.
 
@@ -79,7 +102,7 @@
     if is_lease_short(parts):
         return SHORT_LEASE_POLL
     in_time = get_orders_bound(parts) * POLL_SHARE - parts.store_latency
-    return Seconds(max(SHORT_LEASE_POLL, in_time))
+    return Seconds(min(MAX_POLL, max(SHORT_LEASE_POLL, in_time)))
 
 
 def _is_within(parts: HostParts, limit: Seconds) -> bool:
--- a/src/ebonystream/entryhost/_store_turns.py
+++ b/src/ebonystream/entryhost/_store_turns.py
@@ -10,7 +10,7 @@
 import trio
 
 from ebonystream._ids import Monotonic, Seconds
-from ebonystream.entryhost._lease import is_lease_ending
+from ebonystream.entryhost._lease import is_lease_ending, is_store_needed
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._store_pacing import (
     RETRY_DELAY,
@@ -65,6 +65,8 @@
     now = parts.timers.now()
     if parts.facts.is_leader(now) or not is_store_failing(parts.facts, now):
         return True
+    if copy is StoreCopy.ORDERS and is_lease_ending(parts):
+        return True
     await wait_to_retry(parts)
     return must_read(parts, copy)
 
@@ -73,7 +75,7 @@
     """Wait until the store is read again after it has failed.
 
     A host that becomes the leader of its zone meanwhile waits no longer than a
-    leader.
+    leader, and neither does one that needs a response that others get.
 
     Args:
         parts: The state of the host.
@@ -84,6 +86,8 @@
             await parts.timers.wait(RETRY_DELAY)
             if parts.facts.is_leader(parts.timers.now()):
                 return
+            if is_store_needed(parts):
+                return
 
 
 def must_read(parts: HostParts, copy: StoreCopy) -> bool:
--- a/src/ebonystream/gossip/_facts.py
+++ b/src/ebonystream/gossip/_facts.py
@@ -145,6 +145,8 @@
             this deployment does not report it.
         rank_demands: Recent requests of the host by service and rank.
         orders_era: Era of the store that the host has read the orders in.
+        proof_age: Age of the proof that its orders are the newest, in seconds;
+            None if there never was one.
     """
 
     host: Annotated[HostId, _NAME]
@@ -166,6 +168,9 @@
     orders_era: Annotated[StoreEra, msgspec.Meta(ge=0, le=MAX_SEQUENCE)] = (
         StoreEra(0)
     )
+    proof_age: (
+        Annotated[Seconds, msgspec.Meta(ge=0, le=MAX_DURATION_S)] | None
+    ) = None
 
     def get_orders_position(self) -> OrdersPosition:
         """Return the position up to which the host has read the orders."""
--- a/tests/test_orders_in_time.py
+++ b/tests/test_orders_in_time.py
@@ -120,6 +120,7 @@
             zone=other.settings.zone,
             store_unreachable=other.store_unreachable,
             orders_end=other.orders.end,
+            proof_age=other.orders.freshness.get_age(other.timers.boot_now()),
         )
         host.facts.update(facts, trio.current_time())
         if facts.orders_end > host.orders.end:
@@ -228,6 +229,19 @@
     await cut_the_readers_from_the_store(deployment)
 
 
+async def cut_the_fetches_after_an_outage(deployment):
+    """A host gets nothing from its peers after all had lost the store."""
+    await end_an_outage(deployment)
+    await cut_the_fetches_of_a_host(deployment)
+
+
+async def freeze_all_others_as_the_store_turns_two_away(deployment):
+    """Peers that the store had turned away stand still, and so do the rest."""
+    deployment.without_store.update(('e1', 'e2'))
+    await trio.sleep(OUTAGE_S)
+    await freeze_all_others(deployment)
+
+
 TROUBLES = [
     do_nothing,
     cut_a_host_from_its_peers,
@@ -238,6 +252,7 @@
     end_an_outage,
     cut_a_host_after_an_outage,
     cut_the_readers_after_an_outage,
+    freeze_all_others_as_the_store_turns_two_away,
 ]
 
 
@@ -252,6 +267,16 @@
     assert late == {}
 
 
+@pytest.mark.parametrize('lead_s', [0, 1, 3])
+async def test_a_host_of_a_large_zone_is_current_in_time(
+    autojump_clock, lead_s
+):
+    # Guards against a pace of retries that grows with the hosts of a zone.
+    deployment = Deployment(hosts_per_zone=16)
+    delays = await deployment.measure(cut_the_fetches_after_an_outage, lead_s)
+    assert max(delays.values()) <= APPLY_S
+
+
 @pytest.mark.parametrize('hosts_per_zone', [1, 5, 10])
 async def test_each_host_learns_that_the_store_is_back(
     autojump_clock, hosts_per_zone
--- a/tests/test_store_pacing.py
+++ b/tests/test_store_pacing.py
@@ -87,6 +87,10 @@
         started_at=-9.0,
         has_read=lambda: True,
         cancel_orders_wait=lambda: None,
+        orders=Orders(),
+        settings=SimpleNamespace(
+            limits=SimpleNamespace(revoke=5.0, apply_time=5.0)
+        ),
     )
 
 
@@ -168,14 +172,10 @@
         nursery.start_soon(exchange_facts, hosts)
         await trio.sleep(0.01)
         for host in hosts:
-            host.orders = Orders()
             host.orders.update(make_listing(end=4), 0.0)
             host.orders.confirm_newest(
                 host.orders.position, host.timers.boot_now()
             )
-            host.settings = SimpleNamespace(
-                limits=SimpleNamespace(revoke=5.0, apply_time=5.0)
-            )
             host.store_latency = 0.0
             nursery.start_soon(sync_orders, host, reader)
         await trio.sleep(OUTAGE_S)
