Ignore a listing of servers that was read before the present one

What callers saw: nothing that is known to come from it. A server that had just joined left again for up to a second on a host whose way to the store is slow, and on those that it supplies; its state began anew.

Cause: the host's own late response replaced the newer entries that it had from a peer, while their time of reading stayed.

Change: the roster applies no listing that was read before the one it has, as fetching from peers did before. test_a_late_listing_does_not_undo_a_newer_one failed before and passes.

--- a/src/ebonystream/roster/_roster.py
+++ b/src/ebonystream/roster/_roster.py
@@ -79,13 +79,16 @@
     ) -> RosterChange:
         """Apply a complete listing of the store.
 
-        A known server whose entry is unreadable keeps its latest one.
+        A known server whose entry is unreadable keeps its latest one. A listing
+        that was read before the present one changes nothing.
 
         Args:
             entries: Entries of all servers.
             now: When the listing was read.
             unreadable: Ids of the servers whose entry is unreadable.
         """
+        if self.last_listed_at is not None and now < self.last_listed_at:
+            return RosterChange()
         kept = (
             self.servers[server_id].entry
             for server_id in unreadable
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -51,6 +51,16 @@
     ] == usable
 
 
+@pytest.mark.parametrize(('read_at', 'known'), [(4.9, True), (5.0, False)])
+def test_a_late_listing_does_not_undo_a_newer_one(read_at, known):
+    roster = Roster()
+    roster.apply_listing([ENTRY, OTHER], 5.0)
+    change = roster.apply_listing([ENTRY], read_at)
+    assert (change.left == ()) is known
+    assert (OTHER.id in roster.servers) is known
+    assert roster.last_listed_at == 5.0
+
+
 @pytest.mark.parametrize(
     ('back_after', 'known'), [(0.5, True), (2, True), (2.5, False)]
 )
