Share the orders in force after a return of the store, not those that it lists

What callers saw: nothing yet that is known to come from it.

Change: a listing that is taken is kept with the configuration in force and the names by which its moves are known.

test_a_host_that_starts_after_a_return_gets_what_is_in_force: its row with an older listing failed before and passes.

--- a/src/ebonystream/orders/_orders.py
+++ b/src/ebonystream/orders/_orders.py
@@ -149,9 +149,12 @@
             self.confirm(listing.position, read_at)
             return OrdersUpdate.CONFIRMED
         self._carry(listing, read_at)
-        self.listing = listing
-        self.confirm(listing.position, read_at)
         self._apply_configuration(listing.configuration)
+        # Other hosts get what is in force, not what the store has lost.
+        self.listing = attrs.evolve(
+            listing, configuration=self.configuration, moves=self.moves
+        )
+        self.confirm(listing.position, read_at)
         return OrdersUpdate.TAKEN
 
     def _carry(self, listing: OrdersListing, now: Monotonic) -> None:
--- a/tests/test_orders_positions.py
+++ b/tests/test_orders_positions.py
@@ -114,3 +114,15 @@
         position = orders.position
         version = orders.configuration.version
         assert (position.era, position.end, version) == met
+
+
+@pytest.mark.parametrize(('listed', 'shared'), [(3, 8), (8, 8), (9, 9)])
+def test_a_host_that_starts_after_a_return_gets_what_is_in_force(
+    listed, shared
+):
+    held, started = Orders(), Orders()
+    update(held, 1, 8, 8, at=0)
+    update(held, 2, 3, listed, at=1)
+    started.update(held.listing, 1.0)
+    assert started.configuration.version == shared
+    assert started.position == held.position
