Ask for newer orders before requests are routed after a standstill

What callers saw: suspected only.

Cause: a host that stood still, or was suspended, routed the requests that had come meanwhile by its old configuration, before it had asked anybody.

Change: while the proof of the orders is older than its bound, requests wait for it, 0.3 s at most and once in 10 s, so that an outage of the store costs one short wait. The wait ends before the version is read that the log line names. The refusal of crashing requests moves to a module of its own, as the wiring had too many imports. test_store_outage lasts 4 s in place of 2.5 s: its line orders_unproven needs a proof older than 2 s, and a poll that is under way when the outage begins renews it.

A run of real programs that stand still was not made.

--- a/src/ebonystream/entryhost/_handlers.py
+++ b/src/ebonystream/entryhost/_handlers.py
@@ -9,6 +9,7 @@
 from ebonystream.dispatch import HandleRequest
 from ebonystream.entryhost._connections import serve_logged
 from ebonystream.entryhost._parts import HostParts
+from ebonystream.entryhost._proof_wait import WaitForProof, return_at_once
 from ebonystream.errors import EbonystreamError, ErrorKind
 from ebonystream.http1 import Message, ReaderLimits
 from ebonystream.ingress import (
@@ -41,7 +42,10 @@
 
 
 def make_caller_handler(
-    parts: HostParts, handle_request: HandleRequest, codec: MessageCodec
+    parts: HostParts,
+    handle_request: HandleRequest,
+    codec: MessageCodec,
+    wait_for_proof: WaitForProof = return_at_once,
 ) -> HandleConnection:
     """Return the function that serves a caller's connection.
 
@@ -49,12 +53,14 @@
         parts: The state of the host.
         handle_request: Handles one request.
         codec: Encodes and decodes messages.
+        wait_for_proof: Waits until the orders are proven, for a bounded time.
     """
 
     async def respond(
         message: Message, arrived_at: Monotonic, presence: CallerPresence
     ) -> EncodedResponse:
         request = codec.decode_request(message, arrived_at)
+        await wait_for_proof()
         routed_by = _get_version(parts)
         try:
             response = await _handle_checked(
--- a/src/ebonystream/entryhost/_lease.py
+++ b/src/ebonystream/entryhost/_lease.py
@@ -59,6 +59,15 @@
     return max(bound, MIN_BOUND)
 
 
+def is_proven(parts: HostParts) -> bool:
+    """Return whether the proof of the orders is within its bound.
+
+    Args:
+        parts: The state of the host.
+    """
+    return _is_within(parts, get_orders_bound(parts))
+
+
 def is_lease_short(parts: HostParts) -> bool:
     """Return whether to ask the leaders of other zones for the orders.
 
--- a/src/ebonystream/entryhost/_request_wiring.py
+++ b/src/ebonystream/entryhost/_request_wiring.py
@@ -4,15 +4,12 @@
 
 from ebonystream.dispatch import (
     Dispatcher,
-    HandleRequest,
     make_handle_request,
     make_send_attempt,
 )
 from ebonystream.entryhost._admission import Gate
 from ebonystream.entryhost._cold_servers import make_cold_gate
-from ebonystream.entryhost._crashes import (
-    refuse_crashing_request,
-)
+from ebonystream.entryhost._crash_refusal import refuse_crashing_requests
 from ebonystream.entryhost._handlers import make_caller_handler
 from ebonystream.entryhost._hedging import make_hedge_rules
 from ebonystream.entryhost._listing import list_servers, list_service_settings
@@ -23,11 +20,12 @@
 )
 from ebonystream.entryhost._parts import HostParts
 from ebonystream.entryhost._patience import PatientRoutes
+from ebonystream.entryhost._proof_wait import make_proof_wait
 from ebonystream.entryhost._request_log import log_no_capacity
 from ebonystream.entryhost._retry_budget import make_retry_budget
 from ebonystream.entryhost._searches import DispatchState, make_stoppable_search
 from ebonystream.entryhost._supervision import supervise_probe
-from ebonystream.ingress import CallerPresence, HandleConnection
+from ebonystream.ingress import HandleConnection
 from ebonystream.link import make_exchange
 from ebonystream.placement import (
     ColdShares,
@@ -36,7 +34,6 @@
     make_probe,
 )
 from ebonystream.platform import make_codec
-from ebonystream.request import Request, Response
 
 
 def make_request_handler(parts: HostParts) -> HandleConnection:
@@ -100,23 +97,7 @@
     )
     return make_caller_handler(
         parts,
-        gate.wrap(_refuse_crashing_requests(parts, handle_request)),
+        gate.wrap(refuse_crashing_requests(parts, handle_request)),
         codec,
+        make_proof_wait(parts),
     )
-
-
-def _refuse_crashing_requests(
-    parts: HostParts, handle_request: HandleRequest
-) -> HandleRequest:
-    """Wrap a handler so that requests that crash servers are refused."""
-
-    async def handle_unless_crashing(
-        request: Request, presence: CallerPresence
-    ) -> Response:
-        refusal = refuse_crashing_request(parts, request)
-        if refusal is None:
-            return await handle_request(request, presence)
-        count_response(parts, request, None, refusal)
-        return refusal
-
-    return handle_unless_crashing
--- a/tests/test_entry_host.py
+++ b/tests/test_entry_host.py
@@ -339,7 +339,7 @@
     async with run_deployment(tmp_path) as deployment:
         await configure_and_wait(deployment)
         deployment.store.mode = mode
-        await trio.sleep(2.5)
+        await trio.sleep(4)
         assert (await deployment.call('a'))[0] == 200
         deployment.configure(2, path_prefix='/else/')
         deployment.store.mode = StoreMode.AVAILABLE
